--- a/quilldyke-core/src/main/java/org/quilldyke/control/DurableState.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/control/DurableState.java
@@ -24,6 +24,7 @@
  * @param snapshotIndex the last entry that the stored snapshot covers, 0 for no snapshot
  * @param snapshotTerm that entry's term
  * @param snapshot the state, empty for no snapshot
+ * @param snapshotMembership who replicated the log as of the snapshot; empty if there is none
  * @param entries the entries after the snapshot
  */
 public record DurableState(
@@ -31,9 +32,10 @@
         long snapshotIndex,
         long snapshotTerm,
         byte[] snapshot,
+        Membership snapshotMembership,
         List<LogEntry> entries) {
     /** Returns the state of an empty disk. */
     public static DurableState blank() {
-        return new DurableState(Ballot.blank(), 0, 0, new byte[0], List.of());
+        return new DurableState(Ballot.blank(), 0, 0, new byte[0], Membership.empty(), List.of());
     }
 }
--- /dev/null
+++ b/quilldyke-core/src/main/java/org/quilldyke/control/ElectionTimer.java
@@ -0,0 +1,60 @@
+/*
+ * Copyright 2026 The quilldyke authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.quilldyke.control;
+
+import java.util.random.RandomGenerator;
+
+/**
+ * When a replica that hears no leader asks to be elected.
+ *
+ * <p>The time is drawn between one and two election timeouts. It doubles with each election that
+ * fails, so that votes which slow disks hold up still arrive within one election.
+ */
+final class ElectionTimer {
+    private static final int MAX_FACTOR = 8;
+
+    private final long mElectionMillis;
+    private final RandomGenerator mRandom;
+    private long mFactor = 1;
+    private long mDeadline;
+
+    ElectionTimer(long electionMillis, RandomGenerator random, long now) {
+        mElectionMillis = electionMillis;
+        mRandom = random;
+        restart(now);
+    }
+
+    /** Starts to wait anew. */
+    void restart(long now) {
+        mDeadline = now + mFactor * (mElectionMillis + mRandom.nextLong(mElectionMillis));
+    }
+
+    /** Starts to wait anew, for longer. */
+    void restartAfterFailure(long now) {
+        mFactor = Math.min(MAX_FACTOR, 2 * mFactor);
+        restart(now);
+    }
+
+    /** Starts to wait anew, since a leader was heard. */
+    void restartWithLeader(long now) {
+        mFactor = 1;
+        restart(now);
+    }
+
+    boolean isDue(long now) {
+        return now >= mDeadline;
+    }
+}
--- /dev/null
+++ b/quilldyke-core/src/main/java/org/quilldyke/control/FollowerStatus.java
@@ -0,0 +1,31 @@
+/*
+ * Copyright 2026 The quilldyke authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.quilldyke.control;
+
+/**
+ * What a leader knows of another replica.
+ *
+ * @param id the replica
+ * @param matchIndex the last entry that it is known to have synced
+ * @param heardAt when the newest message was sent that it has answered, in milliseconds of the
+ *     leader's clock; {@link Long#MIN_VALUE} if it has answered none
+ */
+public record FollowerStatus(String id, long matchIndex, long heardAt) {
+    /** Returns for how long the replica hasn't answered. */
+    public long silentFor(long now, long leaderSince) {
+        return now - Math.max(heardAt, leaderSince);
+    }
+}
--- a/quilldyke-core/src/main/java/org/quilldyke/control/Followers.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/control/Followers.java
@@ -17,9 +17,12 @@
 
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.function.ToLongFunction;
 
 /** The followers of a leader during its term: what each holds, and what to send next. */
 final class Followers {
@@ -36,12 +39,44 @@
 
     static Followers of(ReplicaSettings settings, ReplicatedLog log, long term) {
         Followers followers = new Followers(settings, log, term);
-        for (String other : settings.others()) {
-            followers.mProgress.put(other, new Progress(log.lastIndex() + 1));
-        }
+        followers.onMembership();
         return followers;
     }
 
+    /** Takes the log's membership: follows new members, and those that left no longer. */
+    void onMembership() {
+        List<String> others = mLog.membership().others(mSettings.self());
+        mProgress.keySet().retainAll(others);
+        for (String other : others) {
+            mProgress.computeIfAbsent(other, id -> new Progress(mLog.lastIndex() + 1));
+        }
+    }
+
+    boolean follows(String id) {
+        return mProgress.containsKey(id);
+    }
+
+    /** Returns what is known of each other member. */
+    List<FollowerStatus> status() {
+        List<FollowerStatus> all = new ArrayList<>();
+        mProgress.forEach(
+                (id, progress) ->
+                        all.add(
+                                new FollowerStatus(
+                                        id, progress.matchIndex(), progress.ackedSentAt())));
+        return all;
+    }
+
+    /** Returns the other voter that holds most of the log. */
+    Optional<String> mostComplete() {
+        return status().stream()
+                .filter(status -> mLog.membership().isVoter(status.id()))
+                .max(
+                        Comparator.comparingLong(FollowerStatus::matchIndex)
+                                .thenComparingLong(FollowerStatus::heardAt))
+                .map(FollowerStatus::id);
+    }
+
     /** Sends entries, or none, to each follower that was sent nothing for a heartbeat's time. */
     List<ReplicaAction> sendHeartbeats(byte[] snapshot, long commitIndex, long now) {
         List<ReplicaAction> actions = new ArrayList<>();
@@ -83,31 +118,33 @@
         progress.onPiece(m.index(), m.nextOffset());
     }
 
-    /** Returns the last index that a majority has synced; learners don't count. */
+    /** Returns the last index that a majority of the voters has synced; learners don't count. */
     long majorityIndex(long ownSyncedIndex) {
-        long[] matched = new long[mProgress.size() + 1];
-        int n = 0;
-        matched[n++] = ownSyncedIndex;
-        for (Progress progress : mProgress.values()) {
-            matched[n++] = progress.isLearner() ? 0 : progress.matchIndex();
-        }
-        Arrays.sort(matched);
-        return matched[matched.length - mSettings.quorum()];
+        return majority(ownSyncedIndex, 0, Progress::matchIndex);
     }
 
     /**
-     * Returns the time up to which a majority, the leader included, has surely heard the leader;
-     * {@link Long#MIN_VALUE} if that many have not answered yet. Learners don't count.
+     * Returns the time up to which a majority of the voters, the leader included, has surely heard
+     * the leader; {@link Long#MIN_VALUE} if that many have not answered yet. Learners don't count.
      */
     long quorumHeardAt(long now) {
-        long[] heard = new long[mProgress.size() + 1];
+        return majority(now, Long.MIN_VALUE, Progress::ackedSentAt);
+    }
+
+    private long majority(long own, long none, ToLongFunction<Progress> value) {
+        List<Membership.Member> voters = mLog.membership().voters();
+        long[] values = new long[voters.size()];
         int n = 0;
-        heard[n++] = now;
-        for (Progress progress : mProgress.values()) {
-            heard[n++] = progress.isLearner() ? Long.MIN_VALUE : progress.ackedSentAt();
+        for (Membership.Member voter : voters) {
+            Progress progress = mProgress.get(voter.id());
+            if (voter.id().equals(mSettings.self())) {
+                values[n++] = own;
+            } else {
+                values[n++] = progress.isLearner() ? none : value.applyAsLong(progress);
+            }
         }
-        Arrays.sort(heard);
-        return heard[heard.length - mSettings.quorum()];
+        Arrays.sort(values);
+        return values[values.length - mLog.membership().quorum()];
     }
 
     private ReplicaAction sendNext(
@@ -142,6 +179,7 @@
                         mLog.baseTerm(),
                         offset,
                         snapshot.length,
+                        mLog.baseMembership(),
                         Arrays.copyOfRange(snapshot, offset, end),
                         now));
     }
--- a/quilldyke-core/src/main/java/org/quilldyke/control/LogEntry.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/control/LogEntry.java
@@ -18,16 +18,26 @@
 /**
  * An entry of the replicated log.
  *
- * @param term the term of the leader that created it
- * @param payload the command in its encoded form, empty for the entry that opens a term; not to be
- *     changed by anybody
+ * @param term the term of the leader that appended it
+ * @param payload the encoded command; empty in an opening entry and in a change of membership
+ * @param membership who replicates the log from this entry on, or null if that doesn't change
  */
-public record LogEntry(long term, byte[] payload) {
+public record LogEntry(long term, byte[] payload, Membership membership) {
     private static final byte[] EMPTY = new byte[0];
 
+    /** Creates an entry that carries a command. */
+    public LogEntry(long term, byte[] payload) {
+        this(term, payload, null);
+    }
+
     /** Returns the entry with which a new leader opens its term. */
     public static LogEntry opening(long term) {
-        return new LogEntry(term, EMPTY);
+        return new LogEntry(term, EMPTY, null);
+    }
+
+    /** Returns an entry that changes the membership. */
+    public static LogEntry ofMembership(long term, Membership membership) {
+        return new LogEntry(term, EMPTY, membership);
     }
 
     /** Returns whether the entry carries no command. */
--- /dev/null
+++ b/quilldyke-core/src/main/java/org/quilldyke/control/Membership.java
@@ -0,0 +1,130 @@
+/*
+ * Copyright 2026 The quilldyke authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.quilldyke.control;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * Who replicates the log: voters, whose majority decides, and standbys, which only follow.
+ *
+ * <p>A membership is an entry of the log and is in force at each replica as soon as the entry is
+ * appended there. From one membership to the next, the voters differ by one at most, so that each
+ * majority of the one meets each majority of the other.
+ *
+ * @param voters the replicas whose majority elects and commits
+ * @param standbys the replicas that hold the log but don't count
+ */
+public record Membership(List<Member> voters, List<Member> standbys) {
+    /** Copies the lists. */
+    public Membership {
+        voters = List.copyOf(voters);
+        standbys = List.copyOf(standbys);
+    }
+
+    /** Returns the membership of a replica that hasn't been told of any. */
+    public static Membership empty() {
+        return new Membership(List.of(), List.of());
+    }
+
+    /** Returns a membership of voters only. */
+    public static Membership ofVoters(List<Member> voters) {
+        return new Membership(voters, List.of());
+    }
+
+    /** Returns a membership of voters whose addresses are their ids. */
+    public static Membership ofIds(List<String> ids) {
+        return ofVoters(ids.stream().map(id -> new Member(id, id)).toList());
+    }
+
+    /** Returns how many voters make a majority. */
+    public int quorum() {
+        return voters.size() / 2 + 1;
+    }
+
+    /** Returns whether the replica votes. */
+    public boolean isVoter(String id) {
+        return voters.stream().anyMatch(m -> m.id().equals(id));
+    }
+
+    /** Returns the member with the given id. */
+    public Optional<Member> member(String id) {
+        return all().stream().filter(m -> m.id().equals(id)).findFirst();
+    }
+
+    /** Returns voters and standbys. */
+    public List<Member> all() {
+        List<Member> all = new ArrayList<>(voters);
+        all.addAll(standbys);
+        return all;
+    }
+
+    /** Returns the ids of all members but one. */
+    public List<String> others(String self) {
+        return all().stream().map(Member::id).filter(id -> !id.equals(self)).toList();
+    }
+
+    /** Returns the ids of all voters but one. */
+    public List<String> otherVoters(String self) {
+        return voters.stream().map(Member::id).filter(id -> !id.equals(self)).toList();
+    }
+
+    /** Returns the membership with one standby more. */
+    public Membership withStandby(Member member) {
+        List<Member> more = new ArrayList<>(standbys);
+        more.add(member);
+        return new Membership(voters, more);
+    }
+
+    /** Returns the membership in which a standby votes. */
+    public Membership withPromoted(Member member) {
+        List<Member> more = new ArrayList<>(voters);
+        more.add(member);
+        return new Membership(more, remove(standbys, member.id()));
+    }
+
+    /** Returns the membership in which a voter is a standby. */
+    public Membership withDemoted(Member member) {
+        List<Member> more = new ArrayList<>(standbys);
+        more.add(member);
+        return new Membership(remove(voters, member.id()), more);
+    }
+
+    /** Returns the membership without a member. */
+    public Membership without(String id) {
+        return new Membership(remove(voters, id), remove(standbys, id));
+    }
+
+    /** Returns by how many voters two memberships differ. */
+    public int voterDistance(Membership other) {
+        long added = voters.stream().filter(m -> !other.isVoter(m.id())).count();
+        long removed = other.voters.stream().filter(m -> !isVoter(m.id())).count();
+        return (int) (added + removed);
+    }
+
+    private static List<Member> remove(List<Member> members, String id) {
+        return members.stream().filter(m -> !m.id().equals(id)).toList();
+    }
+
+    /**
+     * One replica.
+     *
+     * @param id names the replica and its disk: a replica that lost its disk has a new id
+     * @param address where other replicas reach it
+     */
+    public record Member(String id, String address) {}
+}
--- a/quilldyke-core/src/main/java/org/quilldyke/control/PeerMessage.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/control/PeerMessage.java
@@ -20,8 +20,17 @@
 /** What replicas of the control state say to each other. Times are the sender's own clock. */
 public sealed interface PeerMessage {
 
-    /** Asks for a vote; with {@code preVote}, whether one would be given, which changes nothing. */
-    record VoteRequest(long term, long lastIndex, long lastTerm, boolean preVote)
+    /**
+     * Asks for a vote.
+     *
+     * @param term the term to be elected for
+     * @param lastIndex the end of the candidate's log
+     * @param lastTerm its term
+     * @param preVote whether only to tell if a vote would be given, which changes nothing
+     * @param transfer whether the leader itself has asked for this election, so that a vote may be
+     *     given although the leader was heard just now
+     */
+    record VoteRequest(long term, long lastIndex, long lastTerm, boolean preVote, boolean transfer)
             implements PeerMessage {}
 
     /** Answers a {@link VoteRequest}. */
@@ -68,11 +77,19 @@
      * @param indexTerm its term
      * @param offset where the piece starts
      * @param total the snapshot's size in bytes
+     * @param membership who replicates the log as of the snapshot
      * @param piece the bytes
      * @param sentAt the leader's clock, sent back in the reply
      */
     record SnapshotRequest(
-            long term, long index, long indexTerm, int offset, int total, byte[] piece, long sentAt)
+            long term,
+            long index,
+            long indexTerm,
+            int offset,
+            int total,
+            Membership membership,
+            byte[] piece,
+            long sentAt)
             implements PeerMessage {}
 
     /** Answers a piece: the follower holds the snapshot's bytes up to {@code nextOffset}. */
@@ -84,4 +101,7 @@
 
     /** Answers a {@link StateRequest}. */
     record StateReply(long term, long lastIndex) implements PeerMessage {}
+
+    /** Asks the most complete follower of a leader that shuts down to be elected at once. */
+    record ElectNow(long term) implements PeerMessage {}
 }
--- a/quilldyke-core/src/main/java/org/quilldyke/control/Replica.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/control/Replica.java
@@ -16,12 +16,7 @@
 package org.quilldyke.control;
 
 import java.util.ArrayList;
-import java.util.Arrays;
-import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
-import java.util.Set;
 import java.util.random.RandomGenerator;
 import org.quilldyke.Invariant;
 import org.quilldyke.QuilldykeException;
@@ -40,38 +35,35 @@
  * ReplicaAction}. Not safe for use by several threads.
  */
 public final class Replica {
+    private static final long NO_REPLY_OWED = Long.MIN_VALUE;
+
     private final ReplicaSettings mSettings;
-    private final RandomGenerator mRandom;
+    private final ElectionTimer mTimer;
+    private final StoredLog mStored;
     private final ReplicatedLog mLog;
-    private final Set<String> mVotes = new HashSet<>();
-    private final Map<String, PeerMessage.StateReply> mStates = new HashMap<>();
+    private final VoteCount mVotes = new VoteCount();
+    private final StateSurvey mSurvey;
+    private final IncomingSnapshot mIncoming = new IncomingSnapshot();
     private List<ReplicaAction> mActions = new ArrayList<>();
     private Ballot mBallot;
     private Role mRole = Role.FOLLOWER;
     private String mLeader = "";
     private Followers mFollowers;
-    private byte[] mSnapshot;
-    private byte[] mIncoming = new byte[0];
-    private long mIncomingIndex;
-    private long mCommitIndex;
-    private long mAppliedIndex;
-    private long mSyncedIndex;
+    private long mMatchedIndex;
+    private long mReplyOwedFor = NO_REPLY_OWED;
     private long mHeardCommit = Long.MAX_VALUE;
     private long mLeaderHeardAt;
-    private long mDeadline;
+    private boolean mBallotPending;
 
     private Replica(ReplicaSettings settings, DurableState disk, RandomGenerator random, long now) {
         mSettings = settings;
-        mRandom = random;
+        mTimer = new ElectionTimer(settings.electionMillis(), random, now);
         mBallot = disk.ballot();
-        mSnapshot = disk.snapshot();
-        mLog = new ReplicatedLog(disk.snapshotIndex(), disk.snapshotTerm(), disk.entries());
-        mCommitIndex = disk.snapshotIndex();
-        mAppliedIndex = disk.snapshotIndex();
-        mSyncedIndex = mLog.lastIndex();
+        mStored = StoredLog.restore(settings, disk, action -> mActions.add(action));
+        mLog = mStored.log();
+        mSurvey = new StateSurvey(settings.self(), mLog);
         // A lease that this replica granted before its restart may still be running.
         mLeaderHeardAt = now;
-        resetDeadline(now);
     }
 
     /**
@@ -91,13 +83,8 @@
     public List<ReplicaAction> tick(long now) throws QuilldykeException {
         if (mRole == Role.LEADER) {
             tickLeader(now);
-        } else if (now >= mDeadline) {
-            resetDeadline(now);
-            if (mBallot.trusted()) {
-                startPreVote(now);
-            } else {
-                askForState(now);
-            }
+        } else if (mTimer.isDue(now) && !mBallotPending) {
+            onElectionTimeout(now);
         }
         return takeActions();
     }
@@ -109,9 +96,6 @@
      */
     public List<ReplicaAction> receive(String from, PeerMessage message, long now)
             throws QuilldykeException {
-        if (!mSettings.others().contains(from)) {
-            return takeActions();
-        }
         if (message instanceof PeerMessage.VoteRequest m) {
             onVoteRequest(from, m, now);
         } else if (message instanceof PeerMessage.VoteReply m) {
@@ -128,6 +112,8 @@
             send(from, new PeerMessage.StateReply(mBallot.term(), mLog.lastIndex()));
         } else if (message instanceof PeerMessage.StateReply m) {
             onStateReply(from, m, now);
+        } else if (message instanceof PeerMessage.ElectNow m) {
+            onElectNow(m, now);
         }
         return takeActions();
     }
@@ -141,31 +127,89 @@
         if (mRole != Role.LEADER) {
             return -1;
         }
-        appendOwn(new LogEntry(mBallot.term(), payload));
+        mStored.append(new LogEntry(mBallot.term(), payload));
+        return mLog.lastIndex();
+    }
+
+    /**
+     * Appends a change of membership to the log.
+     *
+     * @param next differs from the present membership by one voter at most
+     * @return the entry's index, or -1 if this replica may not change the membership now: it
+     *     doesn't lead, or hasn't committed an entry of its term yet, or the last change isn't
+     *     committed
+     * @throws QuilldykeException if the voters differ by more than one
+     */
+    public long proposeMembership(Membership next) throws QuilldykeException {
+        if (!mayChangeMembership()) {
+            return -1;
+        }
+        Invariant.check(
+                next.voterDistance(mLog.membership()) <= 1 && next.isVoter(mSettings.self()),
+                "one voter at a time changes, and the leader stays");
+        mStored.append(LogEntry.ofMembership(mBallot.term(), next));
+        mFollowers.onMembership();
         return mLog.lastIndex();
     }
 
     /** Sends what was proposed. */
     public List<ReplicaAction> flush(long now) {
         if (mRole == Role.LEADER) {
-            mActions.addAll(mFollowers.sendNew(mSnapshot, mCommitIndex, now));
+            mActions.addAll(mFollowers.sendNew(mStored.snapshot(), mStored.commitIndex(), now));
         }
         return takeActions();
     }
 
-    /** Tells that everything which earlier calls wanted stored is synced, up to {@code index}. */
-    public List<ReplicaAction> onSynced(long index) throws QuilldykeException {
-        mSyncedIndex = Math.min(index, mLog.lastIndex());
+    /**
+     * Tells that what was wanted stored is synced.
+     *
+     * @param index the end of the log when the sync was begun
+     * @param epoch {@link #storeEpoch} when the sync was begun; entries that were removed since
+     *     make the news void
+     */
+    public List<ReplicaAction> onSynced(long index, long epoch) throws QuilldykeException {
+        if (!mStored.onSynced(index, epoch)) {
+            return takeActions();
+        }
         advanceCommit();
+        if (mReplyOwedFor != NO_REPLY_OWED && !mLeader.isEmpty() && mRole == Role.FOLLOWER) {
+            reply(mLeader, true, Math.min(mMatchedIndex, mStored.syncedIndex()), mReplyOwedFor);
+            mReplyOwedFor = mStored.syncedIndex() < mMatchedIndex ? mReplyOwedFor : NO_REPLY_OWED;
+        }
         return takeActions();
     }
 
-    /** Replaces the applied entries by a snapshot of the state, which the shell has stored. */
-    public void compact(long index, byte[] state) {
-        if (index > mLog.baseIndex() && index <= mAppliedIndex) {
-            mLog.compactTo(index);
-            mSnapshot = state;
+    /** Tells that a ballot is stored; until the newest is, no election is begun or given up. */
+    public void onBallotStored(Ballot ballot, long now) {
+        if (mBallotPending && ballot.equals(mBallot)) {
+            mBallotPending = false;
+            mTimer.restart(now);
+        }
+    }
+
+    /** Returns a number that changes whenever stored entries are wanted removed. */
+    public long storeEpoch() {
+        return mStored.storeEpoch();
+    }
+
+    /**
+     * Leads no longer and asks the most complete other voter to be elected at once.
+     *
+     * <p>A leader that shuts down calls this; the group then goes on without waiting for a timeout.
+     */
+    public List<ReplicaAction> transferLeadership(long now) {
+        if (mRole != Role.LEADER) {
+            return takeActions();
         }
+        long term = mBallot.term();
+        mFollowers.mostComplete().ifPresent(id -> send(id, new PeerMessage.ElectNow(term)));
+        stepDown(term, now);
+        return takeActions();
+    }
+
+    /** Replaces the applied entries by a snapshot of the state; the caller stores the outcome. */
+    public Compaction compact(byte[] state) {
+        return mStored.compact(state);
     }
 
     /** Returns whether this replica leads. */
@@ -173,14 +217,41 @@
         return mRole == Role.LEADER;
     }
 
-    /**
-     * Returns whether this replica leads and a quorum has heard it so recently that no other can.
-     */
+    /** Returns whether this replica leads and was heard so recently that no other can. */
     public boolean holdsLease(long now) {
         return mRole == Role.LEADER
                 && now < mFollowers.quorumHeardAt(now) + mSettings.leaseMillis();
     }
 
+    /**
+     * Returns the time, of this replica's clock, up to which surely no other replica led: what it
+     * has applied includes all that was committed before then. {@link Long#MIN_VALUE} if it doesn't
+     * lead or hasn't committed an entry of its term yet.
+     */
+    public long confirmedAt(long now) {
+        if (mRole != Role.LEADER || mLog.termAt(mStored.commitIndex()) != mBallot.term()) {
+            return Long.MIN_VALUE;
+        }
+        return mFollowers.quorumHeardAt(now);
+    }
+
+    /** Returns who replicates the log as of its last entry. */
+    public Membership membership() {
+        return mLog.membership();
+    }
+
+    /** Returns whether {@link #proposeMembership} would be taken. */
+    public boolean mayChangeMembership() {
+        return mRole == Role.LEADER
+                && mLog.termAt(mStored.commitIndex()) == mBallot.term()
+                && mLog.membershipIndex() <= mStored.commitIndex();
+    }
+
+    /** Returns what this leader knows of the other members; empty if it doesn't lead. */
+    public List<FollowerStatus> followers() {
+        return mRole == Role.LEADER ? mFollowers.status() : List.of();
+    }
+
     /** Returns the leader's id as far as known, empty for none. */
     public String leader() {
         return mLeader;
@@ -198,7 +269,7 @@
      * leader; false after a start until then.
      */
     public boolean isCurrent() {
-        return mAppliedIndex >= mHeardCommit;
+        return mStored.appliedIndex() >= mHeardCommit;
     }
 
     /** Returns the present term. */
@@ -208,7 +279,7 @@
 
     /** Returns the index of the last entry that is known to be committed. */
     public long commitIndex() {
-        return mCommitIndex;
+        return mStored.commitIndex();
     }
 
     /** Returns the index of the last entry in the log. */
@@ -218,7 +289,7 @@
 
     /** Returns the index of the last entry given out to be applied. */
     public long appliedIndex() {
-        return mAppliedIndex;
+        return mStored.appliedIndex();
     }
 
     /** Returns the index of the last entry that the snapshot covers. */
@@ -226,11 +297,6 @@
         return mLog.baseIndex();
     }
 
-    /** Returns the entries after {@code index}, which the log must reach. */
-    public List<LogEntry> entriesAfter(long index) {
-        return mLog.entriesFrom(index + 1, Integer.MAX_VALUE);
-    }
-
     /** Returns the term of the entry at {@code index}, -1 if it isn't held. */
     public long termAt(long index) {
         return mLog.termAt(index);
@@ -241,45 +307,59 @@
         return mBallot.trusted();
     }
 
+    private void onElectionTimeout(long now) throws QuilldykeException {
+        if (mRole == Role.CANDIDATE) {
+            mTimer.restartAfterFailure(now);
+        } else {
+            mTimer.restart(now);
+        }
+        if (!mBallot.trusted()) {
+            askForState(now);
+        } else if (mLog.membership().isVoter(mSettings.self())) {
+            startPreVote(now);
+        } else {
+            mLeader = "";
+        }
+    }
+
     private void tickLeader(long now) {
         long heard = Math.max(mFollowers.quorumHeardAt(now), mLeaderHeardAt);
         if (now - heard >= 2 * mSettings.electionMillis()) {
             stepDown(mBallot.term(), now);
             return;
         }
-        mActions.addAll(mFollowers.sendHeartbeats(mSnapshot, mCommitIndex, now));
+        mActions.addAll(mFollowers.sendHeartbeats(mStored.snapshot(), mStored.commitIndex(), now));
     }
 
     private void startPreVote(long now) throws QuilldykeException {
         mRole = Role.PRE_CANDIDATE;
         mLeader = "";
-        mVotes.clear();
-        mVotes.add(mSettings.self());
-        if (mVotes.size() >= mSettings.quorum()) {
-            startElection(now);
+        mVotes.open(mSettings.self(), mBallot.term() + 1, true);
+        if (mVotes.isWon(mLog.membership())) {
+            startElection(now, false);
             return;
         }
-        sendVoteRequests(mBallot.term() + 1, true);
+        sendVoteRequests(mBallot.term() + 1, true, false);
     }
 
-    private void startElection(long now) throws QuilldykeException {
+    private void startElection(long now, boolean transfer) throws QuilldykeException {
         mRole = Role.CANDIDATE;
         saveBallot(new Ballot(mBallot.term() + 1, mSettings.self(), true));
-        mVotes.clear();
-        mVotes.add(mSettings.self());
-        resetDeadline(now);
-        if (mVotes.size() >= mSettings.quorum()) {
+        mVotes.open(mSettings.self(), mBallot.term(), false);
+        mTimer.restart(now);
+        if (mVotes.isWon(mLog.membership())) {
             becomeLeader(now);
             return;
         }
-        sendVoteRequests(mBallot.term(), false);
+        sendVoteRequests(mBallot.term(), false, transfer);
     }
 
-    private void sendVoteRequests(long term, boolean preVote) {
-        for (String other : mSettings.others()) {
+    private void sendVoteRequests(long term, boolean preVote, boolean transfer) {
+        for (String other : mLog.membership().otherVoters(mSettings.self())) {
             send(
                     other,
-                    new PeerMessage.VoteRequest(term, mLog.lastIndex(), mLog.lastTerm(), preVote));
+                    new PeerMessage.VoteRequest(
+                            term, mLog.lastIndex(), mLog.lastTerm(), preVote, transfer));
         }
     }
 
@@ -288,7 +368,7 @@
                 mRole == Role.LEADER
                         ? holdsLease(now)
                         : now - mLeaderHeardAt < mSettings.electionMillis();
-        if (leaderIsAlive || !mBallot.trusted()) {
+        if (leaderIsAlive && !m.transfer() || !mBallot.trusted()) {
             send(from, new PeerMessage.VoteReply(mBallot.term(), false, m.preVote()));
             return;
         }
@@ -306,7 +386,7 @@
         boolean granted = m.term() == mBallot.term() && free && complete;
         if (granted) {
             saveBallot(new Ballot(mBallot.term(), from, true));
-            resetDeadline(now);
+            mTimer.restart(now);
         }
         send(from, new PeerMessage.VoteReply(mBallot.term(), granted, false));
     }
@@ -319,40 +399,41 @@
             }
             return;
         }
-        boolean counts =
-                m.preVote()
-                        ? mRole == Role.PRE_CANDIDATE && m.term() == mBallot.term() + 1
-                        : mRole == Role.CANDIDATE && m.term() == mBallot.term();
-        if (!counts) {
-            return;
-        }
-        mVotes.add(from);
-        if (mVotes.size() < mSettings.quorum()) {
+        if (!mVotes.isWonWith(from, m, mLog.membership())) {
             return;
         }
         if (m.preVote()) {
-            startElection(now);
+            startElection(now, false);
         } else {
             becomeLeader(now);
         }
     }
 
+    private void onElectNow(PeerMessage.ElectNow m, long now) throws QuilldykeException {
+        boolean mayLead = mBallot.trusted() && mLog.membership().isVoter(mSettings.self());
+        if (mayLead && m.term() == mBallot.term() && mRole != Role.LEADER) {
+            startElection(now, true);
+        }
+    }
+
     private void becomeLeader(long now) throws QuilldykeException {
         Invariant.check(mBallot.trusted(), "a leader's log is trusted");
+        mVotes.close();
         mRole = Role.LEADER;
         mLeader = mSettings.self();
         mLeaderHeardAt = now;
+        mTimer.restartWithLeader(now);
         mFollowers = Followers.of(mSettings, mLog, mBallot.term());
         mActions.add(new ReplicaAction.LeadershipWon(mBallot.term()));
         // All that was ever committed is committed again, at the latest, with the opening entry.
         mHeardCommit = mLog.lastIndex() + 1;
-        appendOwn(LogEntry.opening(mBallot.term()));
-        mActions.addAll(mFollowers.sendNew(mSnapshot, mCommitIndex, now));
+        mStored.append(LogEntry.opening(mBallot.term()));
+        mActions.addAll(mFollowers.sendNew(mStored.snapshot(), mStored.commitIndex(), now));
     }
 
     private void onAppendRequest(String from, PeerMessage.AppendRequest m, long now)
             throws QuilldykeException {
-        if (m.term() < mBallot.term() || isAskingForState()) {
+        if (m.term() < mBallot.term() || mSurvey.isOpen(mBallot)) {
             reply(from, false, mLog.lastIndex() + 1, m.sentAt());
             return;
         }
@@ -360,7 +441,7 @@
         mHeardCommit = m.commitIndex();
         if (m.previousIndex() < mLog.baseIndex()) {
             // The snapshot covers the start of this message, so the logs agree up to there.
-            reply(from, true, mLog.baseIndex(), m.sentAt());
+            reply(from, true, Math.min(mLog.baseIndex(), mStored.syncedIndex()), m.sentAt());
             return;
         }
         if (mLog.termAt(m.previousIndex()) != m.previousTerm()) {
@@ -368,33 +449,24 @@
             return;
         }
         long end = m.previousIndex() + m.entries().size();
-        appendReceived(m.previousIndex() + 1, m.entries());
+        long replaced = mStored.accept(m.previousIndex() + 1, m.entries());
+        mMatchedIndex = Math.min(mMatchedIndex, replaced - 1);
         if (!mBallot.trusted() && end >= m.lastIndex()) {
             saveBallot(new Ballot(mBallot.term(), mBallot.votedFor(), true));
         }
-        commitTo(Math.min(m.commitIndex(), end));
-        reply(from, true, end, m.sentAt());
+        mStored.commitTo(Math.min(m.commitIndex(), end));
+        acknowledge(from, end, m.sentAt());
     }
 
-    private void appendReceived(long firstIndex, List<LogEntry> entries) throws QuilldykeException {
-        int known = 0;
-        while (known < entries.size()
-                && mLog.termAt(firstIndex + known) == entries.get(known).term()) {
-            known++;
-        }
-        if (known == entries.size()) {
-            return;
-        }
-        long start = firstIndex + known;
-        if (start <= mLog.lastIndex()) {
-            Invariant.check(start > mCommitIndex, "a committed entry is never removed");
-            mLog.truncateFrom(start);
-            mSyncedIndex = Math.min(mSyncedIndex, start - 1);
-            mActions.add(new ReplicaAction.TruncateLog(start));
+    /**
+     * Acknowledges what is synced, now, and the rest when it is; a slow disk delays no heartbeat.
+     */
+    private void acknowledge(String leader, long end, long sentAt) {
+        mMatchedIndex = Math.max(mMatchedIndex, end);
+        reply(leader, true, Math.min(end, mStored.syncedIndex()), sentAt);
+        if (mStored.syncedIndex() < end) {
+            mReplyOwedFor = sentAt;
         }
-        List<LogEntry> added = List.copyOf(entries.subList(known, entries.size()));
-        added.forEach(mLog::append);
-        mActions.add(new ReplicaAction.AppendLog(start, added));
     }
 
     private void onAppendReply(String from, PeerMessage.AppendReply m, long now)
@@ -403,7 +475,7 @@
             stepDown(m.term(), now);
             return;
         }
-        if (mRole != Role.LEADER || m.term() != mBallot.term()) {
+        if (mRole != Role.LEADER || m.term() != mBallot.term() || !mFollowers.follows(from)) {
             return;
         }
         Invariant.check(
@@ -411,71 +483,46 @@
                 "a follower holds no more than its leader");
         mFollowers.onAppendReply(from, m);
         advanceCommit();
-        mActions.addAll(mFollowers.sendNew(mSnapshot, mCommitIndex, now));
+        mActions.addAll(mFollowers.sendNew(mStored.snapshot(), mStored.commitIndex(), now));
     }
 
     private void onSnapshotRequest(String from, PeerMessage.SnapshotRequest m, long now) {
-        if (m.term() < mBallot.term() || isAskingForState()) {
+        if (m.term() < mBallot.term() || mSurvey.isOpen(mBallot)) {
             reply(from, false, mLog.lastIndex() + 1, m.sentAt());
             return;
         }
         follow(from, m.term(), now);
-        if (m.index() <= mCommitIndex) {
-            reply(from, true, mCommitIndex, m.sentAt());
+        if (m.index() <= mStored.commitIndex()) {
+            reply(from, true, Math.min(m.index(), mStored.syncedIndex()), m.sentAt());
             return;
         }
-        if (m.offset() == 0 || m.index() != mIncomingIndex) {
-            mIncoming = new byte[0];
-            mIncomingIndex = m.index();
-        }
-        if (m.offset() == mIncoming.length) {
-            mIncoming = Arrays.copyOf(mIncoming, m.offset() + m.piece().length);
-            System.arraycopy(m.piece(), 0, mIncoming, m.offset(), m.piece().length);
-        }
-        if (mIncoming.length < m.total()) {
+        mIncoming.add(m);
+        if (mIncoming.size() < m.total()) {
             send(
                     from,
                     new PeerMessage.SnapshotReply(
-                            mBallot.term(), m.index(), mIncoming.length, m.sentAt()));
+                            mBallot.term(), m.index(), mIncoming.size(), m.sentAt()));
             return;
         }
-        install(m);
-        reply(from, true, m.index(), m.sentAt());
-    }
-
-    private void install(PeerMessage.SnapshotRequest m) {
-        mLog.resetTo(m.index(), m.indexTerm());
-        mSnapshot = mIncoming;
-        mIncoming = new byte[0];
-        mCommitIndex = m.index();
-        mAppliedIndex = m.index();
-        mSyncedIndex = m.index();
-        mActions.add(new ReplicaAction.InstallSnapshot(m.index(), m.indexTerm(), mSnapshot));
+        mStored.install(m, mIncoming.take());
+        acknowledge(from, m.index(), m.sentAt());
     }
 
     private void onSnapshotReply(String from, PeerMessage.SnapshotReply m, long now) {
-        if (mRole != Role.LEADER || m.term() != mBallot.term()) {
+        if (mRole != Role.LEADER || m.term() != mBallot.term() || !mFollowers.follows(from)) {
             return;
         }
         mFollowers.onSnapshotReply(from, m);
-        mActions.addAll(mFollowers.sendNew(mSnapshot, mCommitIndex, now));
-    }
-
-    private boolean isAskingForState() {
-        return !mBallot.trusted() && mStates.size() < mSettings.quorum() && needsStates();
-    }
-
-    private boolean needsStates() {
-        return !mSettings.others().isEmpty() && mBallot.term() == 0;
+        mActions.addAll(mFollowers.sendNew(mStored.snapshot(), mStored.commitIndex(), now));
     }
 
     private void askForState(long now) throws QuilldykeException {
-        if (mSettings.others().isEmpty()) {
+        if (mSurvey.others().isEmpty()) {
             saveBallot(new Ballot(mBallot.term(), "", true));
             startPreVote(now);
             return;
         }
-        for (String other : mSettings.others()) {
+        for (String other : mSurvey.others()) {
             send(other, new PeerMessage.StateRequest());
         }
     }
@@ -484,65 +531,46 @@
         if (mBallot.trusted()) {
             return;
         }
-        mStates.put(from, m);
-        long newest = 0;
-        boolean allEmpty = mStates.size() == mSettings.others().size();
-        for (PeerMessage.StateReply state : mStates.values()) {
-            newest = Math.max(newest, state.term());
-            allEmpty &= state.lastIndex() == 0;
+        Ballot next = mSurvey.add(from, m, mBallot);
+        if (!next.equals(mBallot)) {
+            saveBallot(next);
         }
-        if (mStates.size() >= mSettings.quorum() && newest > mBallot.term()) {
-            saveBallot(new Ballot(newest, "", false));
-        }
-        if (allEmpty && mLog.lastIndex() == 0) {
-            // Nobody holds an entry, so nothing was ever committed: a first start.
-            saveBallot(new Ballot(newest + 1, "", true));
-            resetDeadline(now);
+        if (next.trusted()) {
+            mTimer.restart(now);
         }
     }
 
     private void follow(String leader, long term, long now) {
-        if (term > mBallot.term() || mRole != Role.FOLLOWER) {
+        if (term > mBallot.term() || mRole != Role.FOLLOWER || !mLeader.equals(leader)) {
             stepDown(term, now);
+            mMatchedIndex = 0;
         }
         mLeader = leader;
         mLeaderHeardAt = now;
-        resetDeadline(now);
+        mTimer.restartWithLeader(now);
     }
 
     private void stepDown(long term, long now) {
         if (mRole == Role.LEADER) {
             mActions.add(new ReplicaAction.LeadershipLost(mBallot.term()));
         }
+        mVotes.close();
         mRole = Role.FOLLOWER;
         mLeader = "";
+        mReplyOwedFor = NO_REPLY_OWED;
         if (term > mBallot.term()) {
             saveBallot(new Ballot(term, "", mBallot.trusted()));
         }
-        resetDeadline(now);
-    }
-
-    private void appendOwn(LogEntry entry) {
-        mLog.append(entry);
-        mActions.add(new ReplicaAction.AppendLog(mLog.lastIndex(), List.of(entry)));
+        mTimer.restart(now);
     }
 
     private void advanceCommit() throws QuilldykeException {
         if (mRole != Role.LEADER) {
             return;
         }
-        long majority = mFollowers.majorityIndex(mSyncedIndex);
-        if (majority > mCommitIndex && mLog.termAt(majority) == mBallot.term()) {
-            commitTo(majority);
-        }
-    }
-
-    private void commitTo(long index) throws QuilldykeException {
-        Invariant.check(index <= mLog.lastIndex(), "only held entries are committed");
-        mCommitIndex = Math.max(mCommitIndex, index);
-        while (mAppliedIndex < mCommitIndex) {
-            mAppliedIndex++;
-            mActions.add(new ReplicaAction.Apply(mAppliedIndex, mLog.entryAt(mAppliedIndex)));
+        long majority = mFollowers.majorityIndex(mStored.syncedIndex());
+        if (majority > mStored.commitIndex() && mLog.termAt(majority) == mBallot.term()) {
+            mStored.commitTo(majority);
         }
     }
 
@@ -555,6 +583,7 @@
 
     private void saveBallot(Ballot ballot) {
         mBallot = ballot;
+        mBallotPending = true;
         mActions.add(new ReplicaAction.SaveBallot(ballot));
     }
 
@@ -562,20 +591,9 @@
         mActions.add(new ReplicaAction.Send(to, message));
     }
 
-    private void resetDeadline(long now) {
-        mDeadline = now + mSettings.electionMillis() + mRandom.nextLong(mSettings.electionMillis());
-    }
-
     private List<ReplicaAction> takeActions() {
         List<ReplicaAction> actions = mActions;
         mActions = new ArrayList<>();
         return actions;
     }
-
-    private enum Role {
-        FOLLOWER,
-        PRE_CANDIDATE,
-        CANDIDATE,
-        LEADER
-    }
 }
--- a/quilldyke-core/src/main/java/org/quilldyke/control/ReplicaAction.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/control/ReplicaAction.java
@@ -35,15 +35,20 @@
     record AppendLog(long firstIndex, List<LogEntry> entries) implements ReplicaAction {}
 
     /** Store a received snapshot, drop the whole stored log, and load the state from it. */
-    record InstallSnapshot(long index, long term, byte[] state) implements ReplicaAction {}
+    record InstallSnapshot(long index, long term, Membership membership, byte[] state)
+            implements ReplicaAction {}
 
     /** Send a message to another replica; it may be lost. */
     record Send(String to, PeerMessage message) implements ReplicaAction {
-        /** Returns whether the message tells of something that must be on disk first. */
-        public boolean needsSync() {
-            return !(message instanceof PeerMessage.AppendRequest
-                    || message instanceof PeerMessage.SnapshotRequest
-                    || message instanceof PeerMessage.StateRequest);
+        /** Returns whether the ballot must be on disk before the message may leave. */
+        public boolean needsBallot() {
+            if (message instanceof PeerMessage.VoteRequest m) {
+                return !m.preVote();
+            }
+            return message instanceof PeerMessage.VoteReply
+                    || message instanceof PeerMessage.AppendReply
+                    || message instanceof PeerMessage.SnapshotReply
+                    || message instanceof PeerMessage.StateReply;
         }
     }
 
--- a/quilldyke-core/src/main/java/org/quilldyke/control/ReplicaSettings.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/control/ReplicaSettings.java
@@ -15,37 +15,52 @@
  */
 package org.quilldyke.control;
 
+import java.util.ArrayList;
 import java.util.List;
 
 /**
- * Who the replicas are and how patient they are. All times in milliseconds.
+ * Who takes part and how patient a replica is.
  *
  * @param self this replica's id
- * @param others the other replicas' ids; with this one an odd number
- * @param heartbeatMillis how often a leader sends to each follower at least
- * @param electionMillis silence of the leader after which an election may start; the actual time is
- *     drawn between this and twice this
- * @param leaseMillis how long a leader may act after a quorum has heard it; less than {@code
- *     electionMillis} by more than the clocks drift in that time
- * @param batchBytes bytes of entries in one message, at least one entry
- * @param pieceBytes bytes of a snapshot in one message
+ * @param initial the membership before the log's first change of it; empty for a replica that joins
+ * @param heartbeatMillis how often a leader speaks to its followers
+ * @param electionMillis how long a follower waits for its leader at least; twice that at most
+ * @param leaseMillis how long a leader may act on what a quorum has heard; shorter than {@code
+ *     electionMillis} by more than clocks drift in that time
+ * @param batchBytes how many bytes of entries a message carries at most
+ * @param pieceBytes how many bytes of a snapshot a message carries at most
  */
 public record ReplicaSettings(
         String self,
-        List<String> others,
+        Membership initial,
         long heartbeatMillis,
         long electionMillis,
         long leaseMillis,
         int batchBytes,
         int pieceBytes) {
+    private static final int BATCH_BYTES = 256 << 10;
 
     /** Returns settings with the usual times, fit for delays of a few milliseconds. */
     public static ReplicaSettings of(String self, List<String> others) {
-        return new ReplicaSettings(self, List.copyOf(others), 50, 300, 250, 256 << 10, 256 << 10);
+        List<String> all = new ArrayList<>(others);
+        all.add(self);
+        return of(self, Membership.ofIds(all));
     }
 
-    /** Returns how many replicas make a majority. */
-    public int quorum() {
-        return (others.size() + 1) / 2 + 1;
+    /** Returns settings with the usual times. */
+    public static ReplicaSettings of(String self, Membership initial) {
+        return new ReplicaSettings(self, initial, 50, 300, 250, BATCH_BYTES, BATCH_BYTES);
+    }
+
+    /** Returns settings with other times. */
+    public ReplicaSettings withTimes(long heartbeat, long election, long lease) {
+        return new ReplicaSettings(
+                self, initial, heartbeat, election, lease, batchBytes, pieceBytes);
+    }
+
+    /** Returns settings with other sizes of messages. */
+    public ReplicaSettings withSizes(int batch, int piece) {
+        return new ReplicaSettings(
+                self, initial, heartbeatMillis, electionMillis, leaseMillis, batch, piece);
     }
 }
--- a/quilldyke-core/src/main/java/org/quilldyke/control/ReplicatedLog.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/control/ReplicatedLog.java
@@ -17,6 +17,8 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
 
 /**
  * The entries that a replica holds in memory: those after its last snapshot.
@@ -25,13 +27,17 @@
  */
 final class ReplicatedLog {
     private final ArrayList<LogEntry> mEntries = new ArrayList<>();
+    private final TreeMap<Long, Membership> mMemberships = new TreeMap<>();
     private long mBaseIndex;
     private long mBaseTerm;
+    private Membership mBaseMembership;
 
-    ReplicatedLog(long baseIndex, long baseTerm, List<LogEntry> entries) {
+    ReplicatedLog(
+            long baseIndex, long baseTerm, Membership baseMembership, List<LogEntry> entries) {
         mBaseIndex = baseIndex;
         mBaseTerm = baseTerm;
-        mEntries.addAll(entries);
+        mBaseMembership = baseMembership;
+        entries.forEach(this::append);
     }
 
     long baseIndex() {
@@ -42,6 +48,27 @@
         return mBaseTerm;
     }
 
+    /** Returns who replicates the log as of the snapshot at its base. */
+    Membership baseMembership() {
+        return mBaseMembership;
+    }
+
+    /** Returns who replicates the log as of its last entry. */
+    Membership membership() {
+        return mMemberships.isEmpty() ? mBaseMembership : mMemberships.lastEntry().getValue();
+    }
+
+    /** Returns who replicates the log as of the entry at {@code index}. */
+    Membership membershipAt(long index) {
+        Map.Entry<Long, Membership> change = mMemberships.floorEntry(index);
+        return change == null ? mBaseMembership : change.getValue();
+    }
+
+    /** Returns the index of the last change of membership, the base if there is none after it. */
+    long membershipIndex() {
+        return mMemberships.isEmpty() ? mBaseIndex : mMemberships.lastKey();
+    }
+
     long lastIndex() {
         return mBaseIndex + mEntries.size();
     }
@@ -67,24 +94,32 @@
 
     void append(LogEntry entry) {
         mEntries.add(entry);
+        if (entry.membership() != null) {
+            mMemberships.put(lastIndex(), entry.membership());
+        }
     }
 
     /** Removes the entry at {@code index} and all after it. */
     void truncateFrom(long index) {
         mEntries.subList((int) (index - mBaseIndex - 1), mEntries.size()).clear();
+        mMemberships.tailMap(index, true).clear();
     }
 
     /** Drops the entries up to {@code index}, which a snapshot now covers. */
     void compactTo(long index) {
         long term = termAt(index);
+        mBaseMembership = membershipAt(index);
+        mMemberships.headMap(index, true).clear();
         mEntries.subList(0, (int) (index - mBaseIndex)).clear();
         mBaseIndex = index;
         mBaseTerm = term;
     }
 
     /** Drops all entries and starts again after a snapshot. */
-    void resetTo(long index, long term) {
+    void resetTo(long index, long term, Membership membership) {
         mEntries.clear();
+        mMemberships.clear();
+        mBaseMembership = membership;
         mBaseIndex = index;
         mBaseTerm = term;
     }
--- /dev/null
+++ b/quilldyke-core/src/main/java/org/quilldyke/control/StoredLog.java
@@ -0,0 +1,157 @@
+/*
+ * Copyright 2026 The quilldyke authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.quilldyke.control;
+
+import java.util.List;
+import java.util.function.Consumer;
+import org.quilldyke.Invariant;
+import org.quilldyke.QuilldykeException;
+
+/** The log with what is synced, committed and applied of it; says what to store and apply. */
+final class StoredLog {
+    private final ReplicatedLog mLog;
+    private final Consumer<ReplicaAction> mActions;
+    private byte[] mSnapshot;
+    private long mCommitIndex;
+    private long mAppliedIndex;
+    private long mSyncedIndex;
+    private long mStoreEpoch;
+
+    private StoredLog(ReplicatedLog log, byte[] snapshot, Consumer<ReplicaAction> actions) {
+        mLog = log;
+        mActions = actions;
+        mSnapshot = snapshot;
+        mCommitIndex = log.baseIndex();
+        mAppliedIndex = log.baseIndex();
+        mSyncedIndex = log.lastIndex();
+    }
+
+    /** Returns the log that a disk holds. */
+    static StoredLog restore(
+            ReplicaSettings settings, DurableState disk, Consumer<ReplicaAction> actions) {
+        Membership base =
+                disk.snapshotIndex() == 0 ? settings.initial() : disk.snapshotMembership();
+        ReplicatedLog log =
+                new ReplicatedLog(disk.snapshotIndex(), disk.snapshotTerm(), base, disk.entries());
+        return new StoredLog(log, disk.snapshot(), actions);
+    }
+
+    ReplicatedLog log() {
+        return mLog;
+    }
+
+    byte[] snapshot() {
+        return mSnapshot;
+    }
+
+    long commitIndex() {
+        return mCommitIndex;
+    }
+
+    long appliedIndex() {
+        return mAppliedIndex;
+    }
+
+    long syncedIndex() {
+        return mSyncedIndex;
+    }
+
+    /** Returns a number that changes whenever stored entries are wanted removed. */
+    long storeEpoch() {
+        return mStoreEpoch;
+    }
+
+    /** Notes a sync that began at the given end of the log; returns whether it still counts. */
+    boolean onSynced(long index, long epoch) {
+        if (epoch != mStoreEpoch) {
+            return false;
+        }
+        mSyncedIndex = Math.min(index, mLog.lastIndex());
+        return true;
+    }
+
+    /** Appends an entry of this replica's own. */
+    void append(LogEntry entry) {
+        mLog.append(entry);
+        mActions.accept(new ReplicaAction.AppendLog(mLog.lastIndex(), List.of(entry)));
+    }
+
+    /**
+     * Takes a leader's entries: skips those held and replaces those that differ.
+     *
+     * @return the first index that was replaced, or {@link Long#MAX_VALUE} if none was
+     */
+    long accept(long firstIndex, List<LogEntry> entries) throws QuilldykeException {
+        int known = 0;
+        while (known < entries.size()
+                && mLog.termAt(firstIndex + known) == entries.get(known).term()) {
+            known++;
+        }
+        if (known == entries.size()) {
+            return Long.MAX_VALUE;
+        }
+        long start = firstIndex + known;
+        long replaced = Long.MAX_VALUE;
+        if (start <= mLog.lastIndex()) {
+            Invariant.check(start > mCommitIndex, "a committed entry is never removed");
+            mLog.truncateFrom(start);
+            mSyncedIndex = Math.min(mSyncedIndex, start - 1);
+            mStoreEpoch++;
+            replaced = start;
+            mActions.accept(new ReplicaAction.TruncateLog(start));
+        }
+        List<LogEntry> added = List.copyOf(entries.subList(known, entries.size()));
+        added.forEach(mLog::append);
+        mActions.accept(new ReplicaAction.AppendLog(start, added));
+        return replaced;
+    }
+
+    /** Replaces the log by a leader's snapshot. */
+    void install(PeerMessage.SnapshotRequest m, byte[] snapshot) {
+        mLog.resetTo(m.index(), m.indexTerm(), m.membership());
+        mSnapshot = snapshot;
+        mSyncedIndex = Math.min(mSyncedIndex, mCommitIndex);
+        mStoreEpoch++;
+        mCommitIndex = m.index();
+        mAppliedIndex = m.index();
+        mActions.accept(
+                new ReplicaAction.InstallSnapshot(
+                        m.index(), m.indexTerm(), m.membership(), snapshot));
+    }
+
+    /** Notes that the entries up to {@code index} are committed, and gives them out. */
+    void commitTo(long index) throws QuilldykeException {
+        Invariant.check(index <= mLog.lastIndex(), "only held entries are committed");
+        mCommitIndex = Math.max(mCommitIndex, index);
+        while (mAppliedIndex < mCommitIndex) {
+            mAppliedIndex++;
+            mActions.accept(new ReplicaAction.Apply(mAppliedIndex, mLog.entryAt(mAppliedIndex)));
+        }
+    }
+
+    /** Replaces the applied entries by a snapshot of the state. */
+    Compaction compact(byte[] state) {
+        long term = mLog.termAt(mAppliedIndex);
+        mLog.compactTo(mAppliedIndex);
+        mSnapshot = state;
+        return new Compaction(
+                mAppliedIndex,
+                term,
+                mLog.baseMembership(),
+                state,
+                mLog.entriesFrom(mAppliedIndex + 1, Integer.MAX_VALUE));
+    }
+}
--- /dev/null
+++ b/quilldyke-core/src/main/java/org/quilldyke/control/VoteCount.java
@@ -0,0 +1,55 @@
+/*
+ * Copyright 2026 The quilldyke authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.quilldyke.control;
+
+import java.util.HashSet;
+import java.util.Set;
+
+/** The votes that a candidate has been given in the election that is open, if one is. */
+final class VoteCount {
+    private final Set<String> mVoters = new HashSet<>();
+    private boolean mOpen;
+    private boolean mPreVote;
+    private long mTerm;
+
+    /** Opens an election, with the candidate's own vote. */
+    void open(String self, long term, boolean preVote) {
+        mVoters.clear();
+        mVoters.add(self);
+        mOpen = true;
+        mPreVote = preVote;
+        mTerm = term;
+    }
+
+    /** Counts no more votes. */
+    void close() {
+        mOpen = false;
+    }
+
+    /** Counts a vote, if it is for this election; returns whether it is won now. */
+    boolean isWonWith(String from, PeerMessage.VoteReply m, Membership membership) {
+        if (!mOpen || m.preVote() != mPreVote || m.term() != mTerm || !membership.isVoter(from)) {
+            return false;
+        }
+        mVoters.add(from);
+        return isWon(membership);
+    }
+
+    /** Returns whether a majority has voted for the candidate. */
+    boolean isWon(Membership membership) {
+        return mVoters.size() >= membership.quorum();
+    }
+}
--- a/quilldyke-daemon/src/main/java/org/quilldyke/daemon/QuilldykeInstance.java
+++ b/quilldyke-daemon/src/main/java/org/quilldyke/daemon/QuilldykeInstance.java
@@ -36,6 +36,8 @@
 import org.quilldyke.daemon.caller.Admission;
 import org.quilldyke.daemon.caller.Responses;
 import org.quilldyke.daemon.control.ControlClient;
+import org.quilldyke.daemon.control.ControlLoop;
+import org.quilldyke.daemon.control.ControlReplica;
 import org.quilldyke.daemon.control.DataFolder;
 import org.quilldyke.daemon.control.PlanDriver;
 import org.quilldyke.daemon.control.ReplicaNode;
@@ -75,7 +77,7 @@
     private final Eventloop mControlReactor;
     private final CellNode mCell;
     private final PeerClients mPeers;
-    private ReplicaNode mReplica;
+    private ControlReplica mReplica;
     private InstanceServer mInternal;
     private EngineWatch mWatch;
     private TrafficServers mTraffic;
@@ -273,19 +275,32 @@
         onControl(
                 () -> {
                     mReplica =
-                            ReplicaNode.load(
-                                    mControlReactor,
-                                    mClock,
-                                    mLog,
+                            ControlReplica.load(
+                                    new ReplicaNode.Environment(controlLoop(), mClock, mLog),
                                     folder,
                                     settings,
                                     new SplittableRandom(mIncarnation ^ mSelf.id().hashCode()),
                                     mPeers::deliver,
+                                    mCell::onState,
                                     mCell);
                     PlanDriver.start(mControlReactor, mReplica, mCell, mLog, mClock);
                 });
     }
 
+    private ControlLoop controlLoop() {
+        return new ControlLoop() {
+            @Override
+            public void execute(Runnable task) {
+                mControlReactor.execute(task);
+            }
+
+            @Override
+            public void schedule(long millis, Runnable task) {
+                mControlReactor.delayBackground(millis, task::run);
+            }
+        };
+    }
+
     private void startServers(ControlClient client) throws QuilldykeException {
         try {
             mInternal = InstanceServer.start(mSelf.internal(), mControlReactor::execute, mCell);
--- a/quilldyke-daemon/src/main/java/org/quilldyke/daemon/control/ControlClient.java
+++ b/quilldyke-daemon/src/main/java/org/quilldyke/daemon/control/ControlClient.java
@@ -45,7 +45,7 @@
     private final PeerClients mPeers;
     private final Executor mControl;
     private final LongSupplier mClock;
-    private final Supplier<ReplicaNode> mLocal;
+    private final Supplier<ControlReplica> mLocal;
     private volatile String mLeader = "";
 
     private ControlClient(
@@ -54,7 +54,7 @@
             PeerClients peers,
             Executor control,
             LongSupplier clock,
-            Supplier<ReplicaNode> local) {
+            Supplier<ControlReplica> local) {
         mSelf = self;
         mReplicas = List.copyOf(replicas);
         mPeers = peers;
@@ -79,7 +79,7 @@
             PeerClients peers,
             Executor control,
             LongSupplier clock,
-            Supplier<ReplicaNode> local) {
+            Supplier<ControlReplica> local) {
         return new ControlClient(self, replicas, peers, control, clock, local);
     }
 
@@ -121,7 +121,7 @@
     }
 
     private void attemptHere(Proposal proposal, int count) {
-        ReplicaNode local = mLocal.get();
+        ControlReplica local = mLocal.get();
         if (local == null) {
             retry(proposal, count);
             return;
--- a/quilldyke-daemon/src/main/java/org/quilldyke/daemon/control/DataFolder.java
+++ b/quilldyke-daemon/src/main/java/org/quilldyke/daemon/control/DataFolder.java
@@ -18,6 +18,7 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
@@ -28,8 +29,10 @@
 import org.quilldyke.QuilldykeException;
 import org.quilldyke.ResultCode;
 import org.quilldyke.control.Ballot;
+import org.quilldyke.control.Compaction;
 import org.quilldyke.control.DurableState;
 import org.quilldyke.control.LogEntry;
+import org.quilldyke.control.Membership;
 import org.quilldyke.daemon.json.Json;
 
 /**
@@ -39,11 +42,12 @@
  * synced. Log records are appended and count once {@link #sync} has returned. Layout of a checked
  * file: CRC (4 bytes), then the content; of a snapshot's content: index (8), term (8), state.
  */
-public final class DataFolder implements AutoCloseable {
+public final class DataFolder implements ReplicaStorage {
     private static final String BALLOT = "ballot";
     private static final String SNAPSHOT = "snapshot";
     private static final String LOG = "log";
-    private static final int SNAPSHOT_HEADER = 16;
+    private static final String IDENTITY = "identity";
+    private static final int SNAPSHOT_HEADER = 20;
 
     private final Path mFolder;
     private LogFile mLog;
@@ -66,12 +70,7 @@
         return new DataFolder(folder);
     }
 
-    /**
-     * Reads what the folder holds. Call it once, first.
-     *
-     * @throws QuilldykeException {@link ResultCode#LOG_DAMAGED} if a file is damaged other than by
-     *     a write cut short, {@link ResultCode#DISK_FAILED} if it can't be read
-     */
+    @Override
     public DurableState load() throws QuilldykeException {
         try {
             byte[] ballotBytes = readChecked(BALLOT);
@@ -84,21 +83,27 @@
             }
             long index = snapshot.getLong();
             long term = snapshot.getLong();
+            byte[] members = new byte[snapshot.getInt()];
+            snapshot.get(members);
+            Membership membership =
+                    members.length == 0
+                            ? Membership.empty()
+                            : Json.decode(members, Membership.class);
             byte[] state = new byte[snapshot.remaining()];
             snapshot.get(state);
             mLog = LogFile.open(mFolder.resolve(LOG), index);
-            return new DurableState(ballot, index, term, state, mLog.takeLoaded());
+            return new DurableState(ballot, index, term, state, membership, mLog.takeLoaded());
         } catch (IOException e) {
             throw failed(e);
         }
     }
 
-    /** Returns how many bytes of a record that was not written whole were cut off by the load. */
+    @Override
     public long cutBytes() {
         return mLog.cutBytes();
     }
 
-    /** Replaces the ballot and syncs it. */
+    @Override
     public void saveBallot(Ballot ballot) throws QuilldykeException {
         try {
             writeChecked(BALLOT, ByteBuffer.wrap(Json.encode(ballot)));
@@ -107,7 +112,7 @@
         }
     }
 
-    /** Appends entries; they count after {@link #sync}. */
+    @Override
     public void append(long firstIndex, List<LogEntry> entries) throws QuilldykeException {
         try {
             mLog.append(firstIndex, entries);
@@ -116,7 +121,7 @@
         }
     }
 
-    /** Removes the entry at {@code index} and all after it. */
+    @Override
     public void truncateFrom(long index) throws QuilldykeException {
         try {
             mLog.truncateFrom(index);
@@ -125,7 +130,7 @@
         }
     }
 
-    /** Waits until all that was appended or removed is on the disk. */
+    @Override
     public void sync() throws QuilldykeException {
         try {
             mLog.sync();
@@ -134,28 +139,60 @@
         }
     }
 
-    /**
-     * Saves a snapshot of the state and drops the log's entries up to it.
-     *
-     * @param keep the entries after {@code index}
-     */
-    public void saveSnapshot(long index, long term, byte[] state, List<LogEntry> keep)
-            throws QuilldykeException {
+    @Override
+    public void saveSnapshot(Compaction compaction) throws QuilldykeException {
         try {
-            ByteBuffer content = ByteBuffer.allocate(SNAPSHOT_HEADER + state.length);
-            content.putLong(index).putLong(term).put(state).flip();
+            byte[] members = Json.encode(compaction.membership());
+            byte[] state = compaction.state();
+            ByteBuffer content =
+                    ByteBuffer.allocate(SNAPSHOT_HEADER + members.length + state.length);
+            content.putLong(compaction.index()).putLong(compaction.term());
+            content.putInt(members.length).put(members).put(state).flip();
             writeChecked(SNAPSHOT, content);
-            mLog.close();
             Path next = mFolder.resolve(LOG + ".tmp");
             Files.deleteIfExists(next);
-            try (LogFile file = LogFile.open(next, index)) {
-                file.append(index + 1, keep);
-                file.sync();
-            }
+            LogFile file = LogFile.open(next, compaction.index());
+            file.append(compaction.index() + 1, compaction.keep());
+            file.sync();
             Files.move(next, mFolder.resolve(LOG), StandardCopyOption.ATOMIC_MOVE);
             syncFolder();
-            mLog = LogFile.open(mFolder.resolve(LOG), index);
-            mLog.takeLoaded();
+            mLog.close();
+            mLog = file;
+        } catch (IOException e) {
+            throw failed(e);
+        }
+    }
+
+    /**
+     * Returns the name under which this folder's replica takes part, empty if it has none yet.
+     *
+     * @throws QuilldykeException as {@link #load}
+     */
+    public String loadIdentity() throws QuilldykeException {
+        try {
+            byte[] bytes = readChecked(IDENTITY);
+            return bytes == null ? "" : new String(bytes, StandardCharsets.UTF_8);
+        } catch (IOException e) {
+            throw failed(e);
+        }
+    }
+
+    /** Stores the name under which this folder's replica takes part. */
+    public void saveIdentity(String identity) throws QuilldykeException {
+        try {
+            writeChecked(IDENTITY, ByteBuffer.wrap(identity.getBytes(StandardCharsets.UTF_8)));
+        } catch (IOException e) {
+            throw failed(e);
+        }
+    }
+
+    /** Removes all files, so that the replica can start anew under another name. */
+    public void clear() throws QuilldykeException {
+        try {
+            for (String name : List.of(IDENTITY, BALLOT, SNAPSHOT, LOG, LOG + ".tmp")) {
+                Files.deleteIfExists(mFolder.resolve(name));
+            }
+            syncFolder();
         } catch (IOException e) {
             throw failed(e);
         }
--- a/quilldyke-daemon/src/main/java/org/quilldyke/daemon/control/LogFile.java
+++ b/quilldyke-daemon/src/main/java/org/quilldyke/daemon/control/LogFile.java
@@ -26,6 +26,8 @@
 import java.util.List;
 import org.quilldyke.QuilldykeException;
 import org.quilldyke.control.LogEntry;
+import org.quilldyke.control.Membership;
+import org.quilldyke.daemon.json.Json;
 
 /**
  * The file of a replicated log: records one after the other.
@@ -36,7 +38,12 @@
  */
 final class LogFile implements AutoCloseable {
     private static final int PREFIX = 8;
-    private static final int HEADER = PREFIX + 16;
+    private static final int HEADER = PREFIX + 8 + 8 + 8 + 1;
+    private static final int TERM = PREFIX + 8;
+    private static final int SYNCED = TERM + 8;
+    private static final int KIND = SYNCED + 8;
+    private static final byte COMMAND = 0;
+    private static final byte MEMBERSHIP = 1;
     private static final int MAX_PAYLOAD = 64 << 20;
 
     private final FileChannel mChannel;
@@ -45,6 +52,7 @@
     private long mFirstIndex;
     private long mEnd;
     private long mCut;
+    private long mSynced;
 
     private LogFile(FileChannel channel, long baseIndex) {
         mChannel = channel;
@@ -76,32 +84,44 @@
         return mCut;
     }
 
+    /** Appends entries; what an earlier try has left behind {@code firstIndex} is replaced. */
     void append(long firstIndex, List<LogEntry> entries) throws IOException {
+        truncateFrom(firstIndex);
+        List<byte[]> contents = new ArrayList<>();
         int size = 0;
         for (LogEntry entry : entries) {
-            size += HEADER + entry.payload().length;
+            byte[] content =
+                    entry.membership() == null ? entry.payload() : Json.encode(entry.membership());
+            contents.add(content);
+            size += HEADER + content.length;
         }
         ByteBuffer out = ByteBuffer.allocate(size);
-        long index = firstIndex;
-        for (LogEntry entry : entries) {
-            mOffsets.add(mEnd + out.position());
-            put(out, index++, entry);
+        LongArrayList offsets = new LongArrayList();
+        for (int i = 0; i < entries.size(); i++) {
+            offsets.add(mEnd + out.position());
+            put(out, firstIndex + i, entries.get(i), contents.get(i));
         }
         out.flip();
         mChannel.position(mEnd);
         DataFolder.writeAll(mChannel, out);
+        mOffsets.addAll(offsets);
         mEnd += size;
     }
 
     void truncateFrom(long index) throws IOException {
         int kept = (int) (index - mFirstIndex);
+        if (kept >= mOffsets.size()) {
+            return;
+        }
         mEnd = mOffsets.getLong(kept);
         mOffsets.size(kept);
+        mSynced = Math.min(mSynced, index - 1);
         mChannel.truncate(mEnd);
     }
 
     void sync() throws IOException {
         mChannel.force(false);
+        mSynced = mFirstIndex + mOffsets.size() - 1;
     }
 
     @Override
@@ -109,10 +129,11 @@
         mChannel.close();
     }
 
-    private static void put(ByteBuffer out, long index, LogEntry entry) {
+    private void put(ByteBuffer out, long index, LogEntry entry, byte[] content) {
         int start = out.position();
-        out.putInt(entry.payload().length).putInt(0);
-        out.putLong(index).putLong(entry.term()).put(entry.payload());
+        out.putInt(content.length).putInt(0);
+        out.putLong(index).putLong(entry.term()).putLong(mSynced);
+        out.put(entry.membership() == null ? COMMAND : MEMBERSHIP).put(content);
         ByteBuffer covered = out.duplicate();
         covered.limit(out.position()).position(start + PREFIX);
         out.putInt(start + Integer.BYTES, DataFolder.crc(covered));
@@ -127,24 +148,41 @@
             }
             int length = in.getInt(start);
             long index = in.getLong(start + PREFIX);
-            long term = in.getLong(start + PREFIX + Long.BYTES);
-            byte[] payload = new byte[length];
-            in.position(start + HEADER);
-            in.get(payload);
+            LogEntry entry = entryAt(in, start, length);
             if (index >= mFirstIndex) {
                 if (index != mFirstIndex + mOffsets.size()) {
                     throw DataFolder.damaged("log: index " + index + " is out of order");
                 }
                 mOffsets.add(start);
-                mLoaded.add(new LogEntry(term, payload));
+                mLoaded.add(entry);
             }
             mEnd = in.position();
         }
+        mSynced = mFirstIndex + mOffsets.size() - 1;
+    }
+
+    private static LogEntry entryAt(ByteBuffer in, int start, int length)
+            throws QuilldykeException {
+        long term = in.getLong(start + TERM);
+        byte[] content = new byte[length];
+        in.position(start + HEADER);
+        in.get(content);
+        return in.get(start + KIND) == COMMAND
+                ? new LogEntry(term, content)
+                : LogEntry.ofMembership(term, Json.decode(content, Membership.class));
     }
 
+    /**
+     * Cuts off what starts with a record that isn't whole.
+     *
+     * <p>After a loss of power, each write since the last sync may be there, missing or torn, so
+     * whole records may follow one that isn't. But each record tells up to where the log was synced
+     * when it was written: if that includes the broken one, the file is damaged.
+     */
     private void cutTail(ByteBuffer in, int start) throws IOException, QuilldykeException {
         for (int at = start + 1; at + HEADER <= in.limit(); at++) {
-            if (isRecord(in, at) && in.getLong(at + PREFIX) >= mFirstIndex) {
+            boolean later = isRecord(in, at) && in.getLong(at + PREFIX) >= mFirstIndex;
+            if (later && in.getLong(at + SYNCED) >= mFirstIndex + mOffsets.size()) {
                 throw DataFolder.damaged("log: record at byte " + start);
             }
         }
@@ -152,6 +190,7 @@
         mEnd = start;
         mChannel.truncate(start);
         mChannel.force(true);
+        mSynced = mFirstIndex + mOffsets.size() - 1;
     }
 
     private static boolean isRecord(ByteBuffer in, int at) {
--- a/quilldyke-daemon/src/main/java/org/quilldyke/daemon/control/PlanDriver.java
+++ b/quilldyke-daemon/src/main/java/org/quilldyke/daemon/control/PlanDriver.java
@@ -46,7 +46,7 @@
      */
     public static void start(
             Eventloop reactor,
-            ReplicaNode replica,
+            ControlReplica replica,
             CellNode cell,
             EventLog log,
             LongSupplier clock) {
--- a/quilldyke-daemon/src/main/java/org/quilldyke/daemon/control/PlanExecutor.java
+++ b/quilldyke-daemon/src/main/java/org/quilldyke/daemon/control/PlanExecutor.java
@@ -42,7 +42,7 @@
     private static final long RESEND_MILLIS = 2000;
     private static final long WAIT_OUT_MILLIS = 1000;
 
-    private final ReplicaNode mReplica;
+    private final ControlReplica mReplica;
     private final EngineClient mClient;
     private final EventLog mLog;
     private final LongSupplier mClock;
@@ -51,7 +51,7 @@
     private final Set<Command> mProposed = new HashSet<>();
 
     private PlanExecutor(
-            ReplicaNode replica,
+            ControlReplica replica,
             EngineClient client,
             EventLog log,
             LongSupplier clock,
@@ -64,7 +64,7 @@
     }
 
     static PlanExecutor create(
-            ReplicaNode replica,
+            ControlReplica replica,
             EngineClient client,
             EventLog log,
             LongSupplier clock,
--- a/quilldyke-daemon/src/main/java/org/quilldyke/daemon/control/ReplicaNode.java
+++ b/quilldyke-daemon/src/main/java/org/quilldyke/daemon/control/ReplicaNode.java
@@ -15,7 +15,6 @@
  */
 package org.quilldyke.daemon.control;
 
-import io.activej.reactor.Reactor;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -28,99 +27,122 @@
 import org.quilldyke.QuilldykeException;
 import org.quilldyke.ResultCode;
 import org.quilldyke.control.Ballot;
-import org.quilldyke.control.Command;
-import org.quilldyke.control.CommandResult;
-import org.quilldyke.control.ControlState;
+import org.quilldyke.control.Compaction;
 import org.quilldyke.control.DurableState;
 import org.quilldyke.control.LogEntry;
+import org.quilldyke.control.Membership;
 import org.quilldyke.control.PeerMessage;
 import org.quilldyke.control.Replica;
 import org.quilldyke.control.ReplicaAction;
 import org.quilldyke.control.ReplicaSettings;
-import org.quilldyke.daemon.json.Json;
 import org.quilldyke.daemon.log.Event;
 import org.quilldyke.daemon.log.EventLog;
 
 /**
  * A replica with its files: carries out what {@link Replica} decides.
  *
- * <p>Lives on the control thread. All inputs of one turn of the event loop share one sync. A disk
- * that fails stops the replica for good; the instance goes on without it.
+ * <p>Lives on the control thread, but for the files, which a thread of their own writes: a disk
+ * that stalls or is full holds up acknowledgements and votes, and nothing else. All inputs of one
+ * turn of the event loop share one sync.
+ *
+ * @param <R> what a command results in
  */
-public final class ReplicaNode {
+public final class ReplicaNode<R> {
     private static final int TICK_MILLIS = 10;
     private static final int ENTRIES_BEFORE_SNAPSHOT = 5000;
 
-    private final Reactor mReactor;
-    private final LongSupplier mClock;
-    private final EventLog mLog;
-    private final DataFolder mFolder;
+    /** A log of this size is replaced by a snapshot: a small part of the smallest disk of 64 MB. */
+    private static final long BYTES_BEFORE_SNAPSHOT = 4 << 20;
+
+    private final Environment mEnvironment;
+    private final ReplicaStorage mStorage;
+    private final DiskQueue mDisk;
     private final Replica mReplica;
+    private final ReplicatedMachine<R> mMachine;
     private final BiConsumer<String, PeerMessage> mSend;
     private final Listener mListener;
-    private final Map<Long, Pending> mPending = new HashMap<>();
+    private final Map<Long, Pending<R>> mPending = new HashMap<>();
     private final List<ReplicaAction> mActions = new ArrayList<>();
-    private ControlState mState;
+    private DiskJob mLastBallotJob;
     private boolean mWasTrusted;
     private boolean mDrainPosted;
     private boolean mStopped;
+    private long mBytesSinceSnapshot;
     private long mWonAt;
 
     private ReplicaNode(
-            Reactor reactor,
-            LongSupplier clock,
-            EventLog log,
-            DataFolder folder,
+            Environment environment,
+            ReplicaStorage storage,
             Replica replica,
-            ControlState state,
+            ReplicatedMachine<R> machine,
             BiConsumer<String, PeerMessage> send,
             Listener listener) {
-        mReactor = reactor;
-        mClock = clock;
-        mLog = log;
-        mFolder = folder;
+        mEnvironment = environment;
+        mStorage = storage;
+        mDisk = DiskQueue.create(environment.loop(), environment.log());
         mReplica = replica;
-        mState = state;
+        mMachine = machine;
         mSend = send;
         mListener = listener;
         mWasTrusted = replica.isTrusted();
     }
 
     /**
-     * Loads a replica from its folder; call it on the control thread.
+     * Makes a replica of what its folder holds; call it on the control thread.
      *
-     * @param reactor the control thread's event loop
-     * @param clock monotonic milliseconds
-     * @param log where events go
-     * @param folder the replica's files
+     * @param environment the control thread, the clock and the log
+     * @param storage the replica's files
+     * @param disk what {@link ReplicaStorage#load} found there
+     * @param replica made of the same
+     * @param machine the state that the log makes
+     * @param send sends a message to another replica, best effort
+     * @param listener hears of changes
+     * @throws QuilldykeException if the snapshot can't be read
+     */
+    public static <R> ReplicaNode<R> of(
+            Environment environment,
+            ReplicaStorage storage,
+            DurableState disk,
+            Replica replica,
+            ReplicatedMachine<R> machine,
+            BiConsumer<String, PeerMessage> send,
+            Listener listener)
+            throws QuilldykeException {
+        if (storage.cutBytes() > 0) {
+            environment.log().write(Event.LOG_CUT, "bytes", storage.cutBytes());
+        }
+        machine.restore(disk.snapshot());
+        return new ReplicaNode<>(environment, storage, replica, machine, send, listener);
+    }
+
+    /**
+     * Loads a replica of a group whose members are fixed; call it on the control thread.
+     *
+     * @param environment the control thread, the clock and the log
+     * @param storage the replica's files
      * @param settings who takes part
      * @param random draws election times
+     * @param machine the state that the log makes
      * @param send sends a message to another replica, best effort
      * @param listener hears of changes
      * @throws QuilldykeException if the files are damaged or can't be read
      */
-    public static ReplicaNode load(
-            Reactor reactor,
-            LongSupplier clock,
-            EventLog log,
-            DataFolder folder,
+    public static <R> ReplicaNode<R> load(
+            Environment environment,
+            ReplicaStorage storage,
             ReplicaSettings settings,
             RandomGenerator random,
+            ReplicatedMachine<R> machine,
             BiConsumer<String, PeerMessage> send,
             Listener listener)
             throws QuilldykeException {
-        DurableState disk = folder.load();
-        if (folder.cutBytes() > 0) {
-            log.write(Event.LOG_CUT, "bytes", folder.cutBytes());
-        }
-        Replica replica = Replica.restore(settings, disk, random, clock.getAsLong());
-        ControlState state = decode(disk.snapshot());
-        return new ReplicaNode(reactor, clock, log, folder, replica, state, send, listener);
+        DurableState disk = storage.load();
+        Replica replica = Replica.restore(settings, disk, random, environment.now());
+        return of(environment, storage, disk, replica, machine, send, listener);
     }
 
     /** Starts to tick. */
     public void start() {
-        mListener.onState(mState);
         tick();
     }
 
@@ -128,7 +150,8 @@
     public void stop() throws QuilldykeException {
         mStopped = true;
         failPending("stopped");
-        mFolder.close();
+        mDisk.close();
+        mStorage.close();
     }
 
     /** Takes a message from another replica. */
@@ -142,18 +165,34 @@
      * @return the result once it is applied; fails with {@link ResultCode#NO_LEADER} if this
      *     replica doesn't lead, or leads no longer before the result is known
      */
-    public CompletableFuture<CommandResult> propose(Command command) {
-        CompletableFuture<CommandResult> future = new CompletableFuture<>();
-        long index = mStopped ? -1 : mReplica.propose(Json.encodeAs(Command.class, command));
+    public CompletableFuture<R> propose(byte[] command) {
+        CompletableFuture<R> future = new CompletableFuture<>();
+        long index = mStopped ? -1 : mReplica.propose(command);
         if (index < 0) {
             future.completeExceptionally(noLeader(mReplica.leader()));
             return future;
         }
-        mPending.put(index, new Pending(mReplica.term(), future));
+        mPending.put(index, new Pending<>(mReplica.term(), future));
         run(() -> mReplica.flush(now()));
         return future;
     }
 
+    /** Proposes a change of membership; returns whether it was taken. */
+    public boolean proposeMembership(Membership next) {
+        long[] index = {-1};
+        run(
+                () -> {
+                    index[0] = mReplica.proposeMembership(next);
+                    return mReplica.flush(now());
+                });
+        return index[0] >= 0;
+    }
+
+    /** Hands leadership on, if this replica leads. */
+    public void transferLeadership() {
+        run(() -> mReplica.transferLeadership(now()));
+    }
+
     /** Returns whether this replica leads. */
     public boolean isLeader() {
         return !mStopped && mReplica.isLeader();
@@ -169,6 +208,11 @@
         return isLeader() ? now() - mWonAt : 0;
     }
 
+    /** Returns when this replica was elected last, in milliseconds of the clock. */
+    public long leaderSince() {
+        return mWonAt;
+    }
+
     /** Returns the leader's id, empty if not known. */
     public String leader() {
         return mReplica.leader();
@@ -179,11 +223,6 @@
         return mReplica.leaderSeenAt(now());
     }
 
-    /** Returns the state that the applied entries make. */
-    public ControlState state() {
-        return mState;
-    }
-
     /** Returns the replica, to be read. */
     public Replica replica() {
         return mReplica;
@@ -193,7 +232,7 @@
         if (mStopped) {
             return;
         }
-        mReactor.delayBackground(TICK_MILLIS, this::tick);
+        mEnvironment.loop().schedule(TICK_MILLIS, this::tick);
         run(() -> mReplica.tick(now()));
     }
 
@@ -204,11 +243,11 @@
         try {
             mActions.addAll(step.run());
         } catch (QuilldykeException e) {
-            mLog.write(Event.INVARIANT, "detail", e.getMessage());
+            mEnvironment.log().write(Event.INVARIANT, "detail", e.getMessage());
         }
         if (!mActions.isEmpty() && !mDrainPosted) {
             mDrainPosted = true;
-            mReactor.postLast(this::drain);
+            mEnvironment.loop().execute(this::drain);
         }
     }
 
@@ -217,142 +256,183 @@
         while (!mActions.isEmpty() && !mStopped) {
             List<ReplicaAction> batch = new ArrayList<>(mActions);
             mActions.clear();
-            try {
-                carryOut(batch);
-            } catch (QuilldykeException e) {
-                onDiskFailure(e);
-            }
+            carryOut(batch);
         }
         compactIfLong();
     }
 
-    private void carryOut(List<ReplicaAction> batch) throws QuilldykeException {
+    private void carryOut(List<ReplicaAction> batch) {
+        store(batch);
         for (ReplicaAction action : batch) {
-            if (action instanceof ReplicaAction.Send send && !send.needsSync()) {
-                mSend.accept(send.to(), send.message());
-            }
-        }
-        if (store(batch)) {
-            mFolder.sync();
-            mActions.addAll(mReplica.onSynced(mReplica.lastIndex()));
-        }
-        for (ReplicaAction action : batch) {
-            if (action instanceof ReplicaAction.Send send && send.needsSync()) {
-                mSend.accept(send.to(), send.message());
+            if (action instanceof ReplicaAction.Send send) {
+                send(send);
             } else if (action instanceof ReplicaAction.Apply apply) {
                 apply(apply.index(), apply.entry());
+            } else if (action instanceof ReplicaAction.InstallSnapshot install) {
+                restore(install.state());
             } else if (action instanceof ReplicaAction.LeadershipWon won) {
                 mWonAt = now();
-                mLog.write(Event.LEADER_WON, "term", won.term());
+                mEnvironment.log().write(Event.LEADER_WON, "term", won.term());
                 mListener.onLeadership(true);
             } else if (action instanceof ReplicaAction.LeadershipLost lost) {
-                mLog.write(Event.LEADER_LOST, "term", lost.term());
+                mEnvironment.log().write(Event.LEADER_LOST, "term", lost.term());
                 failPending("leadership lost");
                 mListener.onLeadership(false);
             }
         }
     }
 
-    private boolean store(List<ReplicaAction> batch) throws QuilldykeException {
-        boolean toSync = false;
+    private void send(ReplicaAction.Send send) {
+        if (send.needsBallot() && mLastBallotJob != null) {
+            mLastBallotJob.heldBack().add(send);
+        } else {
+            mSend.accept(send.to(), send.message());
+        }
+    }
+
+    /** Hands what is to be stored to the disk's thread. */
+    private void store(List<ReplicaAction> batch) {
+        List<ReplicaAction> writes = new ArrayList<>();
+        Ballot ballot = null;
         for (ReplicaAction action : batch) {
             if (action instanceof ReplicaAction.SaveBallot save) {
-                saveBallot(save.ballot());
+                writes.add(action);
+                ballot = save.ballot();
+                noteTrust(save.ballot());
+            } else if (action instanceof ReplicaAction.AppendLog append) {
+                writes.add(action);
+                append.entries().forEach(e -> mBytesSinceSnapshot += e.payload().length);
+            } else if (action instanceof ReplicaAction.TruncateLog
+                    || action instanceof ReplicaAction.InstallSnapshot) {
+                writes.add(action);
+            }
+        }
+        if (writes.isEmpty()) {
+            return;
+        }
+        DiskJob job =
+                new DiskJob(ballot, mReplica.lastIndex(), mReplica.storeEpoch(), new ArrayList<>());
+        if (ballot != null) {
+            mLastBallotJob = job;
+        }
+        mDisk.submit(() -> write(writes), () -> onStored(job));
+    }
+
+    /** Writes and syncs, on the disk's thread. */
+    private void write(List<ReplicaAction> writes) throws QuilldykeException {
+        boolean toSync = false;
+        for (ReplicaAction action : writes) {
+            if (action instanceof ReplicaAction.SaveBallot save) {
+                if (toSync) {
+                    // A ballot may say that the entries before it are there.
+                    mStorage.sync();
+                    toSync = false;
+                }
+                mStorage.saveBallot(save.ballot());
             } else if (action instanceof ReplicaAction.TruncateLog truncate) {
-                mFolder.truncateFrom(truncate.fromIndex());
+                mStorage.truncateFrom(truncate.fromIndex());
                 toSync = true;
             } else if (action instanceof ReplicaAction.AppendLog append) {
-                mFolder.append(append.firstIndex(), append.entries());
-                toSync = true;
-            } else if (action instanceof ReplicaAction.InstallSnapshot install) {
-                mFolder.saveSnapshot(install.index(), install.term(), install.state(), List.of());
-                mState = decode(install.state());
-                mListener.onState(mState);
+                mStorage.append(append.firstIndex(), append.entries());
                 toSync = true;
+            } else if (action instanceof ReplicaAction.InstallSnapshot i) {
+                mStorage.saveSnapshot(
+                        new Compaction(i.index(), i.term(), i.membership(), i.state(), List.of()));
             }
         }
-        return toSync;
+        if (toSync) {
+            mStorage.sync();
+        }
+    }
+
+    private void onStored(DiskJob job) {
+        if (mStopped) {
+            return;
+        }
+        if (mLastBallotJob == job) {
+            mLastBallotJob = null;
+        }
+        if (job.ballot() != null) {
+            mReplica.onBallotStored(job.ballot(), now());
+        }
+        job.heldBack().forEach(send -> mSend.accept(send.to(), send.message()));
+        run(() -> mReplica.onSynced(job.index(), job.epoch()));
     }
 
-    private void saveBallot(Ballot ballot) throws QuilldykeException {
-        mFolder.saveBallot(ballot);
+    private void noteTrust(Ballot ballot) {
         boolean repaired = ballot.trusted() && !mWasTrusted && mReplica.lastIndex() > 0;
         mWasTrusted = ballot.trusted();
         if (repaired) {
-            mLog.write(Event.LOG_REPAIRED, "term", ballot.term(), "last", mReplica.lastIndex());
+            mEnvironment
+                    .log()
+                    .write(Event.LOG_REPAIRED, "term", ballot.term(), "last", mReplica.lastIndex());
         }
     }
 
-    private void apply(long index, LogEntry entry) throws QuilldykeException {
-        Pending pending = mPending.remove(index);
+    private void apply(long index, LogEntry entry) {
+        Pending<R> pending = mPending.remove(index);
+        if (entry.membership() != null) {
+            mListener.onMembership(entry.membership());
+        }
         if (entry.isOpening()) {
-            if (pending != null) {
-                pending.future().completeExceptionally(noLeader(mReplica.leader()));
-            }
+            fail(pending);
             return;
         }
-        Command command = Json.decode(entry.payload(), Command.class);
-        long before = mState.configuration().version();
-        CommandResult result = mState.apply(index, command);
-        if (pending != null && pending.term() == entry.term()) {
-            pending.future().complete(result);
-        } else if (pending != null) {
-            pending.future().completeExceptionally(noLeader(mReplica.leader()));
-        }
-        if (result.plan() != null) {
-            mLog.write(
-                    Event.PLAN_CHANGED,
-                    "number",
-                    result.plan().number(),
-                    "state",
-                    result.plan().state(),
-                    "code",
-                    result.code().label(),
-                    "index",
-                    index);
-        }
-        if (mState.configuration().version() != before) {
-            mListener.onState(mState);
+        try {
+            R result = mMachine.apply(index, entry.payload());
+            if (pending != null && pending.term() == entry.term()) {
+                pending.future().complete(result);
+            } else {
+                fail(pending);
+            }
+        } catch (QuilldykeException e) {
+            mEnvironment.log().write(Event.INVARIANT, "index", index, "detail", e.getMessage());
+            fail(pending);
         }
     }
 
-    private void compactIfLong() {
-        long applied = mReplica.appliedIndex();
-        if (mStopped || applied - mReplica.snapshotIndex() < ENTRIES_BEFORE_SNAPSHOT) {
-            return;
+    private void fail(Pending<R> pending) {
+        if (pending != null) {
+            pending.future().completeExceptionally(noLeader(mReplica.leader()));
         }
-        long term = mReplica.termAt(applied);
-        byte[] state = Json.encode(mState.snapshot());
-        mReplica.compact(applied, state);
+    }
+
+    private void restore(byte[] snapshot) {
         try {
-            mFolder.saveSnapshot(applied, term, state, mReplica.entriesAfter(applied));
-            mLog.write(Event.SNAPSHOT_SAVED, "index", applied, "bytes", state.length);
+            mMachine.restore(snapshot);
         } catch (QuilldykeException e) {
-            onDiskFailure(e);
+            mEnvironment.log().write(Event.INVARIANT, "detail", e.getMessage());
         }
     }
 
-    private void onDiskFailure(QuilldykeException e) {
-        mLog.write(Event.DISK_FAILED, "detail", e.getMessage());
-        mStopped = true;
-        failPending("the data folder failed");
-        mListener.onLeadership(false);
+    private void compactIfLong() {
+        long entries = mReplica.appliedIndex() - mReplica.snapshotIndex();
+        boolean isLong =
+                entries >= ENTRIES_BEFORE_SNAPSHOT || mBytesSinceSnapshot >= BYTES_BEFORE_SNAPSHOT;
+        if (mStopped || entries == 0 || !isLong) {
+            return;
+        }
+        mBytesSinceSnapshot = 0;
+        Compaction compaction = mReplica.compact(mMachine.snapshot());
+        mEnvironment
+                .log()
+                .write(
+                        Event.SNAPSHOT_SAVED,
+                        "index",
+                        compaction.index(),
+                        "bytes",
+                        compaction.state().length);
+        mDisk.submit(() -> mStorage.saveSnapshot(compaction), () -> {});
     }
 
     private void failPending(String why) {
-        List<Pending> pending = new ArrayList<>(mPending.values());
+        List<Pending<R>> pending = new ArrayList<>(mPending.values());
         mPending.clear();
         pending.forEach(p -> p.future().completeExceptionally(noLeader(why)));
     }
 
     private long now() {
-        return mClock.getAsLong();
-    }
-
-    private static ControlState decode(byte[] snapshot) throws QuilldykeException {
-        return snapshot.length == 0
-                ? ControlState.create()
-                : ControlState.restore(Json.decode(snapshot, ControlState.Snapshot.class));
+        return mEnvironment.now();
     }
 
     private static QuilldykeException noLeader(String detail) {
@@ -361,16 +441,41 @@
 
     /** Hears of changes, on the control thread. */
     public interface Listener {
-        /** The configuration has changed, or the whole state was replaced. */
-        void onState(ControlState state);
-
         /** This replica leads now, or leads no longer. */
         void onLeadership(boolean leads);
+
+        /** Another membership is committed. */
+        default void onMembership(Membership membership) {}
+    }
+
+    /**
+     * What a replica lives in.
+     *
+     * @param loop the control thread
+     * @param clock monotonic milliseconds
+     * @param log where events go
+     */
+    public record Environment(ControlLoop loop, LongSupplier clock, EventLog log) {
+        /** Returns the present time in monotonic milliseconds. */
+        public long now() {
+            return clock.getAsLong();
+        }
     }
 
     private interface Step {
         List<ReplicaAction> run() throws QuilldykeException;
     }
 
-    private record Pending(long term, CompletableFuture<CommandResult> future) {}
+    private record Pending<R>(long term, CompletableFuture<R> future) {}
+
+    /**
+     * A write that isn't finished.
+     *
+     * @param ballot the newest ballot that it stores, or null
+     * @param index the end of the log when it was handed over
+     * @param epoch {@link Replica#storeEpoch} at that time
+     * @param heldBack messages that may not leave before the ballot is stored
+     */
+    private record DiskJob(
+            Ballot ballot, long index, long epoch, List<ReplicaAction.Send> heldBack) {}
 }
--- a/quilldyke-daemon/src/main/java/org/quilldyke/daemon/instance/CellNode.java
+++ b/quilldyke-daemon/src/main/java/org/quilldyke/daemon/instance/CellNode.java
@@ -29,6 +29,7 @@
 import org.quilldyke.control.ControlState;
 import org.quilldyke.control.PeerMessage;
 import org.quilldyke.daemon.control.ControlClient;
+import org.quilldyke.daemon.control.ControlReplica;
 import org.quilldyke.daemon.control.ReplicaNode;
 import org.quilldyke.daemon.instance.proto.ExchangeReply;
 import org.quilldyke.daemon.instance.proto.ExchangeRequest;
@@ -61,7 +62,7 @@
     private final TargetTable mTargets;
     private final InstanceTable mInstances;
     private Exchange mExchange;
-    private ReplicaNode mReplica;
+    private ControlReplica mReplica;
     private ControlClient mControlClient;
     private Configuration mConfiguration = Configuration.empty();
     private boolean mCurrent;
@@ -118,7 +119,7 @@
     }
 
     /** Connects the node with its parts and starts its timers; call it on the control thread. */
-    public void start(Exchange exchange, ControlClient client, ReplicaNode replica) {
+    public void start(Exchange exchange, ControlClient client, ControlReplica replica) {
         mExchange = exchange;
         mControlClient = client;
         mReplica = replica;
@@ -154,7 +155,7 @@
     }
 
     /** Returns this instance's replica, or null. */
-    public ReplicaNode replica() {
+    public ControlReplica replica() {
         return mReplica;
     }
 
@@ -270,7 +271,7 @@
         return mReplica != null ? mReplica.leader() : mInstances.leader();
     }
 
-    @Override
+    /** Takes the control state after a change. */
     public void onState(ControlState state) {
         onConfiguration(state.configuration());
         if (mExchange != null && mReplica != null && mReplica.isLeader()) {
--- a/quilldyke-daemon/src/main/java/org/quilldyke/daemon/instance/InstanceServer.java
+++ b/quilldyke-daemon/src/main/java/org/quilldyke/daemon/instance/InstanceServer.java
@@ -18,7 +18,7 @@
 import com.google.protobuf.ByteString;
 import io.grpc.Server;
 import io.grpc.Status;
-import io.grpc.netty.shaded.io.grpc.netty.NettyServerBuilder;
+import io.grpc.netty.NettyServerBuilder;
 import io.grpc.stub.StreamObserver;
 import java.io.IOException;
 import java.util.concurrent.CompletableFuture;
--- a/quilldyke-daemon/src/main/java/org/quilldyke/daemon/instance/PeerClients.java
+++ b/quilldyke-daemon/src/main/java/org/quilldyke/daemon/instance/PeerClients.java
@@ -17,7 +17,7 @@
 
 import com.google.protobuf.ByteString;
 import io.grpc.ManagedChannel;
-import io.grpc.netty.shaded.io.grpc.netty.NettyChannelBuilder;
+import io.grpc.netty.NettyChannelBuilder;
 import io.grpc.stub.StreamObserver;
 import java.util.HashMap;
 import java.util.Map;
@@ -63,7 +63,7 @@
     public void deliver(String to, PeerMessage message) {
         ControlGrpc.ControlStub stub = mControl.get(to);
         stub.withDeadlineAfter(DELIVER_DEADLINE_MILLIS, TimeUnit.MILLISECONDS)
-                .deliver(Wire.encode(mSelf, message), new Ignored());
+                .deliver(Wire.encode(mSelf, to, message), new Ignored());
     }
 
     /** Sends an exchange and returns the reply. */
--- a/quilldyke-daemon/src/main/java/org/quilldyke/daemon/instance/Wire.java
+++ b/quilldyke-daemon/src/main/java/org/quilldyke/daemon/instance/Wire.java
@@ -21,9 +21,11 @@
 import org.quilldyke.Outcome;
 import org.quilldyke.QuilldykeException;
 import org.quilldyke.ResultCode;
+import org.quilldyke.control.Membership;
 import org.quilldyke.control.PeerMessage;
 import org.quilldyke.daemon.instance.proto.AppendReply;
 import org.quilldyke.daemon.instance.proto.AppendRequest;
+import org.quilldyke.daemon.instance.proto.ElectNow;
 import org.quilldyke.daemon.instance.proto.InstanceState;
 import org.quilldyke.daemon.instance.proto.LogEntry;
 import org.quilldyke.daemon.instance.proto.ReplicaMessage;
@@ -33,20 +35,23 @@
 import org.quilldyke.daemon.instance.proto.StateRequest;
 import org.quilldyke.daemon.instance.proto.VoteReply;
 import org.quilldyke.daemon.instance.proto.VoteRequest;
+import org.quilldyke.daemon.json.Json;
 
 /** Turns the core's messages into those of instance.proto, and back. */
-final class Wire {
+public final class Wire {
     private Wire() {}
 
-    static ReplicaMessage encode(String from, PeerMessage message) {
-        ReplicaMessage.Builder out = ReplicaMessage.newBuilder().setFrom(from);
+    /** Returns the form in which a replica's message travels. */
+    public static ReplicaMessage encode(String from, String to, PeerMessage message) {
+        ReplicaMessage.Builder out = ReplicaMessage.newBuilder().setFrom(from).setTo(to);
         if (message instanceof PeerMessage.VoteRequest m) {
             out.setVoteRequest(
                     VoteRequest.newBuilder()
                             .setTerm(m.term())
                             .setLastIndex(m.lastIndex())
                             .setLastTerm(m.lastTerm())
-                            .setPreVote(m.preVote()));
+                            .setPreVote(m.preVote())
+                            .setTransfer(m.transfer()));
         } else if (message instanceof PeerMessage.VoteReply m) {
             out.setVoteReply(
                     VoteReply.newBuilder()
@@ -71,6 +76,7 @@
                             .setIndexTerm(m.indexTerm())
                             .setOffset(m.offset())
                             .setTotal(m.total())
+                            .setMembershipJson(ByteString.copyFrom(Json.encode(m.membership())))
                             .setPiece(ByteString.copyFrom(m.piece()))
                             .setSentAt(m.sentAt()));
         } else if (message instanceof PeerMessage.SnapshotReply m) {
@@ -83,18 +89,29 @@
         } else if (message instanceof PeerMessage.StateReply m) {
             out.setStateReply(
                     StateReply.newBuilder().setTerm(m.term()).setLastIndex(m.lastIndex()));
+        } else if (message instanceof PeerMessage.ElectNow m) {
+            out.setElectNow(ElectNow.newBuilder().setTerm(m.term()));
         } else {
             out.setStateRequest(StateRequest.getDefaultInstance());
         }
         return out.build();
     }
 
-    static PeerMessage decode(ReplicaMessage in) throws QuilldykeException {
+    /**
+     * Returns the message that has travelled.
+     *
+     * @throws QuilldykeException {@link ResultCode#MALFORMED_BODY} if it is none
+     */
+    public static PeerMessage decode(ReplicaMessage in) throws QuilldykeException {
         return switch (in.getKindCase()) {
             case VOTE_REQUEST -> {
                 VoteRequest m = in.getVoteRequest();
                 yield new PeerMessage.VoteRequest(
-                        m.getTerm(), m.getLastIndex(), m.getLastTerm(), m.getPreVote());
+                        m.getTerm(),
+                        m.getLastIndex(),
+                        m.getLastTerm(),
+                        m.getPreVote(),
+                        m.getTransfer());
             }
             case VOTE_REPLY -> {
                 VoteReply m = in.getVoteReply();
@@ -114,6 +131,7 @@
                         m.getIndexTerm(),
                         m.getOffset(),
                         m.getTotal(),
+                        Json.decode(m.getMembershipJson().toByteArray(), Membership.class),
                         m.getPiece().toByteArray(),
                         m.getSentAt());
             }
@@ -127,6 +145,7 @@
                 StateReply m = in.getStateReply();
                 yield new PeerMessage.StateReply(m.getTerm(), m.getLastIndex());
             }
+            case ELECT_NOW -> new PeerMessage.ElectNow(in.getElectNow().getTerm());
             default ->
                     throw QuilldykeException.of(
                             ResultCode.MALFORMED_BODY, Outcome.NOT_RUN, "replica message");
@@ -166,20 +185,34 @@
                         .setLastIndex(m.lastIndex())
                         .setSentAt(m.sentAt());
         for (org.quilldyke.control.LogEntry entry : m.entries()) {
-            out.addEntries(
-                    LogEntry.newBuilder()
-                            .setTerm(entry.term())
-                            .setPayload(ByteString.copyFrom(entry.payload())));
+            out.addEntries(encode(entry));
+        }
+        return out.build();
+    }
+
+    private static LogEntry encode(org.quilldyke.control.LogEntry entry) {
+        LogEntry.Builder out =
+                LogEntry.newBuilder()
+                        .setTerm(entry.term())
+                        .setPayload(ByteString.copyFrom(entry.payload()));
+        if (entry.membership() != null) {
+            out.setMembershipJson(ByteString.copyFrom(Json.encode(entry.membership())));
         }
         return out.build();
     }
 
-    private static PeerMessage decode(AppendRequest m) {
+    private static org.quilldyke.control.LogEntry decode(LogEntry in) throws QuilldykeException {
+        return in.getMembershipJson().isEmpty()
+                ? new org.quilldyke.control.LogEntry(in.getTerm(), in.getPayload().toByteArray())
+                : org.quilldyke.control.LogEntry.ofMembership(
+                        in.getTerm(),
+                        Json.decode(in.getMembershipJson().toByteArray(), Membership.class));
+    }
+
+    private static PeerMessage decode(AppendRequest m) throws QuilldykeException {
         List<org.quilldyke.control.LogEntry> entries = new ArrayList<>();
         for (LogEntry entry : m.getEntriesList()) {
-            entries.add(
-                    new org.quilldyke.control.LogEntry(
-                            entry.getTerm(), entry.getPayload().toByteArray()));
+            entries.add(decode(entry));
         }
         return new PeerMessage.AppendRequest(
                 m.getTerm(),
--- a/quilldyke-daemon/src/main/java/org/quilldyke/daemon/log/Event.java
+++ b/quilldyke-daemon/src/main/java/org/quilldyke/daemon/log/Event.java
@@ -46,8 +46,9 @@
     ORDER_FAILED(4006, Level.WARN, "order-failed", "an order was refused or got no answer"),
     LOG_CUT(4007, Level.WARN, "log-cut", "an entry that was not written whole was cut off"),
     SNAPSHOT_SAVED(4008, Level.INFO, "snapshot", "the control state was saved and the log cut"),
-    DISK_FAILED(4009, Level.ERROR, "disk", "the data folder failed; the replica has stopped"),
+    DISK_FAILED(4009, Level.ERROR, "disk", "the data folder failed; the write is tried again"),
     LOG_REPAIRED(4010, Level.WARN, "repair", "a replica whose disk was lost is trusted again"),
+    DISK_RECOVERED(4011, Level.INFO, "disk-recovered", "the data folder can be written again"),
 
     STARTED(5001, Level.INFO, "start", "the instance serves"),
     SHUTTING_DOWN(5002, Level.INFO, "drain", "the instance takes no new requests"),
--- a/quilldyke-daemon/src/test/java/org/quilldyke/daemon/control/DataFolderTest.java
+++ b/quilldyke-daemon/src/test/java/org/quilldyke/daemon/control/DataFolderTest.java
@@ -32,10 +32,14 @@
 import org.quilldyke.QuilldykeException;
 import org.quilldyke.ResultCode;
 import org.quilldyke.control.Ballot;
+import org.quilldyke.control.Compaction;
 import org.quilldyke.control.DurableState;
 import org.quilldyke.control.LogEntry;
+import org.quilldyke.control.Membership;
 
 class DataFolderTest {
+    private static final Membership MEMBERS = Membership.ofIds(List.of("a", "b"));
+
     @TempDir Path mFolder;
 
     @Test
@@ -73,7 +77,7 @@
         byte[] snapshot = {1, 2, 3};
         try (DataFolder folder = DataFolder.open(mFolder)) {
             folder.load();
-            folder.saveSnapshot(3, 3, snapshot, entries(4, 2));
+            folder.saveSnapshot(new Compaction(3, 3, MEMBERS, snapshot, entries(4, 2)));
             folder.append(6, entries(6, 1));
             folder.sync();
         }
@@ -83,6 +87,7 @@
 
             assertThat(state.snapshotIndex()).isEqualTo(3);
             assertThat(state.snapshot()).isEqualTo(snapshot);
+            assertThat(state.snapshotMembership()).isEqualTo(MEMBERS);
             assertThat(terms(state)).containsExactly(4L, 5L, 6L).inOrder();
         }
     }
@@ -106,12 +111,61 @@
 
     @Test
     void damageInTheMiddleIsRefused() throws Exception {
-        write(entries(1, 5));
+        writeOneByOne(mFolder, 5);
         flip(mFolder.resolve("log"), 60);
 
         assertDamaged();
     }
 
+    /** After a loss of power, of writes that no sync covered any may be missing or torn. */
+    @Test
+    void unsyncedEntriesAfterTheFirstTornOneAreCutOff() throws Exception {
+        write(entries(1, 2));
+        long synced = Files.size(mFolder.resolve("log"));
+        try (DataFolder folder = DataFolder.open(mFolder)) {
+            folder.load();
+            folder.append(3, entries(3, 3));
+        }
+        flip(mFolder.resolve("log"), (int) synced + 12);
+
+        try (DataFolder folder = DataFolder.open(mFolder)) {
+            assertThat(terms(folder.load())).containsExactly(1L, 2L).inOrder();
+            assertThat(folder.cutBytes()).isGreaterThan(0L);
+        }
+    }
+
+    @Test
+    void membershipAndIdentityAreThereAgain() throws Exception {
+        try (DataFolder folder = DataFolder.open(mFolder)) {
+            folder.load();
+            assertThat(folder.loadIdentity()).isEmpty();
+            folder.saveIdentity("a/1");
+            folder.append(1, List.of(LogEntry.ofMembership(4, MEMBERS)));
+            folder.sync();
+        }
+
+        try (DataFolder folder = DataFolder.open(mFolder)) {
+            assertThat(folder.loadIdentity()).isEqualTo("a/1");
+            LogEntry entry = folder.load().entries().get(0);
+            assertThat(entry.membership()).isEqualTo(MEMBERS);
+            assertThat(entry.isOpening()).isTrue();
+        }
+    }
+
+    @Test
+    void repeatedAppendReplacesWhatTheFirstTryLeft() throws Exception {
+        try (DataFolder folder = DataFolder.open(mFolder)) {
+            folder.load();
+            folder.append(1, entries(1, 3));
+            folder.append(2, entries(2, 2));
+            folder.sync();
+        }
+
+        try (DataFolder folder = DataFolder.open(mFolder)) {
+            assertThat(terms(folder.load())).containsExactly(1L, 2L, 3L).inOrder();
+        }
+    }
+
     @Test
     void damagedSnapshotAndBallotAreRefused() throws Exception {
         write(entries(1, 2));
@@ -139,11 +193,7 @@
     void anyFlippedByteIsEitherCutOrRefused(@ForAll long seed) throws Exception {
         Random random = new Random(seed);
         Path path = Files.createTempDirectory("quilldyke-log-");
-        try (DataFolder folder = DataFolder.open(path)) {
-            folder.load();
-            folder.append(1, entries(1, 8));
-            folder.sync();
-        }
+        writeOneByOne(path, 8);
         flip(path.resolve("log"), random.nextInt((int) Files.size(path.resolve("log"))));
 
         try (DataFolder folder = DataFolder.open(path)) {
@@ -162,6 +212,16 @@
         }
     }
 
+    private static void writeOneByOne(Path path, int count) throws Exception {
+        try (DataFolder folder = DataFolder.open(path)) {
+            folder.load();
+            for (int i = 1; i <= count; i++) {
+                folder.append(i, entries(i, 1));
+                folder.sync();
+            }
+        }
+    }
+
     private void assertDamaged() throws Exception {
         try (DataFolder folder = DataFolder.open(mFolder)) {
             QuilldykeException e = assertThrows(QuilldykeException.class, folder::load);
--- a/quilldyke-testkit/src/main/java/org/quilldyke/testkit/check/ClusterRun.java
+++ b/quilldyke-testkit/src/main/java/org/quilldyke/testkit/check/ClusterRun.java
@@ -25,6 +25,7 @@
 import org.quilldyke.QuilldykeException;
 import org.quilldyke.control.DurableState;
 import org.quilldyke.control.LogEntry;
+import org.quilldyke.control.Membership;
 import org.quilldyke.control.PeerMessage;
 import org.quilldyke.control.Replica;
 import org.quilldyke.control.ReplicaAction;
@@ -41,6 +42,7 @@
 public final class ClusterRun {
     private static final long HEAL_EVERY = 4000;
     private static final long HEAL_FOR = 2500;
+    private static final int DYNAMIC_MACHINES = 4;
 
     /** Far more messages than a healed group needs in that time. */
     private static final long HEALED_STEPS = 200_000;
@@ -48,6 +50,7 @@
     private final Random mRandom;
     private final CheckReport mReport;
     private final Breaks mBreak;
+    private final boolean mDynamic;
     private final FakeNetwork mNetwork;
     private final ControlModel mModel;
     private final List<FakeReplica> mReplicas = new ArrayList<>();
@@ -58,25 +61,36 @@
     private final Map<Long, LogEntry> mApplied = new HashMap<>();
     private long mNow;
     private long mHighestApplied;
+    private Membership mCommitted = Membership.empty();
+    private long mCommittedAt;
+    private long mRenamed;
 
-    private ClusterRun(int replicas, long seed, Breaks broken) {
+    private ClusterRun(int replicas, boolean dynamic, long seed, Breaks broken) {
         mRandom = new Random(seed);
         mReport = new CheckReport("log", seed);
         mBreak = broken;
+        mDynamic = dynamic;
         mNetwork = new FakeNetwork(mRandom, mReport);
         mModel = new ControlModel(mRandom, mReport, broken);
         List<String> ids = new ArrayList<>();
         for (int i = 0; i < replicas; i++) {
             ids.add("r" + i);
         }
-        for (String id : ids) {
-            List<String> others = new ArrayList<>(ids);
-            others.remove(id);
-            ReplicaSettings settings = new ReplicaSettings(id, others, 50, 300, 250, 2048, 64);
-            mReplicas.add(new FakeReplica(settings, this, mRandom));
+        for (int i = 0; i < replicas; i++) {
+            mReplicas.add(new FakeReplica(i, settings(ids, i), this, mRandom));
         }
     }
 
+    /** In a dynamic group, the last machine isn't among the first voters and joins later. */
+    private ReplicaSettings settings(List<String> ids, int machine) {
+        String id = ids.get(machine);
+        int first = mDynamic ? ids.size() - 1 : ids.size();
+        Membership initial =
+                machine < first ? Membership.ofIds(ids.subList(0, first)) : Membership.empty();
+        mCommitted = machine < first ? initial : mCommitted;
+        return ReplicaSettings.of(id, initial).withSizes(2048, 64);
+    }
+
     /**
      * Runs a control group.
      *
@@ -86,7 +100,21 @@
      * @param broken a deliberate break, or {@link Breaks#NONE}
      */
     public static CheckReport run(int replicas, long seed, long steps, Breaks broken) {
-        ClusterRun run = new ClusterRun(replicas, seed, broken);
+        return run(new ClusterRun(replicas, false, seed, broken), steps);
+    }
+
+    /**
+     * Runs a control group of four machines, three of which vote: machines that lose their disk
+     * come back as new replicas, and the leader changes the membership.
+     *
+     * @param seed draws everything
+     * @param steps messages, ticks and faults
+     */
+    public static CheckReport runDynamic(long seed, long steps) {
+        return run(new ClusterRun(DYNAMIC_MACHINES, true, seed, Breaks.NONE), steps);
+    }
+
+    private static CheckReport run(ClusterRun run, long steps) {
         run.mReplicas.forEach(r -> r.start(0));
         try {
             while (run.mReport.steps() < steps && run.mReport.isGood()) {
@@ -99,6 +127,15 @@
         return run.mReport;
     }
 
+    boolean isDynamic() {
+        return mDynamic;
+    }
+
+    /** Returns whether the next write takes its time. */
+    boolean hasSlowDisk() {
+        return isFaulty() && mRandom.nextInt(20) == 0;
+    }
+
     boolean isBroken(Breaks kind) {
         return mBreak == kind;
     }
@@ -143,6 +180,11 @@
                         || known.term() == entry.term()
                                 && Arrays.equals(known.payload(), entry.payload());
         mReport.check(same, "equal entries everywhere", replica.mId + " " + index);
+        if (entry.membership() != null && index > mCommittedAt) {
+            mReport.count("membership changed");
+            mCommitted = entry.membership();
+            mCommittedAt = index;
+        }
         mHighestApplied = Math.max(mHighestApplied, index);
         if (!entry.isOpening()) {
             mModel.onApply(replica.mId, index, ByteBuffer.wrap(entry.payload()).getLong());
@@ -162,6 +204,10 @@
     void crash(FakeReplica replica, boolean wipe) {
         mReport.count(wipe ? "fault crash with loss of the disk" : "fault crash");
         replica.crash(wipe);
+        if (wipe && mDynamic) {
+            String id = "r" + replica.mMachine + "." + ++mRenamed;
+            replica.rename(ReplicaSettings.of(id, Membership.empty()).withSizes(2048, 64));
+        }
         mDownUntil.put(replica.mId, mNow + 20 + mRandom.nextInt(1200));
     }
 
@@ -246,13 +292,31 @@
                 replica.tick(mNow);
             }
         }
+        if (mDynamic && mNow % 100 == 0) {
+            join();
+        }
         if (mNow % 7 == 0) {
             propose();
         }
         checkLeases();
     }
 
-    private void causeFaults() {
+    /** Replicas that aren't members ask whoever leads to be taken in. */
+    private void join() {
+        for (FakeReplica joiner : mReplicas) {
+            if (canAct(joiner) && joiner.replica().leader().isEmpty()) {
+                mReplicas.stream()
+                        .filter(leader -> canAct(leader) && leader.replica().isLeader())
+                        .forEach(leader -> leader.planner().onJoin(memberOf(joiner)));
+            }
+        }
+    }
+
+    private static Membership.Member memberOf(FakeReplica replica) {
+        return new Membership.Member(replica.mId, "machine " + replica.mMachine);
+    }
+
+    private void causeFaults() throws QuilldykeException {
         mNetwork.setLoss(50);
         FakeReplica replica = mReplicas.get(mRandom.nextInt(mReplicas.size()));
         int fault = mRandom.nextInt(2000);
@@ -264,11 +328,17 @@
         } else if (fault == 2) {
             FakeReplica other = mReplicas.get(mRandom.nextInt(mReplicas.size()));
             mNetwork.cut(replica.mId, other.mId);
+        } else if (fault == 3 && canAct(replica)) {
+            mReport.count("leadership handed on");
+            replica.transferLeadership(mNow);
         }
     }
 
     /** The promise holds while a minority has lost its disk and isn't repaired yet. */
     private boolean mayWipe() {
+        if (mDynamic) {
+            return mHighestApplied > 0 && mCommitted.voters().stream().allMatch(this::hasItsDisk);
+        }
         int blank = 0;
         for (FakeReplica replica : mReplicas) {
             blank += replica.isBlank() ? 1 : 0;
@@ -276,6 +346,10 @@
         return mHighestApplied > 0 && blank < (mReplicas.size() - 1) / 2;
     }
 
+    private boolean hasItsDisk(Membership.Member voter) {
+        return mReplicas.stream().anyMatch(replica -> replica.mId.equals(voter.id()));
+    }
+
     private void restartDue() {
         for (FakeReplica replica : mReplicas) {
             if (!replica.isUp() && mDownUntil.get(replica.mId) <= mNow) {
@@ -287,7 +361,7 @@
 
     private void deliver(FakeNetwork.Packet packet) throws QuilldykeException {
         FakeReplica to = find(packet.to());
-        if (!canAct(to)) {
+        if (!canAct(to) || !to.mId.equals(packet.to())) {
             return;
         }
         mReport.step(
@@ -331,7 +405,7 @@
     }
 
     private FakeReplica find(String id) {
-        return mReplicas.get(Integer.parseInt(id.substring(1)));
+        return mReplicas.get(Integer.parseInt(id.substring(1).split("\\.")[0]));
     }
 
     /** Heals everything and checks that the group works again and holds all it acknowledged. */
@@ -355,6 +429,12 @@
                     replica.isUp() && replica.replica().isTrusted(),
                     "all are trusted in the end",
                     replica.mId);
+            if (mDynamic) {
+                mReport.check(
+                        mCommitted.member(replica.mId).isPresent(),
+                        "all are members in the end",
+                        replica.mId);
+            }
             mReport.check(
                     replica.isUp() && replica.replica().appliedIndex() > mHighestApplied - 200,
                     "all have caught up in the end",
--- a/quilldyke-testkit/src/main/java/org/quilldyke/testkit/check/FakeDisk.java
+++ b/quilldyke-testkit/src/main/java/org/quilldyke/testkit/check/FakeDisk.java
@@ -19,8 +19,10 @@
 import java.util.List;
 import java.util.Random;
 import org.quilldyke.control.Ballot;
+import org.quilldyke.control.Compaction;
 import org.quilldyke.control.DurableState;
 import org.quilldyke.control.LogEntry;
+import org.quilldyke.control.Membership;
 import org.quilldyke.control.ReplicaAction;
 
 /** A replica's disk: what was synced survives a crash, of the rest a part may. */
@@ -30,6 +32,7 @@
     private long mSnapshotIndex;
     private long mSnapshotTerm;
     private byte[] mSnapshot = new byte[0];
+    private Membership mMembership = Membership.empty();
     private List<LogEntry> mEntries = new ArrayList<>();
 
     void write(ReplicaAction action) {
@@ -56,20 +59,26 @@
         mSnapshotIndex = 0;
         mSnapshotTerm = 0;
         mSnapshot = new byte[0];
+        mMembership = Membership.empty();
         mEntries = new ArrayList<>();
     }
 
-    void saveSnapshot(long index, long term, byte[] state) {
-        int covered = (int) Math.max(0, Math.min(index - mSnapshotIndex, mEntries.size()));
-        mEntries = new ArrayList<>(mEntries.subList(covered, mEntries.size()));
-        mSnapshotIndex = index;
-        mSnapshotTerm = term;
-        mSnapshot = state;
+    void saveSnapshot(Compaction compaction) {
+        mEntries = new ArrayList<>(compaction.keep());
+        mSnapshotIndex = compaction.index();
+        mSnapshotTerm = compaction.term();
+        mSnapshot = compaction.state();
+        mMembership = compaction.membership();
     }
 
     DurableState load() {
         return new DurableState(
-                mBallot, mSnapshotIndex, mSnapshotTerm, mSnapshot, new ArrayList<>(mEntries));
+                mBallot,
+                mSnapshotIndex,
+                mSnapshotTerm,
+                mSnapshot,
+                mMembership,
+                new ArrayList<>(mEntries));
     }
 
     long snapshotIndex() {
@@ -107,6 +116,7 @@
             mSnapshotIndex = install.index();
             mSnapshotTerm = install.term();
             mSnapshot = install.state();
+            mMembership = install.membership();
             mEntries = new ArrayList<>();
         }
     }
--- a/quilldyke-testkit/src/main/java/org/quilldyke/testkit/check/FakeReplica.java
+++ b/quilldyke-testkit/src/main/java/org/quilldyke/testkit/check/FakeReplica.java
@@ -15,14 +15,19 @@
  */
 package org.quilldyke.testkit.check;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.List;
+import java.util.Optional;
 import java.util.Random;
 import java.util.SplittableRandom;
 import org.quilldyke.QuilldykeException;
 import org.quilldyke.control.Ballot;
 import org.quilldyke.control.DurableState;
 import org.quilldyke.control.LogEntry;
+import org.quilldyke.control.Membership;
+import org.quilldyke.control.MembershipPlanner;
 import org.quilldyke.control.PeerMessage;
 import org.quilldyke.control.Replica;
 import org.quilldyke.control.ReplicaAction;
@@ -32,18 +37,26 @@
 final class FakeReplica {
     private static final int SNAPSHOT_EVERY = 60;
 
-    final String mId;
+    private static final int SLOW_SYNC_MILLIS = 300;
+
+    final int mMachine;
+    String mId;
     final FakeDisk mDisk = new FakeDisk();
-    private final ReplicaSettings mSettings;
+    private ReplicaSettings mSettings;
     private final ClusterRun mRun;
     private final Random mRandom;
     private final double mDrift;
     private final long mOffset;
+    private final Deque<DiskJob> mJobs = new ArrayDeque<>();
+    private MembershipPlanner mPlanner = MembershipPlanner.create(1);
     private Replica mReplica;
+    private long mLeaderSince;
+    private long mNow;
     private List<ReplicaAction> mActions = new ArrayList<>();
     private boolean mBlank = true;
 
-    FakeReplica(ReplicaSettings settings, ClusterRun run, Random random) {
+    FakeReplica(int machine, ReplicaSettings settings, ClusterRun run, Random random) {
+        mMachine = machine;
         mId = settings.self();
         mSettings = settings;
         mRun = run;
@@ -69,8 +82,23 @@
         return mOffset + (long) (now * mDrift);
     }
 
+    MembershipPlanner planner() {
+        return mPlanner;
+    }
+
+    /** Takes another id, as a replica does whose disk came back empty. */
+    void rename(ReplicaSettings settings) {
+        mId = settings.self();
+        mSettings = settings;
+    }
+
     void start(long now) {
+        mNow = now;
+        mPlanner = MembershipPlanner.create(1);
         DurableState disk = mDisk.load();
+        if (mRun.isDynamic() && !disk.ballot().trusted()) {
+            disk = with(disk, new Ballot(disk.ballot().term(), "", true));
+        }
         if (mRun.isBroken(Breaks.TRUST_EMPTY_DISK) && !disk.ballot().trusted()) {
             Ballot trusted = new Ballot(disk.ballot().term(), "", true);
             disk = with(disk, trusted);
@@ -85,6 +113,10 @@
     }
 
     void crash(boolean wipe) {
+        if (!mJobs.isEmpty()) {
+            write(mJobs.peek());
+        }
+        mJobs.clear();
         mDisk.crash(mRandom);
         mActions.clear();
         mReplica = null;
@@ -97,6 +129,18 @@
     void tick(long now) throws QuilldykeException {
         mActions.addAll(mReplica.tick(clock(now)));
         drain(now);
+        if (isUp() && mRun.isDynamic()) {
+            changeMembership(now);
+        }
+    }
+
+    /** Has the leader propose a change of membership, if one is due. */
+    private void changeMembership(long now) throws QuilldykeException {
+        Optional<Membership> next = mPlanner.next(mReplica, mId, mLeaderSince, clock(now));
+        if (next.isPresent() && mReplica.proposeMembership(next.get()) >= 0) {
+            mActions.addAll(mReplica.flush(clock(now)));
+            drain(now);
+        }
     }
 
     void receive(String from, PeerMessage message, long now) throws QuilldykeException {
@@ -104,7 +148,7 @@
         mActions.addAll(mReplica.receive(from, taken, clock(now)));
         if (mRun.isBroken(Breaks.COUNT_ACKNOWLEDGEMENT_TWICE)
                 && message instanceof PeerMessage.AppendReply) {
-            for (String other : mSettings.others()) {
+            for (String other : mReplica.membership().others(mId)) {
                 mActions.addAll(mReplica.receive(other, taken, clock(now)));
             }
         }
@@ -118,60 +162,89 @@
         return index;
     }
 
+    void transferLeadership(long now) throws QuilldykeException {
+        mActions.addAll(mReplica.transferLeadership(clock(now)));
+        drain(now);
+    }
+
     private void drain(long now) throws QuilldykeException {
-        while (!mActions.isEmpty()) {
-            List<ReplicaAction> batch = mActions;
-            mActions = new ArrayList<>();
-            boolean early = mRun.isBroken(Breaks.SEND_BEFORE_SYNC);
-            send(batch, early, now);
-            if (store(batch)) {
-                if (mRun.crashesBeforeSync()) {
-                    mRun.crash(this, false);
-                    return;
-                }
-                sync();
-                mActions.addAll(mReplica.onSynced(mReplica.lastIndex()));
+        mNow = now;
+        while (isUp() && (!mActions.isEmpty() || isDue(now))) {
+            if (isDue(now)) {
+                finish(mJobs.peek());
             }
-            if (!early) {
-                sendSynced(batch, now);
+            if (isUp()) {
+                List<ReplicaAction> batch = mActions;
+                mActions = new ArrayList<>();
+                carryOut(batch, now);
             }
-            apply(batch);
         }
-        compact();
+        if (isUp()) {
+            compact();
+        }
     }
 
-    private void send(List<ReplicaAction> batch, boolean all, long now) {
+    private boolean isDue(long now) {
+        return !mJobs.isEmpty() && mJobs.peek().due() <= now;
+    }
+
+    private void carryOut(List<ReplicaAction> batch, long now) throws QuilldykeException {
+        boolean stores = batch.stream().anyMatch(FakeReplica::isStored);
+        if (stores) {
+            long due = mRun.hasSlowDisk() ? now + mRandom.nextInt(SLOW_SYNC_MILLIS) : now;
+            mJobs.add(
+                    new DiskJob(
+                            due,
+                            batch.stream().filter(FakeReplica::isStored).toList(),
+                            new ArrayList<>(),
+                            mReplica.lastIndex(),
+                            mReplica.storeEpoch()));
+        }
+        boolean early = mRun.isBroken(Breaks.SEND_BEFORE_SYNC);
+        if (early && stores) {
+            mActions.addAll(mReplica.onSynced(mReplica.lastIndex(), mReplica.storeEpoch()));
+        }
         for (ReplicaAction action : batch) {
-            if (action instanceof ReplicaAction.Send send && (all || !send.needsSync())) {
-                mRun.onSend(this, send, now);
+            if (action instanceof ReplicaAction.Send send) {
+                if (early || !send.needsBallot() || mJobs.isEmpty()) {
+                    mRun.onSend(this, send, now);
+                } else {
+                    mJobs.peekLast().after().add(send);
+                }
             }
         }
+        apply(batch);
     }
 
-    private void sendSynced(List<ReplicaAction> batch, long now) {
-        for (ReplicaAction action : batch) {
-            if (action instanceof ReplicaAction.Send send && send.needsSync()) {
-                mRun.onSend(this, send, now);
+    /** Completes a write: what waited for it is sent. */
+    private void finish(DiskJob job) throws QuilldykeException {
+        write(job);
+        if (mRun.crashesBeforeSync()) {
+            mRun.crash(this, false);
+            return;
+        }
+        mJobs.remove();
+        sync();
+        for (ReplicaAction action : job.writes()) {
+            if (action instanceof ReplicaAction.SaveBallot save) {
+                mReplica.onBallotStored(save.ballot(), clock(mNow));
             }
         }
+        job.after().forEach(send -> mRun.onSend(this, send, mNow));
+        mActions.addAll(mReplica.onSynced(job.index(), job.epoch()));
     }
 
-    private boolean store(List<ReplicaAction> batch) {
-        boolean toSync = false;
-        for (ReplicaAction action : batch) {
-            if (isStored(action)) {
-                toSync = true;
-                boolean skipped =
-                        mRun.isBroken(Breaks.SKIP_TRUNCATE)
-                                        && action instanceof ReplicaAction.TruncateLog
-                                || mRun.isBroken(Breaks.SKIP_BALLOT_SYNC)
-                                        && action instanceof ReplicaAction.SaveBallot;
-                if (!skipped) {
-                    mDisk.write(action);
-                }
+    private void write(DiskJob job) {
+        for (ReplicaAction action : job.writes()) {
+            boolean skipped =
+                    mRun.isBroken(Breaks.SKIP_TRUNCATE)
+                                    && action instanceof ReplicaAction.TruncateLog
+                            || mRun.isBroken(Breaks.SKIP_BALLOT_SYNC)
+                                    && action instanceof ReplicaAction.SaveBallot;
+            if (!skipped) {
+                mDisk.write(action);
             }
         }
-        return toSync;
     }
 
     private void sync() {
@@ -189,6 +262,7 @@
             } else if (action instanceof ReplicaAction.InstallSnapshot install) {
                 mRun.onInstall(this, install);
             } else if (action instanceof ReplicaAction.LeadershipWon won) {
+                mLeaderSince = clock(mNow);
                 mRun.onLeader(this, won.term());
             } else if (action instanceof ReplicaAction.AppendLog append
                     && mRun.isBroken(Breaks.APPLY_UNCOMMITTED)) {
@@ -202,14 +276,11 @@
 
     private void compact() {
         long applied = mReplica.appliedIndex();
-        if (applied - mReplica.snapshotIndex() < SNAPSHOT_EVERY) {
+        if (applied - mReplica.snapshotIndex() < SNAPSHOT_EVERY || !mJobs.isEmpty()) {
             return;
         }
-        byte[] state = mRun.snapshotOf(this);
-        long term = mReplica.termAt(applied);
         mDisk.sync();
-        mReplica.compact(applied, state);
-        mDisk.saveSnapshot(applied, term, state);
+        mDisk.saveSnapshot(mReplica.compact(mRun.snapshotOf(this)));
     }
 
     private static boolean isStored(ReplicaAction action) {
@@ -221,6 +292,27 @@
 
     private static DurableState with(DurableState disk, Ballot ballot) {
         return new DurableState(
-                ballot, disk.snapshotIndex(), disk.snapshotTerm(), disk.snapshot(), disk.entries());
+                ballot,
+                disk.snapshotIndex(),
+                disk.snapshotTerm(),
+                disk.snapshot(),
+                disk.snapshotMembership(),
+                disk.entries());
     }
+
+    /**
+     * A write that the disk hasn't finished.
+     *
+     * @param due when it will have finished
+     * @param writes what is written
+     * @param after what is sent when it has finished
+     * @param index the end of the log when the write was handed over
+     * @param epoch {@link Replica#storeEpoch} at that time
+     */
+    private record DiskJob(
+            long due,
+            List<ReplicaAction> writes,
+            List<ReplicaAction.Send> after,
+            long index,
+            long epoch) {}
 }
--- a/quilldyke-testkit/src/test/java/org/quilldyke/testkit/check/ClusterRunTest.java
+++ b/quilldyke-testkit/src/test/java/org/quilldyke/testkit/check/ClusterRunTest.java
@@ -38,6 +38,19 @@
         assertGood(ClusterRun.run(5, seed, STEPS, Breaks.NONE));
     }
 
+    @ParameterizedTest
+    @ValueSource(longs = {201, 202, 203, 204, 205, 206})
+    void membersThatLoseTheirDisksAreReplaced(long seed) {
+        CheckReport report = ClusterRun.runDynamic(seed, 4 * STEPS);
+
+        assertGood(report);
+        assertThat(report.counts().keySet())
+                .containsAtLeast(
+                        "fault crash with loss of the disk",
+                        "membership changed",
+                        "leadership handed on");
+    }
+
     private static void assertGood(CheckReport report) {
         assertWithMessage(
                         report.repeatCommand(STEPS)
