--- a/quilldyke-core/src/main/java/org/quilldyke/ResultCode.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/ResultCode.java
@@ -35,6 +35,9 @@
     UNKNOWN_PATH(1008, 404, "no such path"),
     KEY_REUSED(1009, 422, "the idempotency key belongs to a request with another body"),
     CALLER_GONE(1010, 499, "the caller went away"),
+    HEADERS_TOO_LARGE(1011, 431, "the request's headers are over the limit"),
+    MALFORMED_REQUEST(1012, 400, "the request is not well-formed HTTP"),
+    REQUEST_TOO_SLOW(1013, 408, "the request did not arrive in time"),
 
     NO_TARGET(2001, 503, "no live target serves this"),
     OVERLOADED(2002, 503, "every target is at its limit"),
@@ -52,6 +55,10 @@
     SHUTTING_DOWN(2014, 503, "this instance is shutting down"),
     CUT_OFF(2015, 503, "this instance is cut off from all others"),
     ANSWER_TOO_LARGE(2016, 502, "the answer is over the limit"),
+    NO_CONFIGURATION(2017, 503, "no configuration is confirmed at this instance yet"),
+    KEYS_UNCONFIRMED(2018, 503, "this instance cannot confirm keys now"),
+    ROUTE_TIMEOUT(2019, 504, "the route's time is over and the request may have run"),
+    ANSWER_SPOILED(2020, 502, "the target's answer is not whole or not its own"),
 
     PLAN_CONFLICT(3001, 409, "another intent won this number"),
     PLAN_STALE(3002, 409, "what the plan read has changed"),
@@ -59,6 +66,9 @@
     INTENT_INVALID(3004, 400, "the intent does not fit the configuration"),
     NO_LEADER(3005, 503, "the control group has no leader now"),
     OPERATOR_TOKEN(3006, 401, "the operator token is missing or wrong"),
+    MANIFEST_INVALID(3007, 400, "the manifest breaks a rule"),
+    READ_UNCONFIRMED(3008, 503, "this instance cannot confirm the newest state now"),
+    REPORT_INVALID(3009, 400, "a target's report cannot be read"),
 
     SETTINGS_UNREADABLE(4001, 400, "the settings file cannot be read"),
     SETTINGS_SYNTAX(4002, 400, "the settings are not valid JSON"),
--- /dev/null
+++ b/quilldyke-core/src/main/java/org/quilldyke/caller/Forwarding.java
@@ -0,0 +1,274 @@
+/*
+ * Copyright 2026 The quilldyke authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.quilldyke.caller;
+
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import org.quilldyke.ResultCode;
+import org.quilldyke.routing.Choice;
+import org.quilldyke.routing.TargetBook;
+
+/**
+ * Decides what becomes of one request: where it goes, whether it may be sent again, and what its
+ * caller is told.
+ *
+ * <p>The one place that knows whether a request may have run. A caller is told "not run" only if no
+ * byte was sent, or each target it was sent to has said so. A request that may have run is sent
+ * again only if it may run twice, within the route's number of attempts and the allowance for
+ * second attempts.
+ */
+public final class Forwarding {
+    /** A request that can't be sent anywhere waits for a part of its objective at most. */
+    private static final int WAIT_DIVISOR = 5;
+
+    private static final long WAIT_STEP_MILLIS = 20;
+
+    /** How often a request may fail to reach a target before its caller is told. */
+    private static final int MAX_UNSENT = 5;
+
+    /** A target may be silent for this long before it is given up, whatever the objective. */
+    private static final long MIN_SILENCE_MILLIS = 800;
+
+    /** A second attempt with less time than this is pointless. */
+    private static final long MIN_MILLIS_LEFT = 30;
+
+    private final ForwardRequest mRequest;
+    private final TargetBook mBook;
+    private final RetryAllowance mRetries;
+    private final Set<String> mExcluded = new HashSet<>();
+    private Choice mChoice;
+    private boolean mOpen;
+    private boolean mSent;
+    private boolean mRunCounted;
+    private boolean mPromptRead;
+    private int mUnsent;
+    private int mMayHaveRun;
+    private boolean mHeadPassed;
+    private long mLastEvent;
+
+    private Forwarding(ForwardRequest request, TargetBook book, RetryAllowance retries) {
+        mRequest = request;
+        mBook = book;
+        mRetries = retries;
+        mLastEvent = request.lastEvent();
+    }
+
+    /**
+     * Returns the decisions for a request.
+     *
+     * @param request what is asked for
+     * @param book the targets
+     * @param retries bounds second attempts
+     */
+    public static Forwarding of(ForwardRequest request, TargetBook book, RetryAllowance retries) {
+        return new Forwarding(request, book, retries);
+    }
+
+    /** Returns the first step. */
+    public Step start(long now) {
+        mRetries.onRequest(mRequest.service(), now);
+        return choose(now);
+    }
+
+    /** Returns the step after a wait. */
+    public Step onWaited(long now) {
+        return choose(now);
+    }
+
+    /** Notes that the first byte is about to leave: from now on the request may run. */
+    public void onSending() {
+        mSent = true;
+    }
+
+    /** Returns the step after the target could not be reached; no byte was sent. */
+    public Step onUnsent(long now) {
+        mBook.onUnreachable(mChoice.target(), now);
+        finishAttempt();
+        mUnsent++;
+        mExcluded.add(mChoice.target());
+        return mUnsent >= MAX_UNSENT ? giveUp(ResultCode.NO_TARGET, now) : choose(now);
+    }
+
+    /** Returns the step after the head of an answer; the body of a stream follows. */
+    public Step onAnswer(AnswerHead head, long now) {
+        if (head.isNotRun()) {
+            return onRefusedUnrun(head, now);
+        }
+        countRun();
+        if (!head.isGenuine()) {
+            mBook.onSpoiled(mChoice.target(), now);
+            finishAttempt();
+            return sendAgainOr(new Step.Fail(ResultCode.ANSWER_SPOILED), now);
+        }
+        if (head.status() >= 500 && !head.isSuccess()) {
+            mBook.onFailure(mChoice.target(), now);
+            if (mayRunAgain(now) && takeRetry(now)) {
+                finishAttempt();
+                mExcluded.add(mChoice.target());
+                return choose(now);
+            }
+            return new Step.PassOn();
+        }
+        mBook.onSuccess(mChoice.target(), now);
+        return new Step.PassOn();
+    }
+
+    /** Notes that events up to the given one were passed on to the caller. */
+    public void onEventPassed(long event) {
+        mHeadPassed = true;
+        mLastEvent = event;
+        onPromptRead();
+    }
+
+    /** Returns the last event passed on, -1 for none. */
+    public long lastEvent() {
+        return mLastEvent;
+    }
+
+    /** Notes that the target's answer is complete and passed on. */
+    public void onComplete() {
+        finishAttempt();
+    }
+
+    /** Returns the step after the target's answer broke off, or can't be the one asked for. */
+    public Step onBroken(ResultCode why, long now) {
+        mBook.onFailure(mChoice.target(), now);
+        countRun();
+        finishAttempt();
+        Step end = mHeadPassed ? new Step.Break(why) : new Step.Fail(why);
+        return sendAgainOr(end, now);
+    }
+
+    /** Returns the step when the request's time is over. */
+    public Step onTimeOver(long now) {
+        boolean sent = mSent;
+        finishAttempt();
+        if (mHeadPassed) {
+            return new Step.Break(ResultCode.ROUTE_TIMEOUT);
+        }
+        return sent || mMayHaveRun > 0
+                ? new Step.Fail(ResultCode.ROUTE_TIMEOUT)
+                : new Step.Refuse(ResultCode.DEADLINE_PASSED, 0);
+    }
+
+    /** Notes that the caller went away. */
+    public void onCallerGone() {
+        finishAttempt();
+    }
+
+    /** Returns for how long the present target may be silent before it is given up. */
+    public long silenceMillis() {
+        if (!mRequest.route().mayRunAgain()) {
+            return Long.MAX_VALUE;
+        }
+        long objective = mRequest.route().objectiveMillis();
+        return mHeadPassed
+                ? Math.max(MIN_SILENCE_MILLIS, 2 * mRequest.route().pauseMillis())
+                : Math.max(MIN_SILENCE_MILLIS, 2 * objective);
+    }
+
+    private Step onRefusedUnrun(AnswerHead head, long now) {
+        if (head.wrongTarget()) {
+            mBook.onWrongTarget(mChoice.target(), now);
+        } else {
+            mBook.onOverloaded(mChoice.target(), now);
+        }
+        finishAttempt();
+        mExcluded.add(mChoice.target());
+        boolean timeLeft = now + MIN_MILLIS_LEFT < mRequest.answerBy();
+        if (timeLeft && mBook.hasOther(mRequest, mExcluded, now) && takeRetry(now)) {
+            return choose(now);
+        }
+        return giveUp(ResultCode.OVERLOADED, now);
+    }
+
+    private Step sendAgainOr(Step end, long now) {
+        mExcluded.add(mChoice.target());
+        if (!mayRunAgain(now) || !takeRetry(now)) {
+            return end;
+        }
+        Step next = choose(now);
+        return next instanceof Step.Refuse ? end : next;
+    }
+
+    private boolean mayRunAgain(long now) {
+        return mRequest.route().mayRunAgain()
+                && mMayHaveRun < mRequest.route().maxAttempts()
+                && now + MIN_MILLIS_LEFT < mRequest.answerBy()
+                && mBook.hasOther(mRequest, mExcluded, now);
+    }
+
+    private boolean takeRetry(long now) {
+        return mRetries.tryTake(mRequest.service(), now);
+    }
+
+    private Step choose(long now) {
+        long left = mRequest.answerBy() - now;
+        if (left <= 0) {
+            return giveUp(ResultCode.DEADLINE_PASSED, now);
+        }
+        Optional<Choice> choice = mBook.choose(mRequest, mExcluded, now);
+        if (choice.isPresent()) {
+            mChoice = choice.get();
+            mOpen = true;
+            mRunCounted = false;
+            mPromptRead = false;
+            mBook.onChosen(mChoice, mRequest);
+            return new Step.Send(mChoice, left, mLastEvent);
+        }
+        long waitUntil =
+                mRequest.arrivedAt() + mRequest.route().objectiveMillis() / WAIT_DIVISOR;
+        if (now + WAIT_STEP_MILLIS < Math.min(waitUntil, mRequest.answerBy())) {
+            mExcluded.clear();
+            return new Step.Wait(now + WAIT_STEP_MILLIS);
+        }
+        return giveUp(ResultCode.NO_TARGET, now);
+    }
+
+    private Step giveUp(ResultCode code, long now) {
+        if (mHeadPassed) {
+            return new Step.Break(code);
+        }
+        if (mMayHaveRun > 0) {
+            return new Step.Fail(ResultCode.TARGET_LOST);
+        }
+        return new Step.Refuse(code, mBook.retryAfterMillis(mRequest, now));
+    }
+
+    private void onPromptRead() {
+        if (!mPromptRead) {
+            mPromptRead = true;
+            mBook.onPromptRead(mChoice);
+        }
+    }
+
+    private void countRun() {
+        if (!mRunCounted) {
+            mRunCounted = true;
+            mMayHaveRun++;
+        }
+    }
+
+    private void finishAttempt() {
+        if (mOpen) {
+            onPromptRead();
+            mBook.onFinished(mChoice);
+        }
+        mOpen = false;
+        mSent = false;
+    }
+}
--- /dev/null
+++ b/quilldyke-core/src/main/java/org/quilldyke/engine/TargetRegistry.java
@@ -0,0 +1,152 @@
+/*
+ * Copyright 2026 The quilldyke authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.quilldyke.engine;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * Which targets there are, by what they report.
+ *
+ * <p>Reports may come late and in any order: the highest sequence counts, and after a target has
+ * said that it is gone, nothing that it said before does. A target that is silent for too long
+ * lapses, and is back with its next report.
+ */
+public final class TargetRegistry {
+    /** For how long a late report of a target that is gone is still known as such. */
+    static final long GONE_KEPT_MILLIS = 120_000;
+
+    private final Map<String, Entry> mEntries = new HashMap<>();
+    private final Map<String, Long> mGone = new HashMap<>();
+
+    private TargetRegistry() {}
+
+    /** Returns a registry that knows no target. */
+    public static TargetRegistry create() {
+        return new TargetRegistry();
+    }
+
+    /**
+     * Takes a report.
+     *
+     * @param heardAt when it was made, as far as known
+     * @return whether it tells something new, other than that the target lives
+     */
+    public boolean onReport(TargetReport report, long heardAt) {
+        if (mGone.containsKey(report.id())) {
+            return false;
+        }
+        Entry known = mEntries.get(report.id());
+        if (known != null && known.mReport.sequence() >= report.sequence()) {
+            known.mHeardAt = Math.max(known.mHeardAt, heardAt);
+            return false;
+        }
+        // An address belongs to one target at a time: whoever had it before has ended.
+        mEntries.values()
+                .removeIf(
+                        other ->
+                                other.mReport.address().equals(report.address())
+                                        && !other.mReport.id().equals(report.id())
+                                        && other.mHeardAt < heardAt);
+        if (known == null) {
+            mEntries.put(report.id(), new Entry(report, heardAt));
+            return true;
+        }
+        boolean news = !known.mReport.tellsTheSame(report);
+        known.mReport = report;
+        known.mHeardAt = Math.max(known.mHeardAt, heardAt);
+        return news;
+    }
+
+    /** Notes that a target lives, as of a report that was told before. */
+    public void onAlive(String id, long heardAt) {
+        Entry known = mEntries.get(id);
+        if (known != null) {
+            known.mHeardAt = Math.max(known.mHeardAt, heardAt);
+        }
+    }
+
+    /** Notes weights that a target is known to hold before it reports them. */
+    public void onWeights(String id, String model, long version) {
+        Entry known = mEntries.get(id);
+        if (known != null && version > known.mReport.weights().getOrDefault(model, 0L)) {
+            Map<String, Long> weights = new HashMap<>(known.mReport.weights());
+            weights.put(model, version);
+            known.mReport = known.mReport.withWeights(weights);
+        }
+    }
+
+    /** Notes that a target is gone for good; returns whether that is news. */
+    public boolean onGone(String id, long now) {
+        boolean news = !mGone.containsKey(id);
+        mGone.put(id, now);
+        mEntries.remove(id);
+        return news;
+    }
+
+    /** Forgets a target that is silent; returns whether it was known. */
+    public boolean onLapsed(String id) {
+        return mEntries.remove(id) != null;
+    }
+
+    /** Returns the targets that were not heard for {@code silentMillis}, and forgets them. */
+    public List<TargetReport> lapse(long silentMillis, long now) {
+        mGone.values().removeIf(at -> now - at > GONE_KEPT_MILLIS);
+        List<TargetReport> lapsed = new ArrayList<>();
+        for (Entry entry : mEntries.values()) {
+            if (now - entry.mHeardAt > silentMillis) {
+                lapsed.add(entry.mReport);
+            }
+        }
+        lapsed.forEach(report -> mEntries.remove(report.id()));
+        return lapsed;
+    }
+
+    /** Returns the last report of a target. */
+    public Optional<TargetReport> report(String id) {
+        return Optional.ofNullable(mEntries.get(id)).map(entry -> entry.mReport);
+    }
+
+    /** Returns when a target was last heard, {@link Long#MIN_VALUE} if it isn't known. */
+    public long heardAt(String id) {
+        Entry entry = mEntries.get(id);
+        return entry == null ? Long.MIN_VALUE : entry.mHeardAt;
+    }
+
+    /** Returns the last report of each target. */
+    public List<TargetReport> reports() {
+        return mEntries.values().stream().map(entry -> entry.mReport).toList();
+    }
+
+    /** Returns the ids of the targets that are gone for good. */
+    public Collection<String> gone() {
+        return List.copyOf(mGone.keySet());
+    }
+
+    private static final class Entry {
+        TargetReport mReport;
+        long mHeardAt;
+
+        Entry(TargetReport report, long heardAt) {
+            mReport = report;
+            mHeardAt = heardAt;
+        }
+    }
+}
--- /dev/null
+++ b/quilldyke-core/src/main/java/org/quilldyke/engine/TargetReport.java
@@ -0,0 +1,74 @@
+/*
+ * Copyright 2026 The quilldyke authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.quilldyke.engine;
+
+import java.util.Map;
+
+/**
+ * What a target says of itself.
+ *
+ * @param id names this start of the target; a restarted target has another id
+ * @param service the service that it belongs to
+ * @param address where it takes requests
+ * @param failureDomain where it stands
+ * @param softwareVersion the version of its program
+ * @param slots how many requests it runs at once
+ * @param leaving whether it takes no new requests since it is about to end
+ * @param coldMillis for how long it is still slow after its start
+ * @param weights the version of each model's weights that it holds
+ * @param sequence grows with each report of this target
+ */
+public record TargetReport(
+        String id,
+        String service,
+        String address,
+        String failureDomain,
+        String softwareVersion,
+        int slots,
+        boolean leaving,
+        long coldMillis,
+        Map<String, Long> weights,
+        long sequence) {
+    /** Copies the weights. */
+    public TargetReport {
+        weights = Map.copyOf(weights);
+    }
+
+    /** Returns whether another report tells the same, but for when it was made. */
+    public boolean tellsTheSame(TargetReport other) {
+        return id.equals(other.id)
+                && service.equals(other.service)
+                && address.equals(other.address)
+                && slots == other.slots
+                && leaving == other.leaving
+                && weights.equals(other.weights);
+    }
+
+    /** Returns the report with other weights. */
+    public TargetReport withWeights(Map<String, Long> other) {
+        return new TargetReport(
+                id,
+                service,
+                address,
+                failureDomain,
+                softwareVersion,
+                slots,
+                leaving,
+                coldMillis,
+                other,
+                sequence);
+    }
+}
--- /dev/null
+++ b/quilldyke-core/src/main/java/org/quilldyke/manifest/FleetState.java
@@ -0,0 +1,101 @@
+/*
+ * Copyright 2026 The quilldyke authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.quilldyke.manifest;
+
+import java.util.SortedMap;
+import java.util.TreeMap;
+
+/** The state that the replicated log makes: the newest manifest and the weights that are named. */
+public final class FleetState {
+    private final TreeMap<String, Long> mWeights = new TreeMap<>();
+    private long mVersion = -1;
+    private byte[] mDocument = new byte[0];
+    private long mIndex;
+
+    private FleetState() {}
+
+    /** Returns the state before any command. */
+    public static FleetState create() {
+        return new FleetState();
+    }
+
+    /** Returns the state that a snapshot holds. */
+    public static FleetState restore(Snapshot snapshot) {
+        FleetState state = new FleetState();
+        state.mVersion = snapshot.version();
+        state.mDocument = snapshot.document();
+        state.mIndex = snapshot.index();
+        state.mWeights.putAll(snapshot.weights());
+        return state;
+    }
+
+    /** Applies the command at the given index of the log. */
+    public FleetResult apply(long index, FleetCommand command) {
+        boolean changed = false;
+        if (command instanceof FleetCommand.PublishManifest c && c.version() > mVersion) {
+            mVersion = c.version();
+            mDocument = c.document();
+            changed = true;
+        } else if (command instanceof FleetCommand.NameWeights c
+                && c.version() > mWeights.getOrDefault(c.model(), 0L)) {
+            mWeights.put(c.model(), c.version());
+            changed = true;
+        }
+        mIndex = changed ? index : mIndex;
+        return new FleetResult(index, changed);
+    }
+
+    /** Returns the whole state. */
+    public Snapshot snapshot() {
+        return new Snapshot(mVersion, mDocument, mIndex, new TreeMap<>(mWeights));
+    }
+
+    /** Returns whether a manifest was ever published. */
+    public boolean hasManifest() {
+        return mVersion >= 0;
+    }
+
+    /** Returns the newest manifest's version, -1 if there is none. */
+    public long version() {
+        return mVersion;
+    }
+
+    /** Returns the newest manifest as its operator wrote it, compressed. */
+    public byte[] document() {
+        return mDocument;
+    }
+
+    /** Returns the index of the last command that changed the state. */
+    public long index() {
+        return mIndex;
+    }
+
+    /** Returns the version of each model's weights that all engines shall hold. */
+    public SortedMap<String, Long> weights() {
+        return new TreeMap<>(mWeights);
+    }
+
+    /**
+     * The whole state as a value.
+     *
+     * @param version the newest manifest's version, -1 if there is none
+     * @param document that manifest, compressed
+     * @param index the index of the last command that changed the state
+     * @param weights the named version of each model's weights
+     */
+    public record Snapshot(
+            long version, byte[] document, long index, SortedMap<String, Long> weights) {}
+}
--- /dev/null
+++ b/quilldyke-core/src/main/java/org/quilldyke/manifest/Manifest.java
@@ -0,0 +1,41 @@
+/*
+ * Copyright 2026 The quilldyke authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.quilldyke.manifest;
+
+import java.util.List;
+
+/**
+ * All that operators have declared, as of one version.
+ *
+ * @param version grows with each change
+ * @param routes the routes
+ * @param services the services
+ * @param organisations who may send requests; if there are none, no request needs a key
+ * @param limits what callers may send
+ */
+public record Manifest(
+        long version,
+        List<Route> routes,
+        List<Service> services,
+        List<Organisation> organisations,
+        Limits limits) {
+    /** Copies the lists. */
+    public Manifest {
+        routes = List.copyOf(routes);
+        services = List.copyOf(services);
+        organisations = List.copyOf(organisations);
+    }
+}
--- /dev/null
+++ b/quilldyke-core/src/main/java/org/quilldyke/manifest/ManifestRules.java
@@ -0,0 +1,103 @@
+/*
+ * Copyright 2026 The quilldyke authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.quilldyke.manifest;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.quilldyke.QuilldykeException;
+import org.quilldyke.ResultCode;
+
+/** What a manifest must fulfil to be taken. */
+public final class ManifestRules {
+    private ManifestRules() {}
+
+    /**
+     * Checks a manifest.
+     *
+     * @throws QuilldykeException {@link ResultCode#MANIFEST_INVALID} with the first thing wrong
+     */
+    public static void check(Manifest manifest) throws QuilldykeException {
+        Optional<String> objection = objection(manifest);
+        if (objection.isPresent()) {
+            throw QuilldykeException.notRun(ResultCode.MANIFEST_INVALID, objection.get());
+        }
+    }
+
+    /** Returns the first thing that is wrong with a manifest. */
+    public static Optional<String> objection(Manifest manifest) {
+        Set<String> services = new HashSet<>();
+        for (Service service : manifest.services()) {
+            if (!services.add(service.name())) {
+                return Optional.of("service " + service.name() + " stands there twice");
+            }
+        }
+        Set<String> places = new HashSet<>();
+        for (Route route : manifest.routes()) {
+            Optional<String> wrong = objection(route, services);
+            if (wrong.isPresent()) {
+                return wrong;
+            }
+            if (!places.add(route.host() + " " + route.pathPrefix())) {
+                return Optional.of("route " + route.name() + " has the place of another");
+            }
+        }
+        return objection(manifest.organisations());
+    }
+
+    private static Optional<String> objection(Route route, Set<String> services) {
+        String at = "route " + route.name();
+        for (Route.Share share : route.shares()) {
+            if (!services.contains(share.service())) {
+                return Optional.of(at + " names the unknown service " + share.service());
+            }
+            if (share.weight() < 0) {
+                return Optional.of(at + " has a negative weight");
+            }
+        }
+        if (route.totalWeight() <= 0) {
+            return Optional.of(at + " has no weight");
+        }
+        if (route.timeoutMillis() <= 0) {
+            return Optional.of(at + " has no timeout");
+        }
+        String prefix = route.pathPrefix();
+        if (!prefix.startsWith("/") || !prefix.endsWith("/")) {
+            return Optional.of(at + " has a path prefix without its slashes");
+        }
+        return Optional.empty();
+    }
+
+    private static Optional<String> objection(List<Organisation> organisations) {
+        Map<String, String> owners = new HashMap<>();
+        Set<String> names = new HashSet<>();
+        for (Organisation organisation : organisations) {
+            if (!names.add(organisation.name())) {
+                return Optional.of("organisation " + organisation.name() + " stands there twice");
+            }
+            for (String key : organisation.keys()) {
+                if (owners.putIfAbsent(key, organisation.name()) != null) {
+                    return Optional.of(
+                            "organisation " + organisation.name() + " shares a key with another");
+                }
+            }
+        }
+        return Optional.empty();
+    }
+}
--- /dev/null
+++ b/quilldyke-core/src/main/java/org/quilldyke/routing/CostModel.java
@@ -0,0 +1,51 @@
+/*
+ * Copyright 2026 The quilldyke authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.quilldyke.routing;
+
+/**
+ * What a request costs at an engine, in milliseconds.
+ *
+ * <p>An engine reads prompts at a steady rate, one after the other, between the steps that make the
+ * next token of each request it runs; a step takes longer the more requests run.
+ *
+ * @param tokensPerMilli how many prompt tokens are read in a millisecond
+ * @param firstMillis what the first token takes besides reading
+ * @param stepMillis how long a step takes with one request
+ * @param stepMillisPerRequest how much longer with each further one
+ */
+public record CostModel(
+        double tokensPerMilli, double firstMillis, double stepMillis, double stepMillisPerRequest) {
+    /** The part of a request's reading that counts against it for delaying those that run. */
+    private static final double OTHERS_WEIGHT = 0.02;
+
+    /** Returns the model for engines of today's sites; refined by what is seen. */
+    public static CostModel standard() {
+        return new CostModel(50, 15, 3.5, 0.1);
+    }
+
+    /** Returns the expected time to the first token. */
+    public double firstTokenMillis(long missingTokens, long backlogTokens, int running, int slots) {
+        double reading = (missingTokens + backlogTokens) / tokensPerMilli;
+        double step = stepMillis + stepMillisPerRequest * running;
+        double line = Math.max(0, running + 1 - slots) * step * 10;
+        return firstMillis + step + reading + line;
+    }
+
+    /** Returns what the request costs those that run already. */
+    public double costToOthers(long missingTokens, int running) {
+        return missingTokens / tokensPerMilli * running * OTHERS_WEIGHT;
+    }
+}
--- /dev/null
+++ b/quilldyke-core/src/main/java/org/quilldyke/routing/TargetState.java
@@ -0,0 +1,144 @@
+/*
+ * Copyright 2026 The quilldyke authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.quilldyke.routing;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.quilldyke.engine.TargetReport;
+
+/** One target as an instance sees it: its reports, what is open there, and how it has behaved. */
+public final class TargetState {
+    private static final long FIRST_SUSPICION_MILLIS = 250;
+    private static final int MAX_DOUBLINGS = 4;
+    private static final long OVERLOADED_MILLIS = 60;
+
+    boolean mLoading;
+    int mOthersRequests;
+    long mOthersTokens;
+    private final Map<String, Long> mWeights = new HashMap<>();
+    private final PrefixBelief mCache;
+    private TargetReport mReport;
+    private int mRequests;
+    private long mTokens;
+    private int mTroubles;
+    private long mSuspectUntil = Long.MIN_VALUE;
+
+    TargetState(TargetReport report, long cacheTokens) {
+        mReport = report;
+        mCache = new PrefixBelief(cacheTokens);
+        mWeights.putAll(report.weights());
+    }
+
+    /** Returns the target's id. */
+    public String id() {
+        return mReport.id();
+    }
+
+    /** Returns where the target takes requests. */
+    public String address() {
+        return mReport.address();
+    }
+
+    /** Returns the service that the target belongs to. */
+    public String service() {
+        return mReport.service();
+    }
+
+    /** Returns how many requests this instance has open there. */
+    public int ownRequests() {
+        return mRequests;
+    }
+
+    /** Returns how many prompt tokens this instance has sent there that aren't read yet. */
+    public long ownTokens() {
+        return mTokens;
+    }
+
+    void onReport(TargetReport report) {
+        mReport = report;
+        report.weights().forEach(this::onWeightsSeen);
+    }
+
+    void onWeightsSeen(String model, long version) {
+        Long known = mWeights.get(model);
+        if (known == null || version > known) {
+            mWeights.put(model, version);
+            mCache.clear();
+            mLoading = false;
+        }
+    }
+
+    boolean serves(String service) {
+        return mReport.service().equals(service) && !mReport.leaving() && !mLoading;
+    }
+
+    boolean isIn(String failureDomain) {
+        return mReport.failureDomain().equals(failureDomain);
+    }
+
+    boolean isSuspect(long now) {
+        return now < mSuspectUntil;
+    }
+
+    long weights(String model) {
+        return mWeights.getOrDefault(model, 0L);
+    }
+
+    int slots() {
+        return Math.max(1, mReport.slots());
+    }
+
+    int openRequests() {
+        return mRequests + mOthersRequests;
+    }
+
+    long backlogTokens() {
+        return mTokens + mOthersTokens;
+    }
+
+    int cachedTokens(PromptChain chain) {
+        return mCache.cachedTokens(chain);
+    }
+
+    void onChosen(Choice choice, PromptChain chain) {
+        mRequests++;
+        mTokens += choice.missingTokens();
+        if (chain != null) {
+            mCache.onRead(chain);
+        }
+    }
+
+    void onPromptRead(Choice choice) {
+        mTokens = Math.max(0, mTokens - choice.missingTokens());
+    }
+
+    void onFinished() {
+        mRequests = Math.max(0, mRequests - 1);
+    }
+
+    void onTrouble(long now) {
+        mTroubles = Math.min(MAX_DOUBLINGS, mTroubles + 1);
+        mSuspectUntil = now + (FIRST_SUSPICION_MILLIS << mTroubles - 1);
+    }
+
+    void onOverloaded(long now) {
+        mSuspectUntil = Math.max(mSuspectUntil, now + OVERLOADED_MILLIS);
+    }
+
+    void onSuccess() {
+        mTroubles = 0;
+    }
+}
--- /dev/null
+++ b/quilldyke-core/src/main/java/org/quilldyke/weights/EngineStatus.java
@@ -0,0 +1,32 @@
+/*
+ * Copyright 2026 The quilldyke authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.quilldyke.weights;
+
+import java.util.Map;
+
+/**
+ * What an engine says of itself when asked.
+ *
+ * @param busy whether it carries out an order
+ * @param revision the number of orders that it has accepted since its start
+ * @param weights the version of each model's weights that it holds
+ */
+public record EngineStatus(boolean busy, long revision, Map<String, Long> weights) {
+    /** Copies the weights. */
+    public EngineStatus {
+        weights = Map.copyOf(weights);
+    }
+}
--- /dev/null
+++ b/quilldyke-core/src/main/java/org/quilldyke/weights/LoadAction.java
@@ -0,0 +1,34 @@
+/*
+ * Copyright 2026 The quilldyke authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.quilldyke.weights;
+
+/** What to do next to bring engines to new weights. */
+public sealed interface LoadAction {
+    /** Returns the engine that it concerns. */
+    String target();
+
+    /** Tell all instances that the engine is about to load weights, so that none sends it work. */
+    record Announce(String target) implements LoadAction {}
+
+    /** Tell all instances that the engine has done with loading. */
+    record Release(String target, String model, long version) implements LoadAction {}
+
+    /** Ask the engine for its status. */
+    record Ask(String target) implements LoadAction {}
+
+    /** Order the engine to load weights. */
+    record Order(String target, String model, long version, long revision) implements LoadAction {}
+}
--- /dev/null
+++ b/quilldyke-core/src/main/java/org/quilldyke/weights/LoadPlanner.java
@@ -0,0 +1,208 @@
+/*
+ * Copyright 2026 The quilldyke authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.quilldyke.weights;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.quilldyke.engine.TargetReport;
+
+/**
+ * Decides which engine loads which weights next.
+ *
+ * <p>Only the holder of the right to order uses it. A few engines load at once, the others serve
+ * meanwhile; a version that was replaced before an engine's turn came is skipped. An engine is
+ * announced first, so that nobody sends it work, then asked for its revision, then ordered at that
+ * revision: an order whose answer was lost, and which strikes later, can't undo a newer one.
+ */
+public final class LoadPlanner {
+    /** More engines than this share of all slow each other's loading down: 2 of 6, 18 of 63. */
+    static final double AT_ONCE_SHARE = 2.0 / 7;
+
+    /** From the announcement to the order: the news has reached all instances by then. */
+    static final long ANNOUNCED_MILLIS = 40;
+
+    /** When an engine is asked first whether it has loaded; a load takes about this long. */
+    static final long FIRST_POLL_MILLIS = 750;
+
+    /** How often it is asked after that. */
+    static final long POLL_MILLIS = 250;
+
+    /** An engine that doesn't answer is asked again after this. */
+    static final long RETRY_MILLIS = 500;
+
+    /** An engine that hasn't loaded by then is let go and taken up again later. */
+    static final long GIVE_UP_MILLIS = 8000;
+
+    private final Map<String, Job> mJobs = new HashMap<>();
+    private final Map<String, Long> mRestUntil = new HashMap<>();
+
+    private LoadPlanner() {}
+
+    /** Returns a planner without any engine under way. */
+    public static LoadPlanner create() {
+        return new LoadPlanner();
+    }
+
+    /** Forgets what is under way, since this instance may order no longer. */
+    public List<LoadAction> stop() {
+        List<LoadAction> actions = new ArrayList<>();
+        mJobs.values()
+                .forEach(job -> actions.add(new LoadAction.Release(job.mTarget, job.mModel, 0)));
+        mJobs.clear();
+        return actions;
+    }
+
+    /**
+     * Returns what is due.
+     *
+     * @param engines the live engines
+     * @param wanted the version of each model's weights that all shall hold
+     * @param now the present time
+     */
+    public List<LoadAction> tick(
+            List<TargetReport> engines, Map<String, Long> wanted, long now) {
+        List<LoadAction> actions = new ArrayList<>();
+        Set<String> alive = new HashSet<>();
+        engines.forEach(engine -> alive.add(engine.id()));
+        mJobs.values().removeIf(job -> !alive.contains(job.mTarget));
+        for (Job job : List.copyOf(mJobs.values())) {
+            advance(job, actions, now);
+        }
+        wanted.forEach((model, version) -> start(engines, model, version, actions, now));
+        return actions;
+    }
+
+    /** Takes an engine's status. */
+    public List<LoadAction> onStatus(String target, EngineStatus status, long now) {
+        Job job = mJobs.get(target);
+        if (job == null) {
+            return List.of();
+        }
+        job.mAsking = false;
+        long held = status.weights().getOrDefault(job.mModel, 0L);
+        if (!status.busy() && held >= job.mVersion) {
+            mJobs.remove(target);
+            return List.of(new LoadAction.Release(target, job.mModel, held));
+        }
+        if (status.busy() || job.mOrdered && status.revision() > job.mRevision) {
+            // Under way, by this order or an earlier one that was thought lost.
+            job.mDueAt = now + POLL_MILLIS;
+            return List.of();
+        }
+        if (job.mOrdered && now - job.mOrderedAt < RETRY_MILLIS) {
+            job.mDueAt = now + POLL_MILLIS;
+            return List.of();
+        }
+        job.mRevision = status.revision();
+        job.mOrdered = true;
+        job.mOrderedAt = now;
+        job.mDueAt = now + FIRST_POLL_MILLIS;
+        return List.of(
+                new LoadAction.Order(target, job.mModel, job.mVersion, status.revision()));
+    }
+
+    /** Notes that an engine didn't tell its status. */
+    public void onNoStatus(String target, long now) {
+        Job job = mJobs.get(target);
+        if (job != null) {
+            job.mAsking = false;
+            job.mDueAt = now + RETRY_MILLIS;
+        }
+    }
+
+    /** Takes an engine's answer to an order. */
+    public List<LoadAction> onOrdered(String target, OrderOutcome outcome, long now) {
+        Job job = mJobs.get(target);
+        if (job == null) {
+            return List.of();
+        }
+        switch (outcome) {
+            case HOLDS -> {
+                mJobs.remove(target);
+                return List.of(new LoadAction.Release(target, job.mModel, job.mVersion));
+            }
+            case CONFLICT, REFUSED -> {
+                job.mOrdered = false;
+                job.mDueAt = now + POLL_MILLIS;
+            }
+            case UNKNOWN -> job.mDueAt = now + RETRY_MILLIS;
+            default -> {
+                // Accepted: its status tells when it is done.
+            }
+        }
+        return List.of();
+    }
+
+    private void start(
+            List<TargetReport> engines,
+            String model,
+            long version,
+            List<LoadAction> actions,
+            long now) {
+        List<TargetReport> holders =
+                engines.stream().filter(engine -> engine.weights().containsKey(model)).toList();
+        long running = mJobs.values().stream().filter(job -> job.mModel.equals(model)).count();
+        int atOnce = (int) Math.max(1, Math.ceil(holders.size() * AT_ONCE_SHARE));
+        for (TargetReport engine : holders) {
+            boolean due =
+                    engine.weights().get(model) < version
+                            && !engine.leaving()
+                            && !mJobs.containsKey(engine.id())
+                            && now >= mRestUntil.getOrDefault(engine.id(), Long.MIN_VALUE);
+            if (due && running < atOnce) {
+                running++;
+                mJobs.put(engine.id(), new Job(engine.id(), model, version, now));
+                actions.add(new LoadAction.Announce(engine.id()));
+            }
+        }
+    }
+
+    private void advance(Job job, List<LoadAction> actions, long now) {
+        if (now - job.mStartedAt > GIVE_UP_MILLIS) {
+            mJobs.remove(job.mTarget);
+            mRestUntil.put(job.mTarget, now + RETRY_MILLIS);
+            actions.add(new LoadAction.Release(job.mTarget, job.mModel, 0));
+        } else if (!job.mAsking && now >= job.mDueAt) {
+            job.mAsking = true;
+            actions.add(new LoadAction.Ask(job.mTarget));
+        }
+    }
+
+    /** One engine on its way to new weights. */
+    private static final class Job {
+        final String mTarget;
+        final String mModel;
+        final long mVersion;
+        final long mStartedAt;
+        long mDueAt;
+        boolean mAsking;
+        boolean mOrdered;
+        long mOrderedAt;
+        long mRevision;
+
+        Job(String target, String model, long version, long now) {
+            mTarget = target;
+            mModel = model;
+            mVersion = version;
+            mStartedAt = now;
+            mDueAt = now + ANNOUNCED_MILLIS;
+        }
+    }
+}
--- a/quilldyke-daemon/src/main/java/org/quilldyke/daemon/json/Json.java
+++ b/quilldyke-daemon/src/main/java/org/quilldyke/daemon/json/Json.java
@@ -30,6 +30,7 @@
 import org.quilldyke.ResultCode;
 import org.quilldyke.control.Command;
 import org.quilldyke.control.Intent;
+import org.quilldyke.manifest.FleetCommand;
 
 /**
  * Encodes records as JSON. Sealed interfaces carry a {@code type} field with the record's name.
@@ -43,11 +44,13 @@
                     .disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
                     .enable(DeserializationFeature.FAIL_ON_MISSING_CREATOR_PROPERTIES)
                     .addMixIn(Command.class, Typed.class)
+                    .addMixIn(FleetCommand.class, Typed.class)
                     .addMixIn(Intent.class, Typed.class)
                     .build();
 
     static {
         MAPPER.registerSubtypes(Command.class.getPermittedSubclasses());
+        MAPPER.registerSubtypes(FleetCommand.class.getPermittedSubclasses());
         MAPPER.registerSubtypes(Intent.class.getPermittedSubclasses());
     }
 
--- a/quilldyke-daemon/src/main/java/org/quilldyke/daemon/log/Event.java
+++ b/quilldyke-daemon/src/main/java/org/quilldyke/daemon/log/Event.java
@@ -50,13 +50,32 @@
     LOG_REPAIRED(4010, Level.WARN, "repair", "a replica whose disk was lost is trusted again"),
     DISK_RECOVERED(4011, Level.INFO, "disk-recovered", "the data folder can be written again"),
 
+    MEMBERSHIP(4012, Level.INFO, "membership", "other replicas hold the log from now on"),
+    MANIFEST_ACCEPTED(4013, Level.INFO, "manifest", "a manifest is committed"),
+    MANIFEST_REFUSED(4014, Level.WARN, "manifest-refused", "a manifest breaks a rule"),
+    WEIGHTS_NAMED(4015, Level.INFO, "weights-named", "a version of a model's weights is wanted"),
+    WEIGHTS_LOADED(4016, Level.INFO, "weights-loaded", "an engine holds new weights"),
+    ORDER_RIGHT(4018, Level.INFO, "order-right", "this replica may order engines now"),
+    CALL_REFUSED(4019, Level.WARN, "call-refused", "a call of an operator or a target failed"),
+    DISK_CLEARED(4020, Level.ERROR, "disk-cleared", "a damaged data folder was emptied"),
+    IDENTITY(4017, Level.INFO, "identity", "the replica takes part under this name"),
+
     STARTED(5001, Level.INFO, "start", "the instance serves"),
     SHUTTING_DOWN(5002, Level.INFO, "drain", "the instance takes no new requests"),
     STOPPED(5003, Level.INFO, "stop", "the instance has stopped"),
     STANDING(5004, Level.WARN, "standing", "the instance's standing in the cell has changed"),
     INSTANCE_HEARD(5005, Level.INFO, "instance", "another instance was heard for the first time"),
     INVARIANT(5006, Level.ERROR, "invariant", "an invariant does not hold"),
-    FAULT(5007, Level.ERROR, "fault", "an unexpected fault");
+    FAULT(5007, Level.ERROR, "fault", "an unexpected fault"),
+    PEER_GAINED(5008, Level.INFO, "peer", "another control process is in reach"),
+    PEER_LOST(5009, Level.WARN, "peer-lost", "another control process is out of reach"),
+    CONTROL_GAINED(5010, Level.INFO, "control", "a control process is in reach"),
+    CONTROL_LOST(5011, Level.WARN, "control-lost", "a control process is out of reach"),
+    CONFIRMED(5012, Level.INFO, "confirmed", "the configuration here is known to be the newest"),
+    UNCONFIRMED(5013, Level.WARN, "unconfirmed", "keys cannot be confirmed here any more"),
+    RELOADED(5014, Level.INFO, "reload", "the settings were read again"),
+    SUBSCRIBER_GAINED(5015, Level.INFO, "subscriber", "an entry process listens here"),
+    SUBSCRIBER_LOST(5016, Level.INFO, "subscriber-lost", "an entry process listens no longer");
 
     private final int mNumber;
     private final Level mLevel;
--- a/quilldyke-daemon/src/main/java/org/quilldyke/daemon/settings/SettingsReader.java
+++ b/quilldyke-daemon/src/main/java/org/quilldyke/daemon/settings/SettingsReader.java
@@ -15,15 +15,6 @@
  */
 package org.quilldyke.daemon.settings;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.databind.DeserializationFeature;
-import com.fasterxml.jackson.databind.JsonMappingException;
-import com.fasterxml.jackson.databind.MapperFeature;
-import com.fasterxml.jackson.databind.ObjectMapper;
-import com.fasterxml.jackson.databind.exc.InvalidFormatException;
-import com.fasterxml.jackson.databind.exc.MismatchedInputException;
-import com.fasterxml.jackson.databind.exc.UnrecognizedPropertyException;
-import com.fasterxml.jackson.databind.json.JsonMapper;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -41,20 +32,10 @@
  */
 public final class SettingsReader {
     private static final String HASH = "[0-9a-f]{64}";
-    private static final String ADDRESS = "\\d{1,3}(\\.\\d{1,3}){3}:\\d{1,5}";
+    private static final String OCTET = "(25[0-5]|2[0-4]\\d|1\\d\\d|[1-9]?\\d)";
+    private static final String ADDRESS = OCTET + "(\\." + OCTET + "){3}:\\d{1,5}";
     private static final int MAX_PORT = 65_535;
 
-    private static final ObjectMapper MAPPER =
-            JsonMapper.builder()
-                    .enable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
-                    .enable(DeserializationFeature.FAIL_ON_MISSING_CREATOR_PROPERTIES)
-                    .enable(DeserializationFeature.FAIL_ON_NULL_CREATOR_PROPERTIES)
-                    .enable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES)
-                    .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
-                    .disable(MapperFeature.ALLOW_COERCION_OF_SCALARS)
-                    .disable(DeserializationFeature.ACCEPT_FLOAT_AS_INT)
-                    .build();
-
     private SettingsReader() {}
 
     /**
@@ -68,7 +49,7 @@
         try {
             text = Files.readAllBytes(file);
         } catch (IOException e) {
-            throw refused(ResultCode.SETTINGS_UNREADABLE, file.toString(), e.toString());
+            throw StrictJson.refused(ResultCode.SETTINGS_UNREADABLE, file.toString(), e.toString());
         }
         return parse(text);
     }
@@ -79,29 +60,7 @@
      * @throws QuilldykeException as {@link #read}
      */
     public static Site parse(byte[] text) throws QuilldykeException {
-        Site site;
-        try {
-            site = MAPPER.readValue(text, Site.class);
-        } catch (UnrecognizedPropertyException e) {
-            throw refused(ResultCode.SETTINGS_UNKNOWN_KEY, path(e), "not a key of the settings");
-        } catch (InvalidFormatException e) {
-            throw refused(ResultCode.SETTINGS_TYPE, path(e), firstLine(e));
-        } catch (MismatchedInputException e) {
-            boolean missing = e.getMessage().contains("creator property");
-            throw refused(
-                    missing ? ResultCode.SETTINGS_MISSING_KEY : ResultCode.SETTINGS_TYPE,
-                    path(e),
-                    firstLine(e));
-        } catch (JsonMappingException e) {
-            throw refused(ResultCode.SETTINGS_TYPE, path(e), firstLine(e));
-        } catch (JsonProcessingException e) {
-            throw refused(ResultCode.SETTINGS_SYNTAX, "", firstLine(e));
-        } catch (IOException e) {
-            throw refused(ResultCode.SETTINGS_UNREADABLE, "", e.toString());
-        }
-        if (site == null) {
-            throw refused(ResultCode.SETTINGS_SYNTAX, "", "null in place of an object");
-        }
+        Site site = StrictJson.parse(text, Site.class);
         check(site);
         return site;
     }
@@ -188,27 +147,7 @@
     private static void require(boolean holds, String path, String reason)
             throws QuilldykeException {
         if (!holds) {
-            throw refused(ResultCode.SETTINGS_IMPOSSIBLE, path, reason);
-        }
-    }
-
-    private static QuilldykeException refused(ResultCode code, String path, String reason) {
-        return QuilldykeException.notRun(code, path + " " + reason);
-    }
-
-    private static String path(JsonMappingException e) {
-        StringBuilder path = new StringBuilder();
-        for (JsonMappingException.Reference step : e.getPath()) {
-            if (step.getFieldName() == null) {
-                path.append('[').append(step.getIndex()).append(']');
-            } else {
-                path.append(path.length() == 0 ? "" : ".").append(step.getFieldName());
-            }
+            throw StrictJson.refused(ResultCode.SETTINGS_IMPOSSIBLE, path, reason);
         }
-        return path.toString();
-    }
-
-    private static String firstLine(JsonProcessingException e) {
-        return e.getOriginalMessage().lines().findFirst().orElse("");
     }
 }
--- a/quilldyke-daemon/src/test/java/org/quilldyke/daemon/control/ReplicaNodeTest.java
+++ b/quilldyke-daemon/src/test/java/org/quilldyke/daemon/control/ReplicaNodeTest.java
@@ -36,6 +36,7 @@
 import org.quilldyke.QuilldykeException;
 import org.quilldyke.ResultCode;
 import org.quilldyke.control.Ballot;
+import org.quilldyke.control.Compaction;
 import org.quilldyke.control.DurableState;
 import org.quilldyke.control.LogEntry;
 import org.quilldyke.control.PeerMessage;
@@ -248,9 +249,9 @@
     }
 
     private static final class SlowStorage implements ReplicaStorage {
-        private final DataFolder mFiles;
         volatile int mDelayMillis;
         volatile boolean mFull;
+        private final DataFolder mFiles;
 
         SlowStorage(DataFolder files) {
             mFiles = files;
@@ -292,7 +293,7 @@
         }
 
         @Override
-        public void saveSnapshot(org.quilldyke.control.Compaction c) throws QuilldykeException {
+        public void saveSnapshot(Compaction c) throws QuilldykeException {
             mFiles.saveSnapshot(c);
         }
 
--- /dev/null
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/EntrySubscriber.java
@@ -0,0 +1,238 @@
+/*
+ * Copyright 2026 The quilldyke authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.quilldyke.gateway;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.LongSupplier;
+import org.quilldyke.QuilldykeException;
+import org.quilldyke.daemon.log.Event;
+import org.quilldyke.daemon.log.EventLog;
+import org.quilldyke.engine.TargetRegistry;
+import org.quilldyke.engine.TargetReport;
+import org.quilldyke.gateway.caller.Entry;
+import org.quilldyke.gateway.dialect.ControlDialect;
+import org.quilldyke.gateway.instance.Compression;
+import org.quilldyke.gateway.instance.ControlLinks;
+import org.quilldyke.gateway.instance.TargetFrames;
+import org.quilldyke.gateway.instance.proto.Answer;
+import org.quilldyke.gateway.instance.proto.Configuration;
+import org.quilldyke.gateway.instance.proto.ControlFrame;
+import org.quilldyke.gateway.instance.proto.Hello;
+import org.quilldyke.gateway.instance.proto.Loading;
+import org.quilldyke.gateway.instance.proto.ModelWeights;
+import org.quilldyke.gateway.instance.proto.Question;
+import org.quilldyke.gateway.instance.proto.Target;
+import org.quilldyke.gateway.instance.proto.TargetLoad;
+import org.quilldyke.gateway.instance.proto.Targets;
+import org.quilldyke.manifest.RouteTable;
+import org.quilldyke.routing.TargetState;
+
+/**
+ * Takes what control processes tell, puts it in order, and hands it to the traffic thread.
+ *
+ * <p>Lives on the control thread, but for the loads, which the traffic thread gives.
+ */
+final class EntrySubscriber implements ControlLinks.Subscriber {
+    private static final long LOADS_MILLIS = 100;
+
+    private final String mInstance;
+    private final Entry mEntry;
+    private final ControlDialect mDialect;
+    private final LongSupplier mClock;
+    private final EventLog mLog;
+    private final TargetRegistry mRegistry = TargetRegistry.create();
+    private volatile List<TargetLoad> mLoads = List.of();
+    private long mHeldIndex;
+
+    EntrySubscriber(
+            String instance,
+            Entry entry,
+            ControlDialect dialect,
+            LongSupplier clock,
+            EventLog log) {
+        mInstance = instance;
+        mEntry = entry;
+        mDialect = dialect;
+        mClock = clock;
+        mLog = log;
+    }
+
+    /** Begins to note what is open at targets; call it on the traffic thread. */
+    void noteLoads() {
+        mEntry.loop()
+                .schedule(this::noteLoads, LOADS_MILLIS, java.util.concurrent.TimeUnit.MILLISECONDS);
+        List<TargetLoad> loads = new ArrayList<>();
+        for (TargetState target : mEntry.book().targets()) {
+            if (target.ownRequests() > 0) {
+                loads.add(
+                        TargetLoad.newBuilder()
+                                .setTarget(target.id())
+                                .setRequests(target.ownRequests())
+                                .setTokens(target.ownTokens())
+                                .build());
+            }
+        }
+        mLoads = loads;
+    }
+
+    @Override
+    public Hello hello() {
+        long now = mClock.getAsLong();
+        Targets.Builder known = Targets.newBuilder();
+        for (TargetReport report : mRegistry.reports()) {
+            known.addTargets(
+                    TargetFrames.encode(report, now - mRegistry.heardAt(report.id())));
+        }
+        return Hello.newBuilder()
+                .setEntry(mInstance)
+                .setHeldIndex(mHeldIndex)
+                .setTargets(known)
+                .build();
+    }
+
+    @Override
+    public Question question(long number) {
+        return Question.newBuilder().setNumber(number).addAllLoads(mLoads).build();
+    }
+
+    @Override
+    public void onAnswer(Answer answer, long askedAt) {
+        mEntry.loop()
+                .execute(
+                        () -> {
+                            boolean before = mEntry.isConfirmed();
+                            mEntry.lease().onConfirmed(askedAt);
+                            mEntry.retries().onInstances(answer.getEntries());
+                            takeLoads(answer.getLoadsList());
+                            if (!before && mEntry.isConfirmed()) {
+                                mLog.write(Event.CONFIRMED, "age", mEntry.now() - askedAt);
+                            }
+                        });
+    }
+
+    @Override
+    public void onNews(ControlFrame frame) {
+        switch (frame.getKindCase()) {
+            case CONFIGURATION -> onConfiguration(frame.getConfiguration());
+            case TARGETS -> onTargets(frame.getTargets());
+            case LOADING -> onLoading(frame.getLoading());
+            default -> {
+                // A frame of a newer version.
+            }
+        }
+    }
+
+    private void takeLoads(List<TargetLoad> loads) {
+        for (TargetState target : mEntry.book().targets()) {
+            mEntry.book().onOthersLoad(target.id(), 0, 0);
+        }
+        for (TargetLoad load : loads) {
+            mEntry.book().onOthersLoad(load.getTarget(), load.getRequests(), load.getTokens());
+        }
+    }
+
+    private void onConfiguration(Configuration configuration) {
+        long now = mClock.getAsLong();
+        for (ModelWeights named : configuration.getWeightsList()) {
+            long namedAt = now - named.getAgeMs();
+            mEntry.loop()
+                    .execute(
+                            () ->
+                                    mEntry.book()
+                                            .onNamedWeights(
+                                                    named.getModel(),
+                                                    named.getVersion(),
+                                                    namedAt));
+        }
+        if (configuration.getIndex() <= mHeldIndex || configuration.getDocument().isEmpty()) {
+            return;
+        }
+        try {
+            byte[] document =
+                    Compression.expand(configuration.getDocument().toByteArray());
+            RouteTable routes = RouteTable.of(mDialect.readManifest(document));
+            mHeldIndex = configuration.getIndex();
+            mEntry.loop().execute(() -> mEntry.onRoutes(routes));
+            mLog.write(
+                    Event.CONFIGURATION,
+                    "version",
+                    routes.manifest().version(),
+                    "index",
+                    mHeldIndex,
+                    "routes",
+                    routes.manifest().routes().size());
+        } catch (QuilldykeException e) {
+            mLog.write(Event.INVARIANT, "detail", e.getMessage());
+        }
+    }
+
+    private void onTargets(Targets targets) {
+        long now = mClock.getAsLong();
+        for (Target target : targets.getTargetsList()) {
+            String id = target.getId();
+            switch (target.getStanding()) {
+                case GONE -> {
+                    if (mRegistry.onGone(id, now)) {
+                        mLog.write(Event.TARGET_CHANGED, "target", id, "gone", true);
+                        mEntry.loop().execute(() -> mEntry.onTargetLost(id, false));
+                    }
+                }
+                case LAPSED -> {
+                    if (mRegistry.onLapsed(id)) {
+                        mLog.write(Event.TARGET_LAPSED, "target", id);
+                        mEntry.loop().execute(() -> mEntry.onTargetLost(id, true));
+                    }
+                }
+                default -> onReport(TargetFrames.decode(target), now - target.getAgeMs());
+            }
+        }
+    }
+
+    private void onReport(TargetReport report, long heardAt) {
+        if (mRegistry.onReport(report, heardAt)) {
+            mLog.write(
+                    Event.TARGET_CHANGED,
+                    "target",
+                    report.id(),
+                    "address",
+                    report.address(),
+                    "leaving",
+                    report.leaving(),
+                    "weights",
+                    report.weights(),
+                    "sequence",
+                    report.sequence());
+            mEntry.loop().execute(() -> mEntry.book().onReport(report));
+        }
+    }
+
+    private void onLoading(Loading loading) {
+        mEntry.loop()
+                .execute(
+                        () -> {
+                            if (loading.hasWeights()) {
+                                mEntry.book()
+                                        .onWeightsSeen(
+                                                loading.getTarget(),
+                                                loading.getWeights().getModel(),
+                                                loading.getWeights().getVersion());
+                            }
+                            mEntry.book()
+                                    .onLoading(loading.getTarget(), loading.getLoading());
+                        });
+    }
+}
--- /dev/null
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/GatewayProcess.java
@@ -0,0 +1,251 @@
+/*
+ * Copyright 2026 The quilldyke authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.quilldyke.gateway;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import java.util.HashSet;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.LongSupplier;
+import org.quilldyke.Outcome;
+import org.quilldyke.QuilldykeException;
+import org.quilldyke.ResultCode;
+import org.quilldyke.caller.KeyLease;
+import org.quilldyke.caller.RetryAllowance;
+import org.quilldyke.daemon.log.Event;
+import org.quilldyke.daemon.log.EventLog;
+import org.quilldyke.gateway.caller.CallerServer;
+import org.quilldyke.gateway.caller.Entry;
+import org.quilldyke.gateway.control.ControlNode;
+import org.quilldyke.gateway.dialect.Dialect;
+import org.quilldyke.gateway.instance.ControlLinks;
+import org.quilldyke.gateway.instance.NettyLoop;
+import org.quilldyke.gateway.instance.SessionServer;
+import org.quilldyke.gateway.operator.ControlServer;
+import org.quilldyke.gateway.platform.GatewayMetrics;
+import org.quilldyke.gateway.platform.ProbeServer;
+import org.quilldyke.gateway.settings.GatewaySettings;
+import org.quilldyke.gateway.target.EngineOrders;
+import org.quilldyke.routing.TargetBook;
+
+/** One process of a gateway: two threads, and the parts that its role asks for. */
+public final class GatewayProcess {
+    /** A key is taken for good for this part of the bound: the rest is for the way to a target. */
+    private static final double LEASE_PART = 0.7;
+
+    /** Requests go to older weights for this part of the bound: the rest is for their wait there. */
+    private static final double OLD_WEIGHTS_PART = 0.75;
+
+    /** How many entries share what is shared as long as their number isn't known. */
+    private static final int UNKNOWN_ENTRIES = 32;
+
+    /** The platform's balancer notices within two probes, a second apart, and some time to spare. */
+    private static final long OUT_OF_ROTATION_MILLIS = 2600;
+
+    /** What is kept of the time to shut down for the last answers to leave. */
+    private static final long EXIT_MARGIN_MILLIS = 900;
+
+    private static final long POLL_MILLIS = 50;
+    private static final long SWEEP_MILLIS = 1000;
+
+    private final GatewaySettings mSettings;
+    private final Dialect mDialect;
+    private final EventLog mLog;
+    private final LongSupplier mClock = () -> System.nanoTime() / 1_000_000;
+    private final GatewayMetrics mMetrics = GatewayMetrics.create();
+    private final AtomicBoolean mDraining = new AtomicBoolean();
+    private final NettyLoop mControl = new NettyLoop(loop("control"));
+    private final EventLoop mTraffic = loop("traffic");
+    private Entry mEntry;
+    private CallerServer mCallers;
+    private ControlNode mNode;
+    private ControlLinks mLinks;
+
+    private GatewayProcess(GatewaySettings settings, Dialect dialect) {
+        mSettings = settings;
+        mDialect = dialect;
+        mLog = EventLog.of(settings.instance());
+    }
+
+    /**
+     * Starts a process.
+     *
+     * @param settings the settings
+     * @param dialect how callers, targets and operators speak
+     * @throws QuilldykeException if an address can't be bound or the data folder can't be read
+     */
+    public static GatewayProcess start(GatewaySettings settings, Dialect dialect)
+            throws QuilldykeException {
+        GatewayProcess process = new GatewayProcess(settings, dialect);
+        if (settings.role() == GatewaySettings.Role.ENTRY) {
+            process.startEntry();
+        } else {
+            process.startControl();
+        }
+        process.mLog.write(
+                Event.STARTED,
+                "role",
+                settings.role(),
+                "domain",
+                settings.failureDomain(),
+                "seeds",
+                settings.seeds());
+        return process;
+    }
+
+    /** Takes settings that have changed; of these, seeds may differ. */
+    public void reload(GatewaySettings settings) {
+        mLog.write(Event.RELOADED, "seeds", settings.seeds());
+        mControl.execute(
+                () -> {
+                    if (mNode != null) {
+                        mNode.onSeeds(new HashSet<>(settings.seedAddresses()));
+                    }
+                    if (mLinks != null) {
+                        mLinks.onAddresses(settings.seedAddresses());
+                    }
+                });
+    }
+
+    /** Shuts down without interrupting a request; returns when the process may end. */
+    public void shutdown() {
+        long start = mClock.getAsLong();
+        mDraining.set(true);
+        mLog.write(Event.SHUTTING_DOWN, "role", mSettings.role());
+        if (mNode != null) {
+            mControl.execute(mNode::leave);
+            pause(POLL_MILLIS);
+        }
+        if (mEntry != null) {
+            mTraffic.execute(mEntry::drain);
+            long end = start + mSettings.timings().grace() - EXIT_MARGIN_MILLIS;
+            pause(OUT_OF_ROTATION_MILLIS);
+            while (mClock.getAsLong() < end && busyConnections() > 0) {
+                pause(POLL_MILLIS);
+            }
+        }
+        mLog.write(Event.STOPPED, "after", mClock.getAsLong() - start);
+    }
+
+    private int busyConnections() {
+        CompletableFuture<Integer> busy = new CompletableFuture<>();
+        mTraffic.execute(
+                () -> {
+                    mCallers.closeIdle();
+                    busy.complete(mCallers.busyConnections());
+                });
+        return busy.completeOnTimeout(1, 1, TimeUnit.SECONDS).join();
+    }
+
+    private void startEntry() throws QuilldykeException {
+        GatewaySettings.Timings timings = mSettings.timings();
+        TargetBook book =
+                TargetBook.create(
+                        mSettings.failureDomain(),
+                        Math.round(timings.convergence() * OLD_WEIGHTS_PART),
+                        new SplittableRandom(mSettings.instance().hashCode()));
+        RetryAllowance retries =
+                RetryAllowance.create(
+                        timings.retryRatio(),
+                        timings.retryFixed(),
+                        timings.retryWindow(),
+                        UNKNOWN_ENTRIES);
+        KeyLease lease = KeyLease.ofMillis(Math.round(timings.revoke() * LEASE_PART));
+        mEntry =
+                Entry.of(
+                        new Entry.Parts(
+                                mTraffic, mClock, mDialect, book, retries, lease, mLog, mMetrics));
+        mCallers = CallerServer.start(mSettings.callers(), mEntry);
+        ProbeServer.start(mSettings.ready(), mTraffic, this::isReady, mMetrics.registry());
+        EntrySubscriber subscriber =
+                new EntrySubscriber(
+                        mSettings.instance(), mEntry, mDialect.control(), mClock, mLog);
+        mTraffic.execute(subscriber::noteLoads);
+        mTraffic.scheduleAtFixedRate(
+                mEntry.pool()::closeIdle, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
+        mControl.execute(
+                () ->
+                        mLinks =
+                                ControlLinks.start(
+                                        mControl,
+                                        mClock,
+                                        mLog,
+                                        mSettings.seedAddresses(),
+                                        Math.floorMod(mSettings.instance().hashCode(), 97),
+                                        subscriber));
+    }
+
+    private void startControl() throws QuilldykeException {
+        EngineOrders orders =
+                EngineOrders.create(mTraffic, mDialect.targets(), mClock, mLog);
+        CompletableFuture<ControlNode> started = new CompletableFuture<>();
+        mControl.execute(
+                () -> {
+                    try {
+                        started.complete(
+                                ControlNode.start(mSettings, mControl, mClock, mLog, orders));
+                    } catch (QuilldykeException | RuntimeException e) {
+                        started.completeExceptionally(e);
+                    }
+                });
+        mNode = await(started);
+        SessionServer.start(
+                mSettings.internalAddress(mSettings.ip()), mControl, mNode);
+        ControlServer.start(
+                mSettings.control(), mTraffic, mControl, mNode, mDialect.control(), mLog);
+    }
+
+    /** Called on the traffic thread. */
+    private boolean isReady() {
+        return !mDraining.get() && mEntry.isConfirmed();
+    }
+
+    private static ControlNode await(CompletableFuture<ControlNode> started)
+            throws QuilldykeException {
+        try {
+            return started.get();
+        } catch (ExecutionException e) {
+            if (e.getCause() instanceof QuilldykeException known) {
+                throw known;
+            }
+            throw QuilldykeException.of(
+                    ResultCode.INTERNAL, Outcome.NOT_RUN, e.toString(), e.getCause());
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw QuilldykeException.of(ResultCode.INTERNAL, Outcome.NOT_RUN, "interrupted", e);
+        }
+    }
+
+    private static EventLoop loop(String name) {
+        return new MultiThreadIoEventLoopGroup(
+                        1, new DefaultThreadFactory(name), NioIoHandler.newFactory())
+                .next();
+    }
+
+    private static void pause(long millis) {
+        try {
+            TimeUnit.MILLISECONDS.sleep(millis);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- /dev/null
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/CallerConnection.java
@@ -0,0 +1,309 @@
+/*
+ * Copyright 2026 The quilldyke authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.quilldyke.gateway.caller;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.concurrent.TimeUnit;
+import org.quilldyke.QuilldykeException;
+import org.quilldyke.ResultCode;
+import org.quilldyke.daemon.log.Event;
+
+/**
+ * One connection of a caller: reads a request whole, has it answered, then reads the next.
+ *
+ * <p>What arrives while a request is answered waits, so that a caller that goes away is noticed.
+ */
+final class CallerConnection extends ChannelInboundHandlerAdapter {
+    /** How many pieces of later requests wait before no more is read. */
+    private static final int MAX_WAITING = 64;
+
+    private final Entry mEntry;
+    private final Deque<Object> mWaiting = new ArrayDeque<>();
+    private ChannelHandlerContext mContext;
+    private HttpRequest mHead;
+    private ByteBuf mBody;
+    private Exchange mExchange;
+    private boolean mKeepAlive = true;
+    private boolean mClosing;
+    private ScheduledFuture<?> mTimer;
+
+    CallerConnection(Entry entry) {
+        mEntry = entry;
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext ctx) {
+        mContext = ctx;
+        startTimer(mEntry.limits().idleMillis(), this::onIdle);
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext ctx, Object message) {
+        if (mClosing) {
+            ReferenceCountUtil.release(message);
+        } else if (mExchange != null) {
+            mWaiting.add(message);
+            if (mWaiting.size() >= MAX_WAITING) {
+                ctx.channel().config().setAutoRead(false);
+            }
+        } else {
+            onMessage(message);
+        }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext ctx) {
+        mClosing = true;
+        stopTimer();
+        if (mBody != null) {
+            mBody.release();
+            mBody = null;
+        }
+        while (!mWaiting.isEmpty()) {
+            ReferenceCountUtil.release(mWaiting.poll());
+        }
+        if (mExchange != null) {
+            Exchange exchange = mExchange;
+            mExchange = null;
+            exchange.onCallerGone();
+        }
+        mEntry.metrics().onCallerClosed();
+    }
+
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+        if (mExchange != null) {
+            mExchange.onWritable(ctx.channel().isWritable());
+        }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        // A reset by the caller; channelInactive follows.
+        ctx.close();
+    }
+
+    /** Returns whether a request is being answered or read. */
+    boolean isBusy() {
+        return mExchange != null || mHead != null;
+    }
+
+    /** Closes the connection if nothing is open on it. */
+    void closeIfIdle() {
+        if (!isBusy()) {
+            mClosing = true;
+            mContext.close();
+        }
+    }
+
+    /** Answers with a whole body. */
+    void answer(HttpResponseStatus status, HttpHeaders headers, ByteBuf body) {
+        DefaultFullHttpResponse response =
+                new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body);
+        response.headers().add(headers);
+        response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
+        markLast(response.headers());
+        mContext.writeAndFlush(response);
+        onAnswered();
+    }
+
+    /** Answers that the instance itself refuses or gives up a request. */
+    void answer(ResultCode code, long retryAfterMillis) {
+        String text = code.label() + " " + code.meaning() + "\n";
+        HttpHeaders headers = new DefaultFullHttpResponse(
+                        HttpVersion.HTTP_1_1, HttpResponseStatus.OK, Unpooled.EMPTY_BUFFER)
+                .headers();
+        headers.set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.TEXT_PLAIN);
+        if (retryAfterMillis > 0) {
+            headers.set(
+                    HttpHeaderNames.RETRY_AFTER,
+                    String.format("%d.%03d", retryAfterMillis / 1000, retryAfterMillis % 1000));
+        }
+        answer(
+                HttpResponseStatus.valueOf(code.httpStatus()),
+                headers,
+                Unpooled.copiedBuffer(text, StandardCharsets.UTF_8));
+    }
+
+    /** Begins an answer whose length isn't known. */
+    void beginStream(HttpResponseStatus status, HttpHeaders headers) {
+        DefaultHttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, status);
+        response.headers().add(headers);
+        if (mHead.protocolVersion().equals(HttpVersion.HTTP_1_0)) {
+            mKeepAlive = false;
+        } else {
+            response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+        }
+        markLast(response.headers());
+        mContext.write(response);
+    }
+
+    /** Passes a part of a stream on. */
+    void write(ByteBuf bytes) {
+        mContext.writeAndFlush(new DefaultHttpContent(bytes));
+    }
+
+    /** Ends a stream that is whole. */
+    void endStream() {
+        mContext.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
+        onAnswered();
+    }
+
+    /** Cuts the connection, so that what was sent is no whole answer. */
+    void abort() {
+        mExchange = null;
+        mClosing = true;
+        if (mHead != null && mHead.protocolVersion().equals(HttpVersion.HTTP_1_0)) {
+            // Without chunks only a reset tells a cut answer from a whole one.
+            mContext.channel().config().setOption(ChannelOption.SO_LINGER, 0);
+        }
+        mContext.close();
+    }
+
+    private void onMessage(Object message) {
+        try {
+            if (message instanceof HttpRequest head) {
+                onHead(head);
+            }
+            if (message instanceof HttpContent content && mHead != null) {
+                onContent(content);
+            }
+        } catch (QuilldykeException e) {
+            refuse(e);
+        } finally {
+            ReferenceCountUtil.release(message);
+        }
+    }
+
+    private void onHead(HttpRequest head) throws QuilldykeException {
+        mHead = head;
+        mKeepAlive = HttpUtil.isKeepAlive(head);
+        RequestFraming.check(head, mEntry.limits().bodyBytes());
+        startTimer(mEntry.limits().idleMillis(), this::onSlow);
+        mBody = mContext.alloc().buffer();
+        if (HttpUtil.is100ContinueExpected(head)) {
+            mContext.writeAndFlush(
+                    new DefaultFullHttpResponse(
+                            HttpVersion.HTTP_1_1,
+                            HttpResponseStatus.CONTINUE,
+                            Unpooled.EMPTY_BUFFER));
+        }
+    }
+
+    private void onContent(HttpContent content) throws QuilldykeException {
+        RequestFraming.checkDecoded(content.decoderResult());
+        if (mBody.readableBytes() + content.content().readableBytes()
+                > mEntry.limits().bodyBytes()) {
+            throw QuilldykeException.notRun(ResultCode.BODY_TOO_LARGE, "chunked");
+        }
+        mBody.writeBytes(content.content());
+        if (content instanceof LastHttpContent) {
+            stopTimer();
+            ByteBuf body = mBody;
+            mBody = null;
+            mExchange = new Exchange(mEntry, this, mHead, body);
+            mExchange.start();
+        }
+    }
+
+    private void refuse(QuilldykeException e) {
+        mEntry.log().write(Event.REFUSED, "code", e.code().label(), "detail", e.getMessage());
+        mEntry.metrics().onRefused(e.code());
+        if (mBody != null) {
+            mBody.release();
+            mBody = null;
+        }
+        // Where a malformed request ends isn't known, so nothing after it can be read.
+        mKeepAlive = false;
+        answer(e.code(), e.retryAfterMillis());
+    }
+
+    private void markLast(HttpHeaders headers) {
+        mKeepAlive &= !mEntry.isDraining();
+        if (!mKeepAlive) {
+            headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        }
+    }
+
+    private void onAnswered() {
+        mExchange = null;
+        mHead = null;
+        stopTimer();
+        if (!mKeepAlive) {
+            mClosing = true;
+            mContext.writeAndFlush(Unpooled.EMPTY_BUFFER)
+                    .addListener(ChannelFutureListener.CLOSE);
+            return;
+        }
+        startTimer(mEntry.limits().idleMillis(), this::onIdle);
+        mContext.channel().config().setAutoRead(true);
+        mContext.executor().execute(this::readWaiting);
+    }
+
+    private void readWaiting() {
+        while (mExchange == null && !mWaiting.isEmpty()) {
+            Object message = mWaiting.poll();
+            if (mClosing) {
+                ReferenceCountUtil.release(message);
+            } else {
+                onMessage(message);
+            }
+        }
+    }
+
+    private void onIdle() {
+        mClosing = true;
+        mContext.close();
+    }
+
+    private void onSlow() {
+        refuse(QuilldykeException.notRun(ResultCode.REQUEST_TOO_SLOW, "body"));
+    }
+
+    private void startTimer(long millis, Runnable task) {
+        stopTimer();
+        mTimer = mContext.executor().schedule(task, millis, TimeUnit.MILLISECONDS);
+    }
+
+    private void stopTimer() {
+        if (mTimer != null) {
+            mTimer.cancel(false);
+            mTimer = null;
+        }
+    }
+}
--- /dev/null
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/CallerServer.java
@@ -0,0 +1,105 @@
+/*
+ * Copyright 2026 The quilldyke authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.quilldyke.gateway.caller;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpServerCodec;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.Set;
+import org.quilldyke.Outcome;
+import org.quilldyke.QuilldykeException;
+import org.quilldyke.ResultCode;
+import org.quilldyke.daemon.settings.Addresses;
+
+/** Takes callers' connections. */
+public final class CallerServer {
+    private static final int BACKLOG = 1024;
+
+    private final Entry mEntry;
+    private final Set<CallerConnection> mConnections = new HashSet<>();
+
+    private CallerServer(Entry entry) {
+        mEntry = entry;
+    }
+
+    /**
+     * Starts to take connections.
+     *
+     * @param address {@code IP:port}
+     * @param entry what the requests share
+     * @throws QuilldykeException {@link ResultCode#ADDRESS_IN_USE} if the address can't be bound
+     */
+    public static CallerServer start(String address, Entry entry) throws QuilldykeException {
+        CallerServer server = new CallerServer(entry);
+        ServerBootstrap bootstrap =
+                new ServerBootstrap()
+                        .group(entry.loop())
+                        .channel(NioServerSocketChannel.class)
+                        .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                        .option(ChannelOption.SO_REUSEADDR, true)
+                        .childOption(ChannelOption.TCP_NODELAY, true)
+                        .childHandler(server.initializer());
+        try {
+            bootstrap.bind(Addresses.parse(address)).sync();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw QuilldykeException.of(ResultCode.INTERNAL, Outcome.NOT_RUN, "interrupted", e);
+        } catch (RuntimeException e) {
+            throw QuilldykeException.of(
+                    ResultCode.ADDRESS_IN_USE, Outcome.NOT_RUN, address + ": " + e, e);
+        }
+        return server;
+    }
+
+    /** Returns how many connections have a request open; call it on the traffic thread. */
+    public int busyConnections() {
+        return (int) mConnections.stream().filter(CallerConnection::isBusy).count();
+    }
+
+    /** Closes the connections without an open request; call it on the traffic thread. */
+    public void closeIdle() {
+        new ArrayList<>(mConnections).forEach(CallerConnection::closeIfIdle);
+    }
+
+    private ChannelInitializer<SocketChannel> initializer() {
+        return new ChannelInitializer<>() {
+            @Override
+            protected void initChannel(SocketChannel channel) {
+                CallerConnection connection = new CallerConnection(mEntry);
+                mConnections.add(connection);
+                channel.closeFuture().addListener(closed -> mConnections.remove(connection));
+                channel.pipeline().addLast(new HttpServerCodec(decoderConfig()));
+                channel.pipeline().addLast(connection);
+            }
+        };
+    }
+
+    private HttpDecoderConfig decoderConfig() {
+        int headerBytes = mEntry.limits().headerBytes();
+        return new HttpDecoderConfig()
+                .setMaxInitialLineLength(headerBytes)
+                .setMaxHeaderSize(headerBytes)
+                .setAllowDuplicateContentLengths(false)
+                .setStrictLineParsing(true)
+                .setUseRfc9112TransferEncoding(true);
+    }
+}
--- /dev/null
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Entry.java
@@ -0,0 +1,185 @@
+/*
+ * Copyright 2026 The quilldyke authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.quilldyke.gateway.caller;
+
+import io.netty.channel.EventLoop;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.LongSupplier;
+import org.quilldyke.caller.KeyLease;
+import org.quilldyke.caller.RetryAllowance;
+import org.quilldyke.daemon.log.EventLog;
+import org.quilldyke.gateway.dialect.Dialect;
+import org.quilldyke.gateway.platform.GatewayMetrics;
+import org.quilldyke.gateway.target.TargetPool;
+import org.quilldyke.manifest.Limits;
+import org.quilldyke.manifest.RouteTable;
+import org.quilldyke.routing.TargetBook;
+
+/** What all requests at an entry instance share. Lives on the traffic thread. */
+public final class Entry {
+    private final EventLoop mLoop;
+    private final LongSupplier mClock;
+    private final Dialect mDialect;
+    private final TargetBook mBook;
+    private final TargetPool mPool;
+    private final RetryAllowance mRetries;
+    private final KeyLease mLease;
+    private final EventLog mLog;
+    private final GatewayMetrics mMetrics;
+    private final Map<String, Set<Exchange>> mExchanges = new HashMap<>();
+    private RouteTable mRoutes;
+    private boolean mDraining;
+
+    private Entry(Parts parts) {
+        mLoop = parts.loop();
+        mClock = parts.clock();
+        mDialect = parts.dialect();
+        mBook = parts.book();
+        mPool = TargetPool.create(mLoop, mDialect.targets(), mClock);
+        mRetries = parts.retries();
+        mLease = parts.lease();
+        mLog = parts.log();
+        mMetrics = parts.metrics();
+    }
+
+    /** Returns an entry that knows no configuration yet. */
+    public static Entry of(Parts parts) {
+        return new Entry(parts);
+    }
+
+    /** Takes a configuration. */
+    public void onRoutes(RouteTable routes) {
+        mRoutes = routes;
+    }
+
+    /** Notes that a target is gone or was silent for too long: what is open there is lost. */
+    public void onTargetLost(String target, boolean silent) {
+        mBook.onGone(target);
+        mPool.forget(target);
+        if (silent) {
+            List<Exchange> open = new ArrayList<>(mExchanges.getOrDefault(target, Set.of()));
+            open.forEach(Exchange::onTargetLost);
+        }
+    }
+
+    /** Takes no more connections for long: answers end their connections. */
+    public void drain() {
+        mDraining = true;
+    }
+
+    /** Returns the present configuration, or null if none is known. */
+    public RouteTable routes() {
+        return mRoutes;
+    }
+
+    /** Returns what callers may send. */
+    public Limits limits() {
+        return mRoutes == null ? Limits.standard() : mRoutes.manifest().limits();
+    }
+
+    /** Returns whether the instance shuts down. */
+    public boolean isDraining() {
+        return mDraining;
+    }
+
+    /** Returns whether the configuration was confirmed a short while ago. */
+    public boolean isConfirmed() {
+        return mRoutes != null && mLease.isValid(now());
+    }
+
+    /** Returns the present time in monotonic milliseconds. */
+    public long now() {
+        return mClock.getAsLong();
+    }
+
+    /** Returns the traffic thread. */
+    public EventLoop loop() {
+        return mLoop;
+    }
+
+    /** Returns the targets. */
+    public TargetBook book() {
+        return mBook;
+    }
+
+    /** Returns the connections to targets. */
+    public TargetPool pool() {
+        return mPool;
+    }
+
+    /** Returns what bounds second attempts. */
+    public RetryAllowance retries() {
+        return mRetries;
+    }
+
+    /** Returns for how long keys may be taken for good. */
+    public KeyLease lease() {
+        return mLease;
+    }
+
+    Dialect dialect() {
+        return mDialect;
+    }
+
+    EventLog log() {
+        return mLog;
+    }
+
+    GatewayMetrics metrics() {
+        return mMetrics;
+    }
+
+    void onOpened(String target, Exchange exchange) {
+        mExchanges.computeIfAbsent(target, id -> new HashSet<>()).add(exchange);
+    }
+
+    void onClosed(String target, Exchange exchange) {
+        Set<Exchange> open = mExchanges.get(target);
+        if (open != null) {
+            open.remove(exchange);
+            if (open.isEmpty()) {
+                mExchanges.remove(target);
+            }
+        }
+    }
+
+    /**
+     * What an entry is made of.
+     *
+     * @param loop the traffic thread
+     * @param clock monotonic milliseconds
+     * @param dialect how callers and targets speak
+     * @param book the targets
+     * @param retries bounds second attempts
+     * @param lease for how long keys may be taken for good
+     * @param log where events go
+     * @param metrics what is counted
+     */
+    public record Parts(
+            EventLoop loop,
+            LongSupplier clock,
+            Dialect dialect,
+            TargetBook book,
+            RetryAllowance retries,
+            KeyLease lease,
+            EventLog log,
+            GatewayMetrics metrics) {}
+}
--- /dev/null
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/EventSplitter.java
@@ -0,0 +1,103 @@
+/*
+ * Copyright 2026 The quilldyke authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.quilldyke.gateway.caller;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufAllocator;
+import io.netty.util.AsciiString;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * Cuts a stream of bytes into whole server-sent events, whose bytes stay as they are.
+ *
+ * <p>An event ends with an empty line. Its number is that of its {@code id} field.
+ */
+final class EventSplitter {
+    /** Stands for an event without a number. */
+    static final long NO_NUMBER = -1;
+
+    private static final String ID_FIELD = "id:";
+
+    private final ByteBuf mPending;
+    private int mLineStart;
+
+    EventSplitter(ByteBufAllocator allocator) {
+        mPending = allocator.buffer();
+    }
+
+    /** Takes bytes and returns the events that are whole now; the caller releases them. */
+    List<Event> add(ByteBuf bytes) {
+        mPending.writeBytes(bytes);
+        List<Event> events = new ArrayList<>();
+        int at;
+        while ((at = mPending.indexOf(mLineStart, mPending.writerIndex(), (byte) '\n')) >= 0) {
+            boolean empty = at == mLineStart || isCarriageReturn(mLineStart, at);
+            mLineStart = at + 1;
+            if (empty) {
+                int length = mLineStart - mPending.readerIndex();
+                events.add(eventOf(mPending.readBytes(length)));
+            }
+        }
+        mLineStart -= mPending.readerIndex();
+        mPending.discardReadBytes();
+        return events;
+    }
+
+    /** Returns how many bytes are here of an event that isn't whole. */
+    int partBytes() {
+        return mPending.readableBytes();
+    }
+
+    /** Forgets the part of an event that never came whole. */
+    void clear() {
+        mPending.clear();
+        mLineStart = 0;
+    }
+
+    void release() {
+        mPending.release();
+    }
+
+    private boolean isCarriageReturn(int lineStart, int end) {
+        return end == lineStart + 1 && mPending.getByte(lineStart) == '\r';
+    }
+
+    private static Event eventOf(ByteBuf bytes) {
+        long number = NO_NUMBER;
+        for (String line : bytes.toString(StandardCharsets.UTF_8).split("\r?\n")) {
+            if (line.startsWith(ID_FIELD)) {
+                number = parse(line.substring(ID_FIELD.length()).trim());
+            }
+        }
+        return new Event(bytes, number);
+    }
+
+    private static long parse(String text) {
+        return !text.isEmpty() && AsciiString.of(text).chars().allMatch(Character::isDigit)
+                ? Long.parseLong(text)
+                : NO_NUMBER;
+    }
+
+    /**
+     * A whole event.
+     *
+     * @param bytes its bytes, with the empty line that ends it
+     * @param number its number, {@link #NO_NUMBER} if it has none
+     */
+    record Event(ByteBuf bytes, long number) {}
+}
--- /dev/null
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Exchange.java
@@ -0,0 +1,553 @@
+/*
+ * Copyright 2026 The quilldyke authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.quilldyke.gateway.caller;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.quilldyke.QuilldykeException;
+import org.quilldyke.ResultCode;
+import org.quilldyke.caller.AnswerHead;
+import org.quilldyke.caller.ForwardRequest;
+import org.quilldyke.caller.Forwarding;
+import org.quilldyke.caller.Prompt;
+import org.quilldyke.caller.Step;
+import org.quilldyke.daemon.log.Event;
+import org.quilldyke.gateway.dialect.AnswerFacts;
+import org.quilldyke.gateway.dialect.AttemptFacts;
+import org.quilldyke.gateway.dialect.CallerFacts;
+import org.quilldyke.gateway.target.Attempt;
+import org.quilldyke.gateway.target.AttemptListener;
+import org.quilldyke.manifest.Organisation;
+import org.quilldyke.manifest.Route;
+import org.quilldyke.manifest.RouteTable;
+import org.quilldyke.routing.Choice;
+
+/** One request from its arrival to its answer: carries out what {@link Forwarding} decides. */
+final class Exchange implements AttemptListener {
+    /** An answer that isn't a stream is held whole; larger ones are taken for spoiled. */
+    private static final int MAX_ANSWER_BYTES = 16 << 20;
+
+    private static final int MAX_EVENT_BYTES = 1 << 20;
+
+    private final Entry mEntry;
+    private final CallerConnection mCaller;
+    private final HttpRequest mHead;
+    private final ByteBuf mBody;
+    private final long mArrivedAt;
+    private ForwardRequest mRequest;
+    private Forwarding mForwarding;
+    private Choice mChoice;
+    private Attempt mAttempt;
+    private AnswerFacts mAnswer;
+    private HttpResponse mAnswerHead;
+    private HttpHeaders mFirstHeaders;
+    private ByteBuf mAnswerBody;
+    private EventSplitter mEvents;
+    private ScheduledFuture<?> mTimeOver;
+    private ScheduledFuture<?> mSilence;
+    private ScheduledFuture<?> mWait;
+    private long mHeardAt;
+    private boolean mStreamBegun;
+    private boolean mEnded;
+
+    Exchange(Entry entry, CallerConnection caller, HttpRequest head, ByteBuf body) {
+        mEntry = entry;
+        mCaller = caller;
+        mHead = head;
+        mBody = body;
+        mArrivedAt = entry.now();
+    }
+
+    /** Reads what the request says and takes the first step. */
+    void start() {
+        try {
+            mRequest = admit();
+        } catch (QuilldykeException e) {
+            refuse(e.code(), e.retryAfterMillis());
+            return;
+        }
+        long left = Math.max(0, mRequest.answerBy() - now());
+        mTimeOver = mEntry.loop().schedule(this::onTimeOver, left, TimeUnit.MILLISECONDS);
+        mForwarding = Forwarding.of(mRequest, mEntry.book(), mEntry.retries());
+        mEntry.metrics().onRequest(mRequest.route().kind());
+        perform(mForwarding.start(now()));
+    }
+
+    void onCallerGone() {
+        if (mEnded) {
+            return;
+        }
+        mEntry.log().write(Event.CALLER_GONE, "request", id(), "after", now() - mArrivedAt);
+        mEntry.metrics().onCallerGone();
+        mForwarding.onCallerGone();
+        cancelAttempt();
+        end();
+    }
+
+    void onWritable(boolean writable) {
+        if (mAttempt != null) {
+            mAttempt.setReading(writable);
+        }
+    }
+
+    void onTargetLost() {
+        if (mAttempt != null && !mEnded) {
+            cancelAttempt();
+            onBroken(ResultCode.TARGET_LOST, "the target is silent");
+        }
+    }
+
+    @Override
+    public void onUnsent(String why) {
+        closeAttempt();
+        logAttempt("unsent", why);
+        perform(mForwarding.onUnsent(now()));
+    }
+
+    @Override
+    public void onSending() {
+        mForwarding.onSending();
+        mHeardAt = now();
+        watchSilence(mForwarding.silenceMillis());
+    }
+
+    @Override
+    public void onHead(HttpResponse head) {
+        mHeardAt = now();
+        mAnswerHead = head;
+        mAnswer = mEntry.dialect().targets().read(head);
+        mAnswer.weights()
+                .ifPresent(
+                        weights ->
+                                mRequest.prompt()
+                                        .ifPresent(
+                                                prompt ->
+                                                        mEntry.book()
+                                                                .onWeightsSeen(
+                                                                        mChoice.target(),
+                                                                        prompt.model(),
+                                                                        weights)));
+        AnswerHead facts = mAnswer.head();
+        if (head.headers().contains(HttpHeaderNames.CONTENT_ENCODING)) {
+            cancelAttempt();
+            onBroken(ResultCode.ANSWER_SPOILED, "encoded");
+        } else if (facts.isNotRun()) {
+            mAttempt.ignoreRest();
+            closeAttempt();
+            logAttempt("refused", "status " + facts.status());
+            perform(mForwarding.onAnswer(facts, now()));
+        } else if (facts.stream() && facts.isSuccess()) {
+            Step step = mForwarding.onAnswer(facts, now());
+            if (!(step instanceof Step.PassOn)) {
+                cancelAttempt();
+                logAttempt("spoiled", "no signature");
+                perform(step);
+                return;
+            }
+            mEvents = new EventSplitter(mBody.alloc());
+        } else {
+            mAnswerBody = mBody.alloc().buffer();
+        }
+    }
+
+    @Override
+    public void onBody(ByteBuf bytes) {
+        mHeardAt = now();
+        if (mEvents != null) {
+            passEvents(bytes);
+            return;
+        }
+        if (mAnswerBody.readableBytes() + bytes.readableBytes() > MAX_ANSWER_BYTES) {
+            cancelAttempt();
+            onBroken(ResultCode.ANSWER_TOO_LARGE, "over " + MAX_ANSWER_BYTES + " bytes");
+            return;
+        }
+        mAnswerBody.writeBytes(bytes);
+    }
+
+    @Override
+    public void onEnd() {
+        closeAttempt();
+        if (mEvents != null) {
+            endStream();
+            return;
+        }
+        Step step = mForwarding.onAnswer(mAnswer.head(), now());
+        if (step instanceof Step.PassOn) {
+            mForwarding.onComplete();
+            passAnswer();
+        } else {
+            logAttempt("failed", "status " + mAnswer.head().status());
+            releaseAnswer();
+            perform(step);
+        }
+    }
+
+    @Override
+    public void onBroken(ResultCode code, String why) {
+        closeAttempt();
+        releaseAnswer();
+        logAttempt("broken", code.label() + " " + why);
+        perform(mForwarding.onBroken(code, now()));
+    }
+
+    private ForwardRequest admit() throws QuilldykeException {
+        RouteTable routes = mEntry.routes();
+        if (routes == null) {
+            throw QuilldykeException.notRunRetryAfter(ResultCode.NO_CONFIGURATION, "", 500);
+        }
+        CallerFacts facts = mEntry.dialect().callers().read(mHead);
+        String path = mHead.uri().split("[?#]", 2)[0];
+        Optional<Route> found = routes.route(mHead.headers().get(HttpHeaderNames.HOST), path);
+        boolean open = found.isPresent() && (found.get().open() || !routes.needsKeys());
+        if (!open && !mEntry.isConfirmed()) {
+            throw QuilldykeException.notRunRetryAfter(ResultCode.KEYS_UNCONFIRMED, "", 500);
+        }
+        if (found.isEmpty()) {
+            throw QuilldykeException.notRun(ResultCode.UNKNOWN_PATH, path);
+        }
+        Route route = found.get();
+        Optional<Organisation> owner = facts.key().flatMap(routes::owner);
+        if (!open && owner.isEmpty()) {
+            throw QuilldykeException.notRun(ResultCode.UNKNOWN_TOKEN, "");
+        }
+        long now = now();
+        long left = Math.min(route.timeoutMillis(), facts.millisLeft().orElse(Long.MAX_VALUE));
+        return new ForwardRequest(
+                facts.id(),
+                route,
+                route.serviceFor(facts.id().hashCode()),
+                owner,
+                route.usesModel() ? facts.prompt() : Optional.empty(),
+                now,
+                now + left,
+                facts.lastEvent().orElse(-1));
+    }
+
+    private void perform(Step step) {
+        if (step instanceof Step.Send send) {
+            send(send);
+        } else if (step instanceof Step.Wait wait) {
+            long millis = Math.max(1, wait.until() - now());
+            mWait =
+                    mEntry.loop()
+                            .schedule(
+                                    () -> perform(mForwarding.onWaited(now())),
+                                    millis,
+                                    TimeUnit.MILLISECONDS);
+        } else if (step instanceof Step.Refuse refuse) {
+            refuse(refuse.code(), refuse.retryAfterMillis());
+        } else if (step instanceof Step.Fail fail) {
+            refuse(fail.code(), 0);
+        } else if (step instanceof Step.Break broken) {
+            logEnd(Event.REFUSED, broken.code());
+            mEntry.metrics().onRefused(broken.code());
+            end();
+            mCaller.abort();
+        } else if (step instanceof Step.PassOn) {
+            passAnswer();
+        }
+    }
+
+    private void send(Step.Send send) {
+        mChoice = send.choice();
+        boolean keyed = !mRequest.route().open() && mEntry.routes().needsKeys();
+        if (keyed && !mEntry.isConfirmed()) {
+            refuse(ResultCode.KEYS_UNCONFIRMED, 500);
+            return;
+        }
+        mEntry.log()
+                .write(
+                        Event.ROUTED,
+                        "request",
+                        id(),
+                        "route",
+                        mRequest.route().name(),
+                        "target",
+                        mChoice.target(),
+                        "weights",
+                        mChoice.weights(),
+                        "cached",
+                        mChoice.cachedTokens(),
+                        "missing",
+                        mChoice.missingTokens(),
+                        "predicted_ms",
+                        mChoice.expectedMillis(),
+                        "runner_up",
+                        mChoice.runnerUp(),
+                        "runner_up_ms",
+                        mChoice.runnerUpMillis(),
+                        "left_ms",
+                        send.millisLeft());
+        mEntry.metrics().onAttempt();
+        mEntry.onOpened(mChoice.target(), this);
+        mAttempt =
+                mEntry.pool()
+                        .send(mChoice.target(), mChoice.address(), requestFor(send), id(), this);
+    }
+
+    private FullHttpRequest requestFor(Step.Send send) {
+        FullHttpRequest request =
+                new DefaultFullHttpRequest(
+                        HttpVersion.HTTP_1_1,
+                        mHead.method(),
+                        mHead.uri(),
+                        mBody.retainedDuplicate());
+        Set<String> skipped = HopByHop.namesIn(mHead.headers());
+        for (Map.Entry<String, String> header : mHead.headers()) {
+            if (!HopByHop.contains(skipped, header.getKey())
+                    && !mEntry.dialect().callers().isReserved(header.getKey())) {
+                request.headers().add(header.getKey(), header.getValue());
+            }
+        }
+        boolean hasBody =
+                mBody.isReadable()
+                        || mHead.headers().contains(HttpHeaderNames.CONTENT_LENGTH)
+                        || mHead.headers().contains(HttpHeaderNames.TRANSFER_ENCODING);
+        if (hasBody) {
+            request.headers().set(HttpHeaderNames.CONTENT_LENGTH, mBody.readableBytes());
+        }
+        mEntry.dialect()
+                .targets()
+                .write(
+                        request.headers(),
+                        new AttemptFacts(
+                                send.choice(),
+                                send.millisLeft(),
+                                mRequest.organisation().map(Organisation::name),
+                                mRequest.prompt().map(Prompt::model).orElse(""),
+                                mRequest.priority(),
+                                send.lastEvent()));
+        return request;
+    }
+
+    private void passEvents(ByteBuf bytes) {
+        for (EventSplitter.Event event : mEvents.add(bytes)) {
+            if (mEnded) {
+                event.bytes().release();
+                continue;
+            }
+            boolean numbered = event.number() != EventSplitter.NO_NUMBER;
+            if (numbered && event.number() <= mForwarding.lastEvent()) {
+                event.bytes().release();
+                breakStream("event " + event.number() + " after " + mForwarding.lastEvent());
+                return;
+            }
+            beginStream();
+            mForwarding.onEventPassed(
+                    numbered ? event.number() : mForwarding.lastEvent());
+            mCaller.write(event.bytes());
+        }
+        if (!mEnded && mEvents.partBytes() > MAX_EVENT_BYTES) {
+            breakStream("an event over " + MAX_EVENT_BYTES + " bytes");
+        }
+    }
+
+    private void breakStream(String why) {
+        cancelAttempt();
+        onBroken(ResultCode.ANSWER_SPOILED, why);
+    }
+
+    private void endStream() {
+        if (mEvents.partBytes() > 0) {
+            onBroken(ResultCode.STREAM_BROKEN, "the end of the last event is missing");
+            return;
+        }
+        beginStream();
+        mForwarding.onComplete();
+        logAnswered();
+        end();
+        mCaller.endStream();
+    }
+
+    /** Sends the head of the first target that answers; one that goes on later adds only events. */
+    private void beginStream() {
+        if (mStreamBegun) {
+            return;
+        }
+        mStreamBegun = true;
+        mFirstHeaders = passedOn(mAnswerHead.headers());
+        mEntry.metrics().onFirstEvent(now() - mArrivedAt, mChoice.expectedMillis());
+        mCaller.beginStream(mAnswerHead.status(), mFirstHeaders);
+    }
+
+    private void passAnswer() {
+        ByteBuf body = mAnswerBody;
+        mAnswerBody = null;
+        HttpHeaders headers = passedOn(mAnswerHead.headers());
+        logAnswered();
+        end();
+        mCaller.answer(mAnswerHead.status(), headers, body);
+    }
+
+    private static HttpHeaders passedOn(HttpHeaders headers) {
+        HttpHeaders passed = new DefaultHttpHeaders();
+        Set<String> skipped = HopByHop.namesIn(headers);
+        for (Map.Entry<String, String> header : headers) {
+            if (!HopByHop.contains(skipped, header.getKey())) {
+                passed.add(header.getKey(), header.getValue());
+            }
+        }
+        return passed;
+    }
+
+    private void refuse(ResultCode code, long retryAfterMillis) {
+        logEnd(Event.REFUSED, code);
+        mEntry.metrics().onRefused(code);
+        end();
+        mCaller.answer(code, retryAfterMillis);
+    }
+
+    private void onTimeOver() {
+        if (mEnded) {
+            return;
+        }
+        Step step = mForwarding.onTimeOver(now());
+        cancelAttempt();
+        perform(step);
+    }
+
+    private void watchSilence(long millis) {
+        if (millis == Long.MAX_VALUE) {
+            return;
+        }
+        long wait = Math.max(1, mHeardAt + millis - now());
+        mSilence =
+                mEntry.loop()
+                        .schedule(() -> checkSilence(millis), wait, TimeUnit.MILLISECONDS);
+    }
+
+    private void checkSilence(long millis) {
+        if (mEnded || mAttempt == null) {
+            return;
+        }
+        if (now() - mHeardAt < millis) {
+            watchSilence(mForwarding.silenceMillis());
+            return;
+        }
+        cancelAttempt();
+        onBroken(ResultCode.TARGET_LOST, "silent for " + millis + " ms");
+    }
+
+    private void cancelAttempt() {
+        if (mAttempt != null) {
+            mAttempt.cancel();
+        }
+        closeAttempt();
+    }
+
+    /** The attempt is over, whatever became of it. */
+    private void closeAttempt() {
+        if (mSilence != null) {
+            mSilence.cancel(false);
+            mSilence = null;
+        }
+        if (mAttempt != null) {
+            mEntry.onClosed(mChoice.target(), this);
+            mAttempt = null;
+        }
+    }
+
+    private void releaseAnswer() {
+        if (mAnswerBody != null) {
+            mAnswerBody.release();
+            mAnswerBody = null;
+        }
+        if (mEvents != null) {
+            mEvents.release();
+            mEvents = null;
+        }
+    }
+
+    private void end() {
+        if (mEnded) {
+            return;
+        }
+        mEnded = true;
+        closeAttempt();
+        releaseAnswer();
+        mBody.release();
+        if (mTimeOver != null) {
+            mTimeOver.cancel(false);
+        }
+        if (mWait != null) {
+            mWait.cancel(false);
+        }
+    }
+
+    private void logAttempt(String outcome, String why) {
+        mEntry.log()
+                .write(
+                        Event.ATTEMPT_FAILED,
+                        "request",
+                        id(),
+                        "target",
+                        mChoice.target(),
+                        "outcome",
+                        outcome,
+                        "why",
+                        why);
+    }
+
+    private void logAnswered() {
+        mEntry.metrics().onAnswered(now() - mArrivedAt);
+        mEntry.log()
+                .write(
+                        Event.ANSWERED,
+                        "request",
+                        id(),
+                        "status",
+                        mAnswer.head().status(),
+                        "target",
+                        mChoice.target(),
+                        "ms",
+                        now() - mArrivedAt);
+    }
+
+    private void logEnd(Event event, ResultCode code) {
+        mEntry.log()
+                .write(
+                        event,
+                        "request",
+                        id(),
+                        "code",
+                        code.label(),
+                        "target",
+                        mChoice == null ? "" : mChoice.target(),
+                        "ms",
+                        now() - mArrivedAt);
+    }
+
+    private String id() {
+        return mRequest == null ? "" : mRequest.id();
+    }
+
+    private long now() {
+        return mEntry.now();
+    }
+}
--- /dev/null
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/HopByHop.java
@@ -0,0 +1,62 @@
+/*
+ * Copyright 2026 The quilldyke authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.quilldyke.gateway.caller;
+
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.util.AsciiString;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Set;
+
+/** The headers that concern one connection only and are never passed on (RFC 9110, 7.6.1). */
+final class HopByHop {
+    private static final Set<String> NAMES =
+            Set.of(
+                    "connection",
+                    "keep-alive",
+                    "proxy-connection",
+                    "proxy-authenticate",
+                    "proxy-authorization",
+                    "te",
+                    "trailer",
+                    "transfer-encoding",
+                    "upgrade",
+                    "content-length",
+                    "expect");
+
+    private HopByHop() {}
+
+    /** Returns the names, in lower case, that a message's headers make hop-by-hop. */
+    static Set<String> namesIn(HttpHeaders headers) {
+        List<String> listed = headers.getAll(HttpHeaderNames.CONNECTION);
+        if (listed.isEmpty()) {
+            return NAMES;
+        }
+        Set<String> names = new HashSet<>(NAMES);
+        for (String line : listed) {
+            for (String name : line.split(",")) {
+                names.add(name.trim().toLowerCase(Locale.ROOT));
+            }
+        }
+        return names;
+    }
+
+    static boolean contains(Set<String> names, CharSequence header) {
+        return names.contains(AsciiString.of(header).toLowerCase().toString());
+    }
+}
--- /dev/null
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/ControlNode.java
@@ -0,0 +1,346 @@
+/*
+ * Copyright 2026 The quilldyke authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.quilldyke.gateway.control;
+
+import io.grpc.stub.StreamObserver;
+import java.nio.file.Path;
+import java.util.HashSet;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.LongSupplier;
+import org.quilldyke.Outcome;
+import org.quilldyke.QuilldykeException;
+import org.quilldyke.ResultCode;
+import org.quilldyke.control.Membership;
+import org.quilldyke.control.PeerMessage;
+import org.quilldyke.control.Replica;
+import org.quilldyke.control.ReplicaSettings;
+import org.quilldyke.daemon.control.DataFolder;
+import org.quilldyke.daemon.control.ReplicaNode;
+import org.quilldyke.daemon.instance.Wire;
+import org.quilldyke.daemon.log.Event;
+import org.quilldyke.daemon.log.EventLog;
+import org.quilldyke.engine.TargetReport;
+import org.quilldyke.gateway.instance.Compression;
+import org.quilldyke.gateway.instance.NettyLoop;
+import org.quilldyke.gateway.instance.Peers;
+import org.quilldyke.gateway.instance.SessionServer;
+import org.quilldyke.gateway.instance.proto.ControlFrame;
+import org.quilldyke.gateway.instance.proto.Loading;
+import org.quilldyke.gateway.instance.proto.PeerFrame;
+import org.quilldyke.gateway.settings.GatewaySettings;
+import org.quilldyke.gateway.target.EngineOrders;
+import org.quilldyke.manifest.FleetCommand;
+import org.quilldyke.manifest.FleetResult;
+import org.quilldyke.manifest.FleetState;
+
+/** One control process: its replica, its peers, its entries. Lives on the control thread. */
+public final class ControlNode implements SessionServer.Handler, ReplicaNode.Listener {
+    /** Replicas some milliseconds apart on processors that may pause: times of Raft. */
+    private static final long HEARTBEAT_MILLIS = 80;
+
+    private static final long ELECTION_MILLIS = 450;
+    private static final long LEASE_MILLIS = 350;
+    private static final long TICK_MILLIS = 50;
+
+    /** A process that hasn't heard a leader for this long can't say that a target is silent. */
+    private static final long OUT_OF_TOUCH_MILLIS = 1500;
+
+    private final NettyLoop mLoop;
+    private final LongSupplier mClock;
+    private final EventLog mLog;
+    private final String mAddress;
+    private final Peers mPeers;
+    private final EntrySessions mEntries;
+    private final FleetMachine mMachine;
+    private final Group mGroup;
+    private final Confirmations mConfirmations;
+    private final Proposals mProposals;
+    private final TargetSpread mTargets;
+    private final MembershipKeeper mMembership;
+    private final WeightsKeeper mWeights;
+    private volatile Set<String> mSeeds;
+
+    private ControlNode(
+            GatewaySettings settings,
+            NettyLoop loop,
+            LongSupplier clock,
+            EventLog log,
+            EngineOrders orders)
+            throws QuilldykeException {
+        mLoop = loop;
+        mClock = clock;
+        mLog = log;
+        mAddress = settings.internalAddress(settings.ip());
+        mSeeds = new HashSet<>(settings.seedAddresses());
+        mPeers = Peers.create(loop, clock, log, mAddress);
+        mEntries = new EntrySessions(clock, log, mPeers);
+        mMachine = new FleetMachine(this::onState);
+        SplittableRandom random = new SplittableRandom(System.nanoTime() ^ mAddress.hashCode());
+        DataFolder folder = DataFolder.open(Path.of(settings.dataFolder()));
+        ReplicaIdentity.Opened opened =
+                ReplicaIdentity.open(folder, settings, mAddress, random, log);
+        mGroup = new Group(opened.identity().id(), mPeers);
+        ReplicaSettings replicaSettings =
+                ReplicaSettings.of(opened.identity().id(), opened.identity().initial())
+                        .withTimes(HEARTBEAT_MILLIS, ELECTION_MILLIS, LEASE_MILLIS);
+        Replica replica =
+                Replica.restore(replicaSettings, opened.disk(), random, clock.getAsLong());
+        ReplicaNode<FleetResult> node =
+                ReplicaNode.of(
+                        new ReplicaNode.Environment(loop, clock, log),
+                        folder,
+                        opened.disk(),
+                        replica,
+                        mMachine,
+                        mGroup::deliver,
+                        this);
+        mGroup.onNode(node);
+        mConfirmations = new Confirmations(mGroup, mPeers, clock);
+        mProposals = new Proposals(mGroup, mPeers, loop, clock);
+        mTargets =
+                new TargetSpread(
+                        mPeers,
+                        mEntries::onTargets,
+                        clock,
+                        log,
+                        settings.timings().targetReport());
+        mEntries.connect(mConfirmations, mTargets);
+        mMembership =
+                new MembershipKeeper(
+                        mGroup, mPeers, mAddress, clock, settings.toleratedLosses());
+        mWeights =
+                new WeightsKeeper(
+                        new WeightsKeeper.Parts(
+                                mGroup,
+                                mProposals,
+                                mTargets,
+                                orders,
+                                loop,
+                                clock,
+                                log,
+                                this::tellLoading,
+                                settings.timings().orderLease()));
+        log.write(
+                Event.IDENTITY,
+                "id",
+                mGroup.selfId(),
+                "members",
+                replica.membership().all().size(),
+                "last",
+                replica.lastIndex());
+    }
+
+    /**
+     * Starts a control process's part of the group; call it on the control thread.
+     *
+     * @param settings the settings
+     * @param loop the control thread
+     * @param clock monotonic milliseconds
+     * @param log where events go
+     * @param orders speaks to engines
+     * @throws QuilldykeException if the data folder can't be read
+     */
+    public static ControlNode start(
+            GatewaySettings settings,
+            NettyLoop loop,
+            LongSupplier clock,
+            EventLog log,
+            EngineOrders orders)
+            throws QuilldykeException {
+        ControlNode node = new ControlNode(settings, loop, clock, log, orders);
+        node.mPeers.onUp(node::onPeerUp);
+        node.mGroup.node().start();
+        node.tick();
+        return node;
+    }
+
+    /** Takes seeds that the settings name now. */
+    public void onSeeds(Set<String> seeds) {
+        mSeeds = Set.copyOf(seeds);
+    }
+
+    /** Hands leadership on and waits for nothing. */
+    public void leave() {
+        mGroup.node().transferLeadership();
+    }
+
+    /** Publishes a manifest; completes when it, or a newer one, is committed. */
+    public CompletableFuture<Void> publish(long version, byte[] document) {
+        if (mMachine.state().version() >= version) {
+            return CompletableFuture.completedFuture(null);
+        }
+        byte[] compressed = Compression.compress(document);
+        return mProposals
+                .propose(new FleetCommand.PublishManifest(version, compressed))
+                .thenAccept(
+                        result ->
+                                mLog.write(
+                                        Event.MANIFEST_ACCEPTED,
+                                        "version",
+                                        version,
+                                        "index",
+                                        result.index(),
+                                        "changed",
+                                        result.changed(),
+                                        "bytes",
+                                        compressed.length));
+    }
+
+    /** Names weights; completes when they, or newer ones, are committed. */
+    public CompletableFuture<Void> nameWeights(String model, long version) {
+        if (mMachine.state().weights().getOrDefault(model, 0L) >= version) {
+            return CompletableFuture.completedFuture(null);
+        }
+        return mProposals
+                .propose(new FleetCommand.NameWeights(model, version))
+                .thenAccept(
+                        result ->
+                                mLog.write(
+                                        Event.WEIGHTS_NAMED,
+                                        "model",
+                                        model,
+                                        "version",
+                                        version,
+                                        "index",
+                                        result.index()));
+    }
+
+    /** Returns the newest manifest as its operator wrote it, once that is sure. */
+    public CompletableFuture<byte[]> read() {
+        CompletableFuture<byte[]> result = new CompletableFuture<>();
+        mConfirmations.ask(
+                confirmed -> {
+                    FleetState state = mMachine.state();
+                    if (!confirmed || !state.hasManifest()) {
+                        result.completeExceptionally(
+                                QuilldykeException.notRun(ResultCode.READ_UNCONFIRMED, ""));
+                        return;
+                    }
+                    try {
+                        result.complete(Compression.expand(state.document()));
+                    } catch (QuilldykeException e) {
+                        result.completeExceptionally(e);
+                    }
+                });
+        return result;
+    }
+
+    /** Takes a target's report; returns whether this process is in touch with the others. */
+    public boolean onReport(TargetReport report) {
+        mTargets.onReport(report);
+        return isInTouch();
+    }
+
+    /** Takes the news that a target is gone; returns whether this process is in touch. */
+    public boolean onLeave(String target) {
+        mTargets.onLeave(target);
+        return isInTouch();
+    }
+
+    /** Returns whether a leader was heard lately. */
+    public boolean isInTouch() {
+        long seenAt = mGroup.node().leaderSeenAt();
+        return !mGroup.node().leader().isEmpty()
+                && mClock.getAsLong() - seenAt < OUT_OF_TOUCH_MILLIS;
+    }
+
+    @Override
+    public void onPeerFrame(PeerFrame frame) {
+        switch (frame.getKindCase()) {
+            case REPLICA -> onReplica(frame);
+            case JOIN -> mMembership.onJoin(frame.getJoin());
+            case PROPOSAL -> mProposals.onProposal(frame.getAddress(), frame.getProposal());
+            case RESULT -> mProposals.onResult(frame.getResult());
+            case CONFIRM -> mConfirmations.onConfirm(frame.getAddress(), frame.getConfirm());
+            case CONFIRMED -> mConfirmations.onConfirmed(frame.getConfirmed());
+            case TARGETS -> mTargets.onTargets(frame.getTargets());
+            case LOADING -> onLoading(frame.getLoading());
+            case LOADS -> mEntries.onLoads(frame.getLoads());
+            default -> {
+                // A sign of life.
+            }
+        }
+        mPeers.connect(Set.of(frame.getAddress()));
+    }
+
+    @Override
+    public SessionServer.EntrySession onSubscriber(StreamObserver<ControlFrame> out) {
+        return mEntries.open(out);
+    }
+
+    @Override
+    public void onLeadership(boolean leads) {
+        mWeights.onLeadership(leads);
+    }
+
+    @Override
+    public void onMembership(Membership membership) {
+        mLog.write(
+                Event.MEMBERSHIP,
+                "voters",
+                membership.voters().stream().map(Membership.Member::id).toList(),
+                "standbys",
+                membership.standbys().stream().map(Membership.Member::id).toList());
+    }
+
+    private void onReplica(PeerFrame frame) {
+        if (!frame.getReplica().getTo().equals(mGroup.selfId())) {
+            return;
+        }
+        try {
+            PeerMessage message = Wire.decode(frame.getReplica());
+            mGroup.onHeard(frame.getReplica().getFrom(), frame.getAddress());
+            mGroup.node().receive(frame.getReplica().getFrom(), message);
+            mLoop.execute(mConfirmations::advance);
+        } catch (QuilldykeException e) {
+            mLog.write(Event.INVARIANT, "from", frame.getAddress(), "detail", e.getMessage());
+        }
+    }
+
+    private void onLoading(Loading loading) {
+        if (loading.hasWeights()) {
+            mTargets.onWeights(
+                    loading.getTarget(),
+                    loading.getWeights().getModel(),
+                    loading.getWeights().getVersion());
+        }
+        mEntries.onLoading(loading);
+    }
+
+    private void tellLoading(Loading loading) {
+        mPeers.sendToAll(PeerFrame.newBuilder().setLoading(loading));
+        mEntries.onLoading(loading);
+    }
+
+    private void onPeerUp(String address) {
+        mPeers.send(address, PeerFrame.newBuilder().setTargets(mTargets.all()));
+    }
+
+    private void onState(FleetState state) {
+        mEntries.onState(state);
+    }
+
+    private void tick() {
+        mLoop.schedule(TICK_MILLIS, this::tick);
+        mConfirmations.advance();
+        mMembership.tick(mSeeds);
+        mTargets.tick(isInTouch());
+        mEntries.tick();
+        mWeights.tick(mMachine.state().weights());
+    }
+}
--- /dev/null
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/Group.java
@@ -0,0 +1,87 @@
+/*
+ * Copyright 2026 The quilldyke authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.quilldyke.gateway.control;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.quilldyke.control.Membership;
+import org.quilldyke.control.PeerMessage;
+import org.quilldyke.daemon.control.ReplicaNode;
+import org.quilldyke.daemon.instance.Wire;
+import org.quilldyke.gateway.instance.Peers;
+import org.quilldyke.gateway.instance.proto.PeerFrame;
+import org.quilldyke.manifest.FleetResult;
+
+/**
+ * The replicas by their ids and addresses. A replica that lost its disk has a new id at its old
+ * address, so messages bear both.
+ */
+final class Group {
+    private final String mSelfId;
+    private final Peers mPeers;
+    private final Map<String, String> mLearned = new HashMap<>();
+    private ReplicaNode<FleetResult> mNode;
+
+    Group(String selfId, Peers peers) {
+        mSelfId = selfId;
+        mPeers = peers;
+    }
+
+    void onNode(ReplicaNode<FleetResult> node) {
+        mNode = node;
+    }
+
+    String selfId() {
+        return mSelfId;
+    }
+
+    ReplicaNode<FleetResult> node() {
+        return mNode;
+    }
+
+    boolean leads() {
+        return mNode.isLeader();
+    }
+
+    /** Returns where the leader is reached, if it is known and is another. */
+    Optional<String> leaderAddress() {
+        String leader = mNode.leader();
+        return leader.isEmpty() || leader.equals(mSelfId) ? Optional.empty() : addressOf(leader);
+    }
+
+    /** Sends a replica's message. */
+    void deliver(String to, PeerMessage message) {
+        addressOf(to)
+                .ifPresent(
+                        address ->
+                                mPeers.send(
+                                        address,
+                                        PeerFrame.newBuilder()
+                                                .setReplica(Wire.encode(mSelfId, to, message))));
+    }
+
+    /** Notes where a replica speaks from that may be no member yet. */
+    void onHeard(String id, String address) {
+        mLearned.put(id, address);
+    }
+
+    private Optional<String> addressOf(String id) {
+        Optional<String> member =
+                mNode.replica().membership().member(id).map(Membership.Member::address);
+        return member.or(() -> Optional.ofNullable(mLearned.get(id)));
+    }
+}
--- /dev/null
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/MembershipKeeper.java
@@ -0,0 +1,75 @@
+/*
+ * Copyright 2026 The quilldyke authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.quilldyke.gateway.control;
+
+import java.util.HashSet;
+import java.util.Set;
+import java.util.function.LongSupplier;
+import org.quilldyke.control.Membership;
+import org.quilldyke.control.MembershipPlanner;
+import org.quilldyke.control.Replica;
+import org.quilldyke.gateway.instance.Peers;
+import org.quilldyke.gateway.instance.proto.Join;
+import org.quilldyke.gateway.instance.proto.PeerFrame;
+
+/** Keeps the group complete: the leader changes the membership, others ask to be members. */
+final class MembershipKeeper {
+    private static final long JOIN_MILLIS = 500;
+
+    private final Group mGroup;
+    private final Peers mPeers;
+    private final String mAddress;
+    private final LongSupplier mClock;
+    private final MembershipPlanner mPlanner;
+    private long mJoinedAt;
+
+    MembershipKeeper(
+            Group group, Peers peers, String address, LongSupplier clock, int toleratedLosses) {
+        mGroup = group;
+        mPeers = peers;
+        mAddress = address;
+        mClock = clock;
+        mPlanner = MembershipPlanner.create(toleratedLosses);
+    }
+
+    /** Takes the wish of another replica to be a member. */
+    void onJoin(Join join) {
+        if (mGroup.leads()) {
+            mPlanner.onJoin(new Membership.Member(join.getId(), join.getAddress()));
+        }
+    }
+
+    /** Changes the membership, if a change is due, or asks to be a member. */
+    void tick(Set<String> seeds) {
+        Replica replica = mGroup.node().replica();
+        Set<String> addresses = new HashSet<>(seeds);
+        replica.membership().all().forEach(member -> addresses.add(member.address()));
+        mPeers.connect(addresses);
+        long now = mClock.getAsLong();
+        if (mGroup.leads()) {
+            mPlanner.next(replica, mGroup.selfId(), mGroup.node().leaderSince(), now)
+                    .ifPresent(next -> mGroup.node().proposeMembership(next));
+        } else if (replica.leader().isEmpty() && now - mJoinedAt > JOIN_MILLIS) {
+            mJoinedAt = now;
+            mPeers.sendToAll(
+                    PeerFrame.newBuilder()
+                            .setJoin(
+                                    Join.newBuilder()
+                                            .setId(mGroup.selfId())
+                                            .setAddress(mAddress)));
+        }
+    }
+}
--- /dev/null
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/Proposals.java
@@ -0,0 +1,150 @@
+/*
+ * Copyright 2026 The quilldyke authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.quilldyke.gateway.control;
+
+import com.google.protobuf.ByteString;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.LongSupplier;
+import org.quilldyke.Outcome;
+import org.quilldyke.QuilldykeException;
+import org.quilldyke.ResultCode;
+import org.quilldyke.daemon.json.Json;
+import org.quilldyke.gateway.instance.NettyLoop;
+import org.quilldyke.gateway.instance.Peers;
+import org.quilldyke.gateway.instance.proto.PeerFrame;
+import org.quilldyke.gateway.instance.proto.Proposal;
+import org.quilldyke.gateway.instance.proto.ProposalResult;
+import org.quilldyke.manifest.FleetCommand;
+import org.quilldyke.manifest.FleetResult;
+
+/**
+ * Has commands committed, at this replica if it leads, else at the leader.
+ *
+ * <p>A command is tried again, also after an answer was lost: all commands bear a version, so that
+ * a second copy changes nothing.
+ */
+final class Proposals {
+    /** A command without a result by then has none: operators wait for a second or more. */
+    static final long TIMEOUT_MILLIS = 900;
+
+    private static final long RETRY_MILLIS = 40;
+    private static final long ANSWER_MILLIS = 400;
+
+    private final Group mGroup;
+    private final Peers mPeers;
+    private final NettyLoop mLoop;
+    private final LongSupplier mClock;
+    private final Map<Long, CompletableFuture<FleetResult>> mSent = new HashMap<>();
+    private long mNumber;
+
+    Proposals(Group group, Peers peers, NettyLoop loop, LongSupplier clock) {
+        mGroup = group;
+        mPeers = peers;
+        mLoop = loop;
+        mClock = clock;
+    }
+
+    /** Has a command committed; fails with {@link ResultCode#NO_LEADER} when the time is over. */
+    CompletableFuture<FleetResult> propose(FleetCommand command) {
+        byte[] encoded = Json.encodeAs(FleetCommand.class, command);
+        CompletableFuture<FleetResult> result = new CompletableFuture<>();
+        attempt(encoded, mClock.getAsLong() + TIMEOUT_MILLIS, result);
+        return result;
+    }
+
+    /** Takes another replica's command. */
+    void onProposal(String from, Proposal proposal) {
+        mGroup.node()
+                .propose(proposal.getCommand().toByteArray())
+                .whenComplete(
+                        (result, e) -> {
+                            ProposalResult.Builder out =
+                                    ProposalResult.newBuilder().setNumber(proposal.getNumber());
+                            if (e == null) {
+                                out.setAccepted(true)
+                                        .setIndex(result.index())
+                                        .setChanged(result.changed());
+                            }
+                            mPeers.send(from, PeerFrame.newBuilder().setResult(out));
+                        });
+    }
+
+    /** Takes the leader's answer. */
+    void onResult(ProposalResult result) {
+        CompletableFuture<FleetResult> waiting = mSent.remove(result.getNumber());
+        if (waiting == null) {
+            return;
+        }
+        if (result.getAccepted()) {
+            waiting.complete(new FleetResult(result.getIndex(), result.getChanged()));
+        } else {
+            waiting.completeExceptionally(noLeader());
+        }
+    }
+
+    private void attempt(byte[] command, long until, CompletableFuture<FleetResult> result) {
+        if (mClock.getAsLong() >= until) {
+            result.completeExceptionally(noLeader());
+            return;
+        }
+        attemptOnce(command)
+                .whenComplete(
+                        (done, e) -> {
+                            if (e == null) {
+                                result.complete(done);
+                            } else {
+                                mLoop.schedule(
+                                        RETRY_MILLIS, () -> attempt(command, until, result));
+                            }
+                        });
+    }
+
+    private CompletableFuture<FleetResult> attemptOnce(byte[] command) {
+        if (mGroup.leads()) {
+            return mGroup.node().propose(command);
+        }
+        CompletableFuture<FleetResult> answer = new CompletableFuture<>();
+        Optional<String> leader = mGroup.leaderAddress();
+        if (leader.isEmpty()) {
+            answer.completeExceptionally(noLeader());
+            return answer;
+        }
+        long number = ++mNumber;
+        mSent.put(number, answer);
+        mPeers.send(
+                leader.get(),
+                PeerFrame.newBuilder()
+                        .setProposal(
+                                Proposal.newBuilder()
+                                        .setNumber(number)
+                                        .setCommand(ByteString.copyFrom(command))));
+        mLoop.schedule(
+                ANSWER_MILLIS,
+                () -> {
+                    if (mSent.remove(number) != null) {
+                        answer.completeExceptionally(noLeader());
+                    }
+                });
+        return answer;
+    }
+
+    private static QuilldykeException noLeader() {
+        return QuilldykeException.of(ResultCode.NO_LEADER, Outcome.UNKNOWN, "");
+    }
+}
--- /dev/null
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/ReplicaIdentity.java
@@ -0,0 +1,134 @@
+/*
+ * Copyright 2026 The quilldyke authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.quilldyke.gateway.control;
+
+import java.util.HexFormat;
+import java.util.List;
+import java.util.random.RandomGenerator;
+import org.quilldyke.Outcome;
+import org.quilldyke.QuilldykeException;
+import org.quilldyke.ResultCode;
+import org.quilldyke.control.Ballot;
+import org.quilldyke.control.DurableState;
+import org.quilldyke.control.Membership;
+import org.quilldyke.daemon.control.DataFolder;
+import org.quilldyke.daemon.json.Json;
+import org.quilldyke.daemon.log.Event;
+import org.quilldyke.daemon.log.EventLog;
+import org.quilldyke.gateway.settings.GatewaySettings;
+
+/**
+ * Under which name a replica takes part, and with whom it began.
+ *
+ * <p>The name belongs to the disk. At the very first start the seeds are the voters and bear names
+ * that all of them know; a replica that finds its disk empty later has a new name, knows no members
+ * and asks to join, so that it can never vote twice for its lost self.
+ *
+ * @param id the name
+ * @param initial the membership before the log's first change of it
+ */
+record ReplicaIdentity(String id, Membership initial) {
+    private static final int RANDOM_BYTES = 4;
+
+    /** Opens a replica's files; a disk that is damaged is cleared and taken for an empty one. */
+    static Opened open(
+            DataFolder folder,
+            GatewaySettings settings,
+            String address,
+            RandomGenerator random,
+            EventLog log)
+            throws QuilldykeException {
+        try {
+            return load(folder, settings, address, random);
+        } catch (QuilldykeException e) {
+            if (e.code() != ResultCode.LOG_DAMAGED) {
+                throw e;
+            }
+            log.write(Event.DISK_CLEARED, "detail", e.getMessage());
+            folder.clear();
+            ReplicaIdentity identity = joining(address, random);
+            folder.saveIdentity(Json.text(identity));
+            return opened(identity, folder.load());
+        }
+    }
+
+    private static Opened load(
+            DataFolder folder, GatewaySettings settings, String address, RandomGenerator random)
+            throws QuilldykeException {
+        String stored = folder.loadIdentity();
+        ReplicaIdentity identity;
+        if (stored.isEmpty()) {
+            identity = fresh(settings, address, random);
+            folder.saveIdentity(Json.text(identity));
+        } else {
+            identity = parse(stored);
+        }
+        return opened(identity, folder.load());
+    }
+
+    private static ReplicaIdentity parse(String stored) throws QuilldykeException {
+        try {
+            return Json.decode(
+                    stored.getBytes(java.nio.charset.StandardCharsets.UTF_8),
+                    ReplicaIdentity.class);
+        } catch (QuilldykeException e) {
+            throw QuilldykeException.of(
+                    ResultCode.LOG_DAMAGED, Outcome.NOT_RUN, "identity: " + e.getMessage(), e);
+        }
+    }
+
+    private static Opened opened(ReplicaIdentity identity, DurableState disk) {
+        // The name vouches for the disk: whoever bears it has lost nothing.
+        Ballot ballot = new Ballot(disk.ballot().term(), disk.ballot().votedFor(), true);
+        return new Opened(
+                identity,
+                new DurableState(
+                        ballot,
+                        disk.snapshotIndex(),
+                        disk.snapshotTerm(),
+                        disk.snapshot(),
+                        disk.snapshotMembership(),
+                        disk.entries()));
+    }
+
+    private static ReplicaIdentity fresh(
+            GatewaySettings settings, String address, RandomGenerator random) {
+        List<String> seeds = settings.seedAddresses();
+        if (settings.firstStart() && seeds.contains(address)) {
+            return new ReplicaIdentity(
+                    seedId(address),
+                    Membership.ofVoters(
+                            seeds.stream()
+                                    .map(seed -> new Membership.Member(seedId(seed), seed))
+                                    .toList()));
+        }
+        return joining(address, random);
+    }
+
+    private static ReplicaIdentity joining(String address, RandomGenerator random) {
+        byte[] bytes = new byte[RANDOM_BYTES];
+        random.nextBytes(bytes);
+        String id = address + "/" + HexFormat.of().formatHex(bytes);
+        return new ReplicaIdentity(id, Membership.empty());
+    }
+
+    private static String seedId(String address) {
+        return address + "/first";
+    }
+
+    /** A replica's name and what its disk holds. */
+    record Opened(ReplicaIdentity identity, DurableState disk) {}
+}
--- /dev/null
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/TargetSpread.java
@@ -0,0 +1,201 @@
+/*
+ * Copyright 2026 The quilldyke authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.quilldyke.gateway.control;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import org.quilldyke.daemon.log.Event;
+import org.quilldyke.daemon.log.EventLog;
+import org.quilldyke.engine.TargetRegistry;
+import org.quilldyke.engine.TargetReport;
+import org.quilldyke.gateway.instance.Peers;
+import org.quilldyke.gateway.instance.TargetFrames;
+import org.quilldyke.gateway.instance.proto.Alive;
+import org.quilldyke.gateway.instance.proto.PeerFrame;
+import org.quilldyke.gateway.instance.proto.Target;
+import org.quilldyke.gateway.instance.proto.Targets;
+
+/**
+ * The targets that report themselves to any control process, known at all of them and at all
+ * entries: news at once, signs of life now and then.
+ */
+final class TargetSpread {
+    /** How often the signs of life that came here are told to other control processes. */
+    static final long ALIVE_MILLIS = 800;
+
+    /** A target lapses after this many of its reports have not come, by a margin for late ones. */
+    private static final double LAPSE_REPORTS = 3.5;
+
+    private final TargetRegistry mRegistry = TargetRegistry.create();
+    private final Set<String> mHeardHere = new HashSet<>();
+    private final Peers mPeers;
+    private final Consumer<Targets> mEntries;
+    private final LongSupplier mClock;
+    private final EventLog mLog;
+    private final long mLapseMillis;
+    private long mToldAt;
+    private long mCompleteSince;
+
+    TargetSpread(
+            Peers peers,
+            Consumer<Targets> entries,
+            LongSupplier clock,
+            EventLog log,
+            long reportMillis) {
+        mPeers = peers;
+        mEntries = entries;
+        mClock = clock;
+        mLog = log;
+        mLapseMillis = Math.round(reportMillis * LAPSE_REPORTS);
+        mCompleteSince = clock.getAsLong();
+    }
+
+    /** Takes a report that came here. */
+    void onReport(TargetReport report) {
+        long now = mClock.getAsLong();
+        mHeardHere.add(report.id());
+        boolean known = mRegistry.report(report.id()).isPresent();
+        if (mRegistry.onReport(report, now)) {
+            mLog.write(
+                    known ? Event.TARGET_CHANGED : Event.TARGET_JOINED,
+                    "target",
+                    report.id(),
+                    "service",
+                    report.service(),
+                    "address",
+                    report.address(),
+                    "leaving",
+                    report.leaving(),
+                    "weights",
+                    report.weights(),
+                    "sequence",
+                    report.sequence());
+            tell(Targets.newBuilder().addTargets(TargetFrames.encode(report, 0)).build());
+        }
+    }
+
+    /** Takes the news that a target is gone, told here. */
+    void onLeave(String id) {
+        if (mRegistry.onGone(id, mClock.getAsLong())) {
+            mLog.write(Event.TARGET_CHANGED, "target", id, "gone", true);
+            tell(
+                    Targets.newBuilder()
+                            .addTargets(TargetFrames.encode(id, Target.Standing.GONE))
+                            .build());
+        }
+    }
+
+    /** Takes what another instance knows; news go on to the entries here. */
+    void onTargets(Targets targets) {
+        long now = mClock.getAsLong();
+        Targets.Builder news = Targets.newBuilder();
+        for (Target target : targets.getTargetsList()) {
+            boolean isNews =
+                    switch (target.getStanding()) {
+                        case GONE -> mRegistry.onGone(target.getId(), now);
+                        case LAPSED -> false;
+                        default ->
+                                mRegistry.onReport(
+                                        TargetFrames.decode(target), now - target.getAgeMs());
+                    };
+            if (isNews) {
+                news.addTargets(target);
+            }
+        }
+        for (Alive alive : targets.getAliveList()) {
+            mRegistry.onAlive(alive.getId(), now - alive.getAgeMs());
+        }
+        if (news.getTargetsCount() > 0) {
+            mEntries.accept(news.build());
+        }
+    }
+
+    /** Returns all that is known. */
+    Targets all() {
+        long now = mClock.getAsLong();
+        Targets.Builder all = Targets.newBuilder();
+        for (TargetReport report : mRegistry.reports()) {
+            all.addTargets(
+                    TargetFrames.encode(report, now - mRegistry.heardAt(report.id())));
+        }
+        for (String id : mRegistry.gone()) {
+            all.addTargets(TargetFrames.encode(id, Target.Standing.GONE));
+        }
+        return all.build();
+    }
+
+    /** Returns the last report of each target. */
+    List<TargetReport> reports() {
+        return mRegistry.reports();
+    }
+
+    /** Notes weights that an engine is known to hold before it reports them. */
+    void onWeights(String id, String model, long version) {
+        mRegistry.onWeights(id, model, version);
+    }
+
+    /**
+     * Tells signs of life, and finds targets that were silent for too long.
+     *
+     * @param inTouch whether this process hears the others: one that is cut off can't tell a silent
+     *     target from one that reports elsewhere
+     */
+    void tick(boolean inTouch) {
+        long now = mClock.getAsLong();
+        if (now - mToldAt >= ALIVE_MILLIS) {
+            mToldAt = now;
+            tellAlive(now);
+        }
+        if (!inTouch) {
+            mCompleteSince = now;
+        }
+        if (now - mCompleteSince < mLapseMillis) {
+            return;
+        }
+        Targets.Builder lapsed = Targets.newBuilder();
+        for (TargetReport report : mRegistry.lapse(mLapseMillis, now)) {
+            mLog.write(Event.TARGET_LAPSED, "target", report.id(), "after", mLapseMillis);
+            lapsed.addTargets(TargetFrames.encode(report.id(), Target.Standing.LAPSED));
+        }
+        if (lapsed.getTargetsCount() > 0) {
+            mEntries.accept(lapsed.build());
+        }
+    }
+
+    private void tellAlive(long now) {
+        List<Alive> alive = new ArrayList<>();
+        for (String id : mHeardHere) {
+            long age = now - mRegistry.heardAt(id);
+            if (mRegistry.report(id).isPresent()) {
+                alive.add(Alive.newBuilder().setId(id).setAgeMs(age).build());
+            }
+        }
+        mHeardHere.clear();
+        if (!alive.isEmpty()) {
+            mPeers.sendToAll(
+                    PeerFrame.newBuilder().setTargets(Targets.newBuilder().addAllAlive(alive)));
+        }
+    }
+
+    private void tell(Targets news) {
+        mPeers.sendToAll(PeerFrame.newBuilder().setTargets(news));
+        mEntries.accept(news);
+    }
+}
--- /dev/null
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/WeightsKeeper.java
@@ -0,0 +1,250 @@
+/*
+ * Copyright 2026 The quilldyke authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.quilldyke.gateway.control;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import org.quilldyke.daemon.log.Event;
+import org.quilldyke.daemon.log.EventLog;
+import org.quilldyke.engine.TargetReport;
+import org.quilldyke.gateway.dialect.LoadOrder;
+import org.quilldyke.gateway.instance.NettyLoop;
+import org.quilldyke.gateway.instance.proto.Loading;
+import org.quilldyke.gateway.instance.proto.ModelWeights;
+import org.quilldyke.gateway.target.EngineOrders;
+import org.quilldyke.manifest.FleetCommand;
+import org.quilldyke.weights.EngineStatus;
+import org.quilldyke.weights.LoadAction;
+import org.quilldyke.weights.LoadPlanner;
+import org.quilldyke.weights.OrderOutcome;
+
+/**
+ * Brings engines to the weights that operators named, while this process leads.
+ *
+ * <p>One process orders at a time: a new leader first takes a fencing number from the log and waits
+ * until the orders of the last one can't be on their way any more.
+ */
+final class WeightsKeeper {
+    /** Beyond the wait for the last holder: how far the clocks of two processes may drift. */
+    private static final long MARGIN_MILLIS = 250;
+
+    private final Group mGroup;
+    private final Proposals mProposals;
+    private final TargetSpread mTargets;
+    private final EngineOrders mOrders;
+    private final NettyLoop mLoop;
+    private final LongSupplier mClock;
+    private final EventLog mLog;
+    private final Consumer<Loading> mTell;
+    private final long mOrderLeaseMillis;
+    private LoadPlanner mPlanner = LoadPlanner.create();
+    private long mFence;
+    private boolean mTakingFence;
+    private boolean mHolds;
+
+    WeightsKeeper(Parts parts) {
+        mGroup = parts.group();
+        mProposals = parts.proposals();
+        mTargets = parts.targets();
+        mOrders = parts.orders();
+        mLoop = parts.loop();
+        mClock = parts.clock();
+        mLog = parts.log();
+        mTell = parts.tell();
+        mOrderLeaseMillis = parts.orderLeaseMillis();
+    }
+
+    /** Notes that this process leads, or leads no longer. */
+    void onLeadership(boolean leads) {
+        mFence = 0;
+        mHolds = false;
+        if (!leads) {
+            mPlanner.stop().forEach(this::perform);
+            mPlanner = LoadPlanner.create();
+        }
+    }
+
+    /** Does what is due to bring all engines to the given weights. */
+    void tick(Map<String, Long> wanted) {
+        if (wanted.isEmpty() || !mayOrder()) {
+            return;
+        }
+        if (mFence == 0) {
+            takeFence();
+            return;
+        }
+        if (!mHolds) {
+            mHolds = true;
+            mLog.write(Event.ORDER_RIGHT, "fence", mFence);
+        }
+        mPlanner.tick(mTargets.reports(), wanted, mClock.getAsLong()).forEach(this::perform);
+    }
+
+    private boolean mayOrder() {
+        return mGroup.node().holdsLease()
+                && mGroup.node().leadingFor() > mOrderLeaseMillis + MARGIN_MILLIS;
+    }
+
+    private void takeFence() {
+        if (mTakingFence) {
+            return;
+        }
+        mTakingFence = true;
+        mProposals
+                .propose(new FleetCommand.TakeFence(mGroup.selfId()))
+                .whenComplete(
+                        (result, e) -> {
+                            mTakingFence = false;
+                            if (e == null && mGroup.leads()) {
+                                mFence = result.index();
+                            }
+                        });
+    }
+
+    private void perform(LoadAction action) {
+        if (action instanceof LoadAction.Announce announce) {
+            tell(announce.target(), true, "", 0);
+        } else if (action instanceof LoadAction.Release release) {
+            onRelease(release);
+        } else if (action instanceof LoadAction.Ask ask) {
+            ask(ask.target());
+        } else if (action instanceof LoadAction.Order order) {
+            order(order);
+        }
+    }
+
+    private void onRelease(LoadAction.Release release) {
+        if (release.version() > 0) {
+            mTargets.onWeights(release.target(), release.model(), release.version());
+            mLog.write(
+                    Event.WEIGHTS_LOADED,
+                    "target",
+                    release.target(),
+                    "model",
+                    release.model(),
+                    "version",
+                    release.version());
+        }
+        tell(release.target(), false, release.model(), release.version());
+    }
+
+    private void tell(String target, boolean loading, String model, long version) {
+        Loading.Builder news = Loading.newBuilder().setTarget(target).setLoading(loading);
+        if (version > 0) {
+            news.setWeights(ModelWeights.newBuilder().setModel(model).setVersion(version));
+        }
+        mTell.accept(news.build());
+    }
+
+    private void ask(String target) {
+        Optional<String> address = addressOf(target);
+        if (address.isEmpty()) {
+            mPlanner.onNoStatus(target, mClock.getAsLong());
+            return;
+        }
+        LoadPlanner planner = mPlanner;
+        mOrders.ask(
+                address.get(),
+                status -> mLoop.execute(() -> onStatus(planner, target, status)));
+    }
+
+    private void onStatus(LoadPlanner planner, String target, Optional<EngineStatus> status) {
+        if (planner != mPlanner || !mayOrder()) {
+            return;
+        }
+        if (status.isEmpty()) {
+            mPlanner.onNoStatus(target, mClock.getAsLong());
+        } else {
+            mPlanner.onStatus(target, status.get(), mClock.getAsLong()).forEach(this::perform);
+        }
+    }
+
+    private void order(LoadAction.Order action) {
+        Optional<String> address = addressOf(action.target());
+        if (address.isEmpty()) {
+            return;
+        }
+        mLog.write(
+                Event.ORDER_SENT,
+                "target",
+                action.target(),
+                "model",
+                action.model(),
+                "version",
+                action.version(),
+                "fence",
+                mFence,
+                "revision",
+                action.revision());
+        LoadOrder order =
+                new LoadOrder(
+                        action.target(),
+                        action.model(),
+                        action.version(),
+                        mGroup.selfId(),
+                        mFence,
+                        action.revision());
+        LoadPlanner planner = mPlanner;
+        mOrders.order(
+                address.get(),
+                order,
+                outcome -> mLoop.execute(() -> onOrdered(planner, action.target(), outcome)));
+    }
+
+    private void onOrdered(LoadPlanner planner, String target, OrderOutcome outcome) {
+        if (outcome != OrderOutcome.ACCEPTED) {
+            mLog.write(Event.ORDER_FAILED, "target", target, "outcome", outcome);
+        }
+        if (planner == mPlanner) {
+            mPlanner.onOrdered(target, outcome, mClock.getAsLong()).forEach(this::perform);
+        }
+    }
+
+    private Optional<String> addressOf(String target) {
+        Map<String, String> addresses = new HashMap<>();
+        List<TargetReport> reports = mTargets.reports();
+        reports.forEach(report -> addresses.put(report.id(), report.address()));
+        return Optional.ofNullable(addresses.get(target));
+    }
+
+    /**
+     * What the keeper works with.
+     *
+     * @param group tells whether this process leads
+     * @param proposals has commands committed
+     * @param targets the engines
+     * @param orders speaks to engines
+     * @param loop the control thread
+     * @param clock monotonic milliseconds
+     * @param log where events go
+     * @param tell tells all instances about an engine that loads
+     * @param orderLeaseMillis how long a new holder of the right to order waits
+     */
+    record Parts(
+            Group group,
+            Proposals proposals,
+            TargetSpread targets,
+            EngineOrders orders,
+            NettyLoop loop,
+            LongSupplier clock,
+            EventLog log,
+            Consumer<Loading> tell,
+            long orderLeaseMillis) {}
+}
--- /dev/null
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/dialect/ControlCall.java
@@ -0,0 +1,42 @@
+/*
+ * Copyright 2026 The quilldyke authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.quilldyke.gateway.dialect;
+
+import org.quilldyke.engine.TargetReport;
+import org.quilldyke.manifest.Manifest;
+
+/** A call of an operator or a target to a control instance. */
+public sealed interface ControlCall {
+    /**
+     * Publishes a manifest.
+     *
+     * @param manifest the manifest
+     * @param document the same as the operator wrote it
+     */
+    record Publish(Manifest manifest, byte[] document) implements ControlCall {}
+
+    /** Asks for the newest manifest. */
+    record Read() implements ControlCall {}
+
+    /** Names new weights of a model. */
+    record NameWeights(String model, long version) implements ControlCall {}
+
+    /** Reports that a target lives. */
+    record Report(TargetReport report) implements ControlCall {}
+
+    /** Reports that a target is gone. */
+    record Leave(String target) implements ControlCall {}
+}
--- /dev/null
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/instance/ControlLink.java
@@ -0,0 +1,89 @@
+/*
+ * Copyright 2026 The quilldyke authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.quilldyke.gateway.instance;
+
+import io.grpc.ManagedChannel;
+import io.grpc.stub.StreamObserver;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.LongSupplier;
+import org.quilldyke.gateway.instance.proto.ControlFrame;
+import org.quilldyke.gateway.instance.proto.EntryFrame;
+import org.quilldyke.gateway.instance.proto.SessionsGrpc;
+
+/** The stream on which an entry process hears a control process. */
+final class ControlLink extends StreamLink<EntryFrame, ControlFrame> {
+    private final LongSupplier mClock;
+    private final ControlLinks mOwner;
+    private final Map<Long, Long> mAskedAt = new HashMap<>();
+    private long mQuestion;
+    private long mConfirmedAt;
+
+    ControlLink(NettyLoop loop, LongSupplier clock, String address, ControlLinks owner) {
+        super(loop, clock, address);
+        mClock = clock;
+        mOwner = owner;
+        mConfirmedAt = clock.getAsLong();
+    }
+
+    /** Returns when the last question was sent that the control process has answered. */
+    long confirmedAt() {
+        return mConfirmedAt;
+    }
+
+    @Override
+    StreamObserver<EntryFrame> call(ManagedChannel channel, StreamObserver<ControlFrame> in) {
+        return SessionsGrpc.newStub(channel).subscribe(in);
+    }
+
+    @Override
+    void onOpened() {
+        mAskedAt.clear();
+        send(EntryFrame.newBuilder().setHello(mOwner.hello()).build());
+        onBeat();
+    }
+
+    @Override
+    void onBeat() {
+        mQuestion++;
+        mAskedAt.put(mQuestion, mClock.getAsLong());
+        send(EntryFrame.newBuilder().setQuestion(mOwner.question(mQuestion)).build());
+    }
+
+    @Override
+    void onFrame(ControlFrame frame) {
+        if (frame.getKindCase() == ControlFrame.KindCase.ANSWER) {
+            Long askedAt = mAskedAt.remove(frame.getAnswer().getNumber());
+            if (askedAt != null) {
+                mAskedAt.values().removeIf(at -> at < askedAt);
+                mConfirmedAt = Math.max(mConfirmedAt, askedAt);
+                mOwner.onAnswer(frame.getAnswer(), askedAt);
+            }
+        } else {
+            mOwner.onNews(frame);
+        }
+    }
+
+    @Override
+    void onUp() {
+        mOwner.onLink(address(), true, "");
+    }
+
+    @Override
+    void onDown(String why) {
+        mOwner.onLink(address(), false, why);
+    }
+}
--- /dev/null
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/instance/TargetFrames.java
@@ -0,0 +1,73 @@
+/*
+ * Copyright 2026 The quilldyke authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.quilldyke.gateway.instance;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.quilldyke.engine.TargetReport;
+import org.quilldyke.gateway.instance.proto.ModelWeights;
+import org.quilldyke.gateway.instance.proto.Target;
+
+/** Turns targets' reports into their form between instances, and back. */
+public final class TargetFrames {
+    private TargetFrames() {}
+
+    /** Returns the form of a report that was made {@code ageMillis} ago. */
+    public static Target encode(TargetReport report, long ageMillis) {
+        Target.Builder out =
+                Target.newBuilder()
+                        .setId(report.id())
+                        .setService(report.service())
+                        .setAddress(report.address())
+                        .setFailureDomain(report.failureDomain())
+                        .setSoftwareVersion(report.softwareVersion())
+                        .setSlots(report.slots())
+                        .setLeaving(report.leaving())
+                        .setColdMs((int) Math.min(Integer.MAX_VALUE, report.coldMillis()))
+                        .setSequence(report.sequence())
+                        .setAgeMs(Math.max(0, ageMillis));
+        report.weights()
+                .forEach(
+                        (model, version) ->
+                                out.addWeights(
+                                        ModelWeights.newBuilder()
+                                                .setModel(model)
+                                                .setVersion(version)));
+        return out.build();
+    }
+
+    /** Returns the form of the news that a target is gone or was silent for too long. */
+    public static Target encode(String id, Target.Standing standing) {
+        return Target.newBuilder().setId(id).setStanding(standing).build();
+    }
+
+    /** Returns the report of a live target. */
+    public static TargetReport decode(Target target) {
+        Map<String, Long> weights = new HashMap<>();
+        target.getWeightsList().forEach(w -> weights.put(w.getModel(), w.getVersion()));
+        return new TargetReport(
+                target.getId(),
+                target.getService(),
+                target.getAddress(),
+                target.getFailureDomain(),
+                target.getSoftwareVersion(),
+                target.getSlots(),
+                target.getLeaving(),
+                target.getColdMs(),
+                weights,
+                target.getSequence());
+    }
+}
--- /dev/null
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/operator/ControlServer.java
@@ -0,0 +1,262 @@
+/*
+ * Copyright 2026 The quilldyke authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.quilldyke.gateway.operator;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.timeout.ReadTimeoutHandler;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.TimeUnit;
+import org.quilldyke.Outcome;
+import org.quilldyke.QuilldykeException;
+import org.quilldyke.ResultCode;
+import org.quilldyke.daemon.json.Json;
+import org.quilldyke.daemon.log.Event;
+import org.quilldyke.daemon.log.EventLog;
+import org.quilldyke.daemon.settings.Addresses;
+import org.quilldyke.gateway.control.ControlNode;
+import org.quilldyke.gateway.dialect.ControlCall;
+import org.quilldyke.gateway.dialect.ControlDialect;
+import org.quilldyke.gateway.instance.NettyLoop;
+import org.quilldyke.manifest.ManifestRules;
+
+/** Takes operators' calls and targets' reports over HTTP. */
+public final class ControlServer {
+    /** A manifest of tens of thousands of routes. */
+    private static final int MAX_BODY_BYTES = 16 << 20;
+
+    private static final long IDLE_SECONDS = 60;
+
+    private final NettyLoop mControl;
+    private final ControlNode mNode;
+    private final ControlDialect mDialect;
+    private final EventLog mLog;
+
+    private ControlServer(
+            NettyLoop control, ControlNode node, ControlDialect dialect, EventLog log) {
+        mControl = control;
+        mNode = node;
+        mDialect = dialect;
+        mLog = log;
+    }
+
+    /**
+     * Starts to take calls.
+     *
+     * @param address {@code IP:port}
+     * @param loop the traffic thread, which reads and writes
+     * @param control the control thread, which decides
+     * @param node the control process's state
+     * @param dialect how operators and targets speak
+     * @param log where events go
+     * @throws QuilldykeException {@link ResultCode#ADDRESS_IN_USE} if the address can't be bound
+     */
+    public static void start(
+            String address,
+            EventLoop loop,
+            NettyLoop control,
+            ControlNode node,
+            ControlDialect dialect,
+            EventLog log)
+            throws QuilldykeException {
+        ControlServer server = new ControlServer(control, node, dialect, log);
+        ServerBootstrap bootstrap =
+                new ServerBootstrap()
+                        .group(loop)
+                        .channel(NioServerSocketChannel.class)
+                        .option(ChannelOption.SO_REUSEADDR, true)
+                        .childOption(ChannelOption.TCP_NODELAY, true)
+                        .childHandler(server.initializer());
+        try {
+            bootstrap.bind(Addresses.parse(address)).sync();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw QuilldykeException.of(ResultCode.INTERNAL, Outcome.NOT_RUN, "interrupted", e);
+        } catch (RuntimeException e) {
+            throw QuilldykeException.of(
+                    ResultCode.ADDRESS_IN_USE, Outcome.NOT_RUN, address + ": " + e, e);
+        }
+    }
+
+    private ChannelInitializer<SocketChannel> initializer() {
+        return new ChannelInitializer<>() {
+            @Override
+            protected void initChannel(SocketChannel channel) {
+                channel.pipeline()
+                        .addLast(new ReadTimeoutHandler(IDLE_SECONDS, TimeUnit.SECONDS))
+                        .addLast(new HttpServerCodec())
+                        .addLast(new HttpObjectAggregator(MAX_BODY_BYTES, true))
+                        .addLast(new Handler());
+            }
+        };
+    }
+
+    private CompletableFuture<byte[]> carryOut(ControlCall call) throws QuilldykeException {
+        if (call instanceof ControlCall.Publish publish) {
+            ManifestRules.check(publish.manifest());
+            return onControl(
+                    () ->
+                            mNode.publish(publish.manifest().version(), publish.document())
+                                    .thenApply(done -> ok()));
+        } else if (call instanceof ControlCall.NameWeights named) {
+            return onControl(
+                    () ->
+                            mNode.nameWeights(named.model(), named.version())
+                                    .thenApply(done -> ok()));
+        } else if (call instanceof ControlCall.Report report) {
+            return onControl(() -> inTouch(mNode.onReport(report.report())));
+        } else if (call instanceof ControlCall.Leave leave) {
+            return onControl(() -> inTouch(mNode.onLeave(leave.target())));
+        }
+        return onControl(mNode::read);
+    }
+
+    /** A process that is out of touch has taken the news, but another one shall hear them too. */
+    private static CompletableFuture<byte[]> inTouch(boolean inTouch) {
+        return inTouch
+                ? CompletableFuture.completedFuture(ok())
+                : CompletableFuture.failedFuture(
+                        QuilldykeException.notRun(ResultCode.NO_LEADER, "out of touch"));
+    }
+
+    private CompletableFuture<byte[]> onControl(Task task) {
+        CompletableFuture<byte[]> result = new CompletableFuture<>();
+        mControl.execute(
+                () ->
+                        task.run()
+                                .whenComplete(
+                                        (body, e) -> {
+                                            if (e == null) {
+                                                result.complete(body);
+                                            } else {
+                                                result.completeExceptionally(e);
+                                            }
+                                        }));
+        return result;
+    }
+
+    private static byte[] ok() {
+        return "{}".getBytes(StandardCharsets.UTF_8);
+    }
+
+    private static QuilldykeException causeOf(Throwable e) {
+        Throwable cause = e instanceof CompletionException ? e.getCause() : e;
+        return cause instanceof QuilldykeException known
+                ? known
+                : QuilldykeException.of(
+                        ResultCode.INTERNAL, Outcome.UNKNOWN, String.valueOf(cause), cause);
+    }
+
+    private interface Task {
+        CompletableFuture<byte[]> run();
+    }
+
+    private final class Handler extends SimpleChannelInboundHandler<FullHttpRequest> {
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
+            boolean keepAlive = HttpUtil.isKeepAlive(request);
+            String path = request.uri().split("[?#]", 2)[0];
+            try {
+                ControlCall call =
+                        mDialect.read(
+                                request.method().name(),
+                                path,
+                                ByteBufUtil.getBytes(request.content()));
+                carryOut(call)
+                        .whenComplete(
+                                (body, e) -> {
+                                    if (e == null) {
+                                        answer(ctx, HttpResponseStatus.OK, body, keepAlive);
+                                    } else {
+                                        refuse(ctx, causeOf(e), path, keepAlive);
+                                    }
+                                });
+            } catch (QuilldykeException e) {
+                refuse(ctx, e, path, keepAlive);
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            // A reset or an idle connection; callers open another.
+            ctx.close();
+        }
+
+        private void refuse(
+                ChannelHandlerContext ctx,
+                QuilldykeException e,
+                String path,
+                boolean keepAlive) {
+            mLog.write(
+                    e.code() == ResultCode.MANIFEST_INVALID
+                            ? Event.MANIFEST_REFUSED
+                            : Event.CALL_REFUSED,
+                    "path",
+                    path,
+                    "code",
+                    e.code().label(),
+                    "detail",
+                    e.getMessage());
+            byte[] body =
+                    Json.encode(new Refusal(e.code().label(), String.valueOf(e.getMessage())));
+            answer(ctx, HttpResponseStatus.valueOf(e.code().httpStatus()), body, keepAlive);
+        }
+
+        private void answer(
+                ChannelHandlerContext ctx,
+                HttpResponseStatus status,
+                byte[] body,
+                boolean keepAlive) {
+            DefaultFullHttpResponse response =
+                    new DefaultFullHttpResponse(
+                            HttpVersion.HTTP_1_1, status, Unpooled.wrappedBuffer(body));
+            response.headers()
+                    .set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON)
+                    .set(HttpHeaderNames.CONTENT_LENGTH, body.length);
+            if (!keepAlive) {
+                response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+            }
+            ctx.writeAndFlush(response)
+                    .addListener(
+                            keepAlive
+                                    ? ChannelFutureListener.CLOSE_ON_FAILURE
+                                    : ChannelFutureListener.CLOSE);
+        }
+    }
+
+    /** The body of a refusal. */
+    private record Refusal(String code, String detail) {}
+}
--- /dev/null
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/platform/GatewayMetrics.java
@@ -0,0 +1,83 @@
+/*
+ * Copyright 2026 The quilldyke authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.quilldyke.gateway.platform;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.Histogram;
+import com.codahale.metrics.MetricRegistry;
+import org.quilldyke.ResultCode;
+import org.quilldyke.manifest.RequestKind;
+
+/** What a gateway process counts. Safe for use by several threads. */
+public final class GatewayMetrics {
+    private final MetricRegistry mRegistry = new MetricRegistry();
+    private final Counter mAttempts = mRegistry.counter("attempts");
+    private final Counter mAnswered = mRegistry.counter("requests.answered");
+    private final Counter mCallersGone = mRegistry.counter("requests.caller-gone");
+    private final Counter mConnectionsClosed = mRegistry.counter("connections.closed");
+    private final Histogram mAnswerMillis = mRegistry.histogram("answer.ms");
+    private final Histogram mFirstEventMillis = mRegistry.histogram("first-event.ms");
+    private final Histogram mPredictionError = mRegistry.histogram("first-event.late-ms");
+
+    private GatewayMetrics() {}
+
+    /** Returns metrics that are all zero. */
+    public static GatewayMetrics create() {
+        return new GatewayMetrics();
+    }
+
+    /** Returns the registry, to be served or added to. */
+    public MetricRegistry registry() {
+        return mRegistry;
+    }
+
+    /** Counts a request that was read. */
+    public void onRequest(RequestKind kind) {
+        mRegistry.counter("requests." + kind.name().toLowerCase(java.util.Locale.ROOT)).inc();
+    }
+
+    /** Counts a request sent to a target. */
+    public void onAttempt() {
+        mAttempts.inc();
+    }
+
+    /** Counts a request that was answered whole. */
+    public void onAnswered(long millis) {
+        mAnswered.inc();
+        mAnswerMillis.update(millis);
+    }
+
+    /** Counts the first event of a stream; {@code predicted} is what routing expected. */
+    public void onFirstEvent(long millis, long predicted) {
+        mFirstEventMillis.update(millis);
+        mPredictionError.update(millis - predicted);
+    }
+
+    /** Counts a request that was refused or given up. */
+    public void onRefused(ResultCode code) {
+        mRegistry.counter("refused." + code.label()).inc();
+    }
+
+    /** Counts a caller that left before its answer. */
+    public void onCallerGone() {
+        mCallersGone.inc();
+    }
+
+    /** Counts a caller's connection that was closed. */
+    public void onCallerClosed() {
+        mConnectionsClosed.inc();
+    }
+}
