--- /dev/null
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/platform/ProbeServer.java
@@ -0,0 +1,161 @@
+/*
+ * Copyright 2026 The quilldyke authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.quilldyke.gateway.platform;
+
+import com.codahale.metrics.Counting;
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.Histogram;
+import com.codahale.metrics.Metric;
+import com.codahale.metrics.MetricRegistry;
+import com.codahale.metrics.Snapshot;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.function.BooleanSupplier;
+import org.quilldyke.Outcome;
+import org.quilldyke.QuilldykeException;
+import org.quilldyke.ResultCode;
+import org.quilldyke.daemon.settings.Addresses;
+
+/** Answers the platform's probes: whether the process takes requests, and its metrics as text. */
+public final class ProbeServer {
+    private static final int MAX_BODY_BYTES = 1024;
+    private static final String METRICS_PATH = "/metrics";
+
+    private final BooleanSupplier mReady;
+    private final MetricRegistry mMetrics;
+
+    private ProbeServer(BooleanSupplier ready, MetricRegistry metrics) {
+        mReady = ready;
+        mMetrics = metrics;
+    }
+
+    /**
+     * Starts to answer.
+     *
+     * @param address {@code IP:port}
+     * @param loop the thread that answers
+     * @param ready whether the process takes requests
+     * @param metrics served under {@code /metrics}; every other path tells readiness
+     * @throws QuilldykeException {@link ResultCode#ADDRESS_IN_USE} if the address can't be bound
+     */
+    public static void start(
+            String address, EventLoop loop, BooleanSupplier ready, MetricRegistry metrics)
+            throws QuilldykeException {
+        ProbeServer server = new ProbeServer(ready, metrics);
+        ServerBootstrap bootstrap =
+                new ServerBootstrap()
+                        .group(loop)
+                        .channel(NioServerSocketChannel.class)
+                        .option(ChannelOption.SO_REUSEADDR, true)
+                        .childHandler(
+                                new ChannelInitializer<SocketChannel>() {
+                                    @Override
+                                    protected void initChannel(SocketChannel channel) {
+                                        channel.pipeline()
+                                                .addLast(new HttpServerCodec())
+                                                .addLast(new HttpObjectAggregator(MAX_BODY_BYTES))
+                                                .addLast(server.handler());
+                                    }
+                                });
+        try {
+            bootstrap.bind(Addresses.parse(address)).sync();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw QuilldykeException.of(ResultCode.INTERNAL, Outcome.NOT_RUN, "interrupted", e);
+        } catch (RuntimeException e) {
+            throw QuilldykeException.of(
+                    ResultCode.ADDRESS_IN_USE, Outcome.NOT_RUN, address + ": " + e, e);
+        }
+    }
+
+    private SimpleChannelInboundHandler<FullHttpRequest> handler() {
+        return new SimpleChannelInboundHandler<>() {
+            @Override
+            protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
+                boolean metrics = request.uri().startsWith(METRICS_PATH);
+                boolean ready = mReady.getAsBoolean();
+                HttpResponseStatus status =
+                        metrics || ready
+                                ? HttpResponseStatus.OK
+                                : HttpResponseStatus.SERVICE_UNAVAILABLE;
+                String text = metrics ? metricsText() : ready ? "ready\n" : "not ready\n";
+                DefaultFullHttpResponse response =
+                        new DefaultFullHttpResponse(
+                                HttpVersion.HTTP_1_1,
+                                status,
+                                Unpooled.copiedBuffer(text, StandardCharsets.UTF_8));
+                response.headers()
+                        .set(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes());
+                boolean keepAlive = HttpUtil.isKeepAlive(request);
+                ctx.writeAndFlush(response)
+                        .addListener(
+                                keepAlive
+                                        ? ChannelFutureListener.CLOSE_ON_FAILURE
+                                        : ChannelFutureListener.CLOSE);
+            }
+
+            @Override
+            public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+                // The prober went away; it asks again.
+                ctx.close();
+            }
+        };
+    }
+
+    private String metricsText() {
+        StringBuilder text = new StringBuilder();
+        for (Map.Entry<String, Metric> entry : mMetrics.getMetrics().entrySet()) {
+            append(text, entry.getKey(), entry.getValue());
+        }
+        return text.toString();
+    }
+
+    private static void append(StringBuilder text, String name, Metric metric) {
+        if (metric instanceof Histogram histogram) {
+            Snapshot snapshot = histogram.getSnapshot();
+            line(text, name + ".p50", snapshot.getMedian());
+            line(text, name + ".p99", snapshot.get99thPercentile());
+            line(text, name + ".max", snapshot.getMax());
+        }
+        if (metric instanceof Counting counting) {
+            line(text, name + ".count", counting.getCount());
+        } else if (metric instanceof Gauge<?> gauge) {
+            line(text, name, gauge.getValue());
+        }
+    }
+
+    private static void line(StringBuilder text, String name, Object value) {
+        text.append(name).append(' ').append(value).append('\n');
+    }
+}
--- /dev/null
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/settings/GatewaySettings.java
@@ -0,0 +1,97 @@
+/*
+ * Copyright 2026 The quilldyke authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.quilldyke.gateway.settings;
+
+import com.fasterxml.jackson.annotation.JsonProperty;
+import java.util.List;
+
+/**
+ * The settings of one gateway process, as JSON.
+ *
+ * @param instance names the process's machine
+ * @param role what the process does
+ * @param failureDomain where it stands
+ * @param callers where it takes callers' requests, empty if it takes none
+ * @param ready where it tells whether it takes requests, empty if nobody asks
+ * @param control where it takes operators' calls and targets' reports, empty if it takes none
+ * @param ip the address that it shares with no other machine
+ * @param firstPort the first port that instances use among themselves; a control process listens
+ *     there for the others
+ * @param seeds where some control processes take calls; all know the same at the first start
+ * @param firstStart whether the whole system starts for the first time, with empty disks
+ * @param dataFolder where a control process keeps its files
+ * @param toleratedLosses how many disks may be lost at once
+ * @param timings times and bounds
+ */
+public record GatewaySettings(
+        @JsonProperty(required = true) String instance,
+        @JsonProperty(required = true) Role role,
+        @JsonProperty(required = true) String failureDomain,
+        @JsonProperty(required = true) String callers,
+        @JsonProperty(required = true) String ready,
+        @JsonProperty(required = true) String control,
+        @JsonProperty(required = true) String ip,
+        @JsonProperty(required = true) int firstPort,
+        @JsonProperty(required = true) List<String> seeds,
+        @JsonProperty(required = true) boolean firstStart,
+        @JsonProperty(required = true) String dataFolder,
+        @JsonProperty(required = true) int toleratedLosses,
+        @JsonProperty(required = true) Timings timings) {
+
+    /** What a process does. */
+    public enum Role {
+        /** Takes callers' requests and forwards them. */
+        @JsonProperty("entry")
+        ENTRY,
+        /** Holds the shared state; takes operators' calls and targets' reports. */
+        @JsonProperty("control")
+        CONTROL
+    }
+
+    /**
+     * Times in milliseconds and bounds.
+     *
+     * @param targetReport how often targets report themselves
+     * @param revoke within what time a key that was taken away must be refused everywhere
+     * @param grace how long a process has to shut down
+     * @param orderLease for how long a new holder of the right to order must wait for the last one
+     * @param convergence within what time after their naming all requests run on new weights
+     * @param retryWindow the window in which second attempts are counted
+     * @param retryRatio second attempts for each request in a window
+     * @param retryFixed second attempts in a window besides, for all instances together
+     */
+    public record Timings(
+            @JsonProperty(required = true) long targetReport,
+            @JsonProperty(required = true) long revoke,
+            @JsonProperty(required = true) long grace,
+            @JsonProperty(required = true) long orderLease,
+            @JsonProperty(required = true) long convergence,
+            @JsonProperty(required = true) long retryWindow,
+            @JsonProperty(required = true) double retryRatio,
+            @JsonProperty(required = true) double retryFixed) {}
+
+    /** Returns where control processes listen for each other and for entries, at a machine. */
+    public String internalAddress(String ipAddress) {
+        return ipAddress + ":" + firstPort;
+    }
+
+    /** Returns where the seeds listen for other instances. */
+    public List<String> seedAddresses() {
+        return seeds.stream()
+                .map(seed -> internalAddress(seed.substring(0, seed.lastIndexOf(':'))))
+                .toList();
+    }
+}
--- /dev/null
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/settings/GatewaySettingsReader.java
@@ -0,0 +1,119 @@
+/*
+ * Copyright 2026 The quilldyke authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.quilldyke.gateway.settings;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import org.quilldyke.QuilldykeException;
+import org.quilldyke.ResultCode;
+import org.quilldyke.daemon.settings.StrictJson;
+
+/** Reads the settings of a gateway process; each refusal names the key's path and the reason. */
+public final class GatewaySettingsReader {
+    private static final String OCTET = "(25[0-5]|2[0-4]\\d|1\\d\\d|[1-9]?\\d)";
+    private static final String IP = OCTET + "(\\." + OCTET + "){3}";
+    private static final int MAX_PORT = 65_535;
+
+    private GatewaySettingsReader() {}
+
+    /**
+     * Reads and checks the settings.
+     *
+     * @param file the JSON file
+     * @throws QuilldykeException with a code from 4001 to 4006 that says what is wrong and where
+     */
+    public static GatewaySettings read(Path file) throws QuilldykeException {
+        byte[] text;
+        try {
+            text = Files.readAllBytes(file);
+        } catch (IOException e) {
+            throw StrictJson.refused(
+                    ResultCode.SETTINGS_UNREADABLE, file.toString(), e.toString());
+        }
+        return parse(text);
+    }
+
+    /**
+     * Parses and checks the settings.
+     *
+     * @throws QuilldykeException as {@link #read}
+     */
+    public static GatewaySettings parse(byte[] text) throws QuilldykeException {
+        GatewaySettings settings = StrictJson.parse(text, GatewaySettings.class);
+        require(!settings.instance().isBlank(), "instance", "is empty");
+        require(settings.ip().matches(IP), "ip", "is no IPv4 address");
+        require(isPort(settings.firstPort()), "firstPort", "is out of range");
+        checkAddress("callers", settings.callers());
+        checkAddress("ready", settings.ready());
+        checkAddress("control", settings.control());
+        for (int i = 0; i < settings.seeds().size(); i++) {
+            checkAddress("seeds[" + i + "]", settings.seeds().get(i));
+        }
+        require(settings.toleratedLosses() >= 0, "toleratedLosses", "is negative");
+        checkRole(settings);
+        checkTimings(settings.timings());
+        return settings;
+    }
+
+    private static void checkRole(GatewaySettings settings) throws QuilldykeException {
+        boolean entry = settings.role() == GatewaySettings.Role.ENTRY;
+        require(!entry || !settings.callers().isEmpty(), "callers", "is empty at an entry");
+        require(entry || !settings.control().isEmpty(), "control", "is empty at a control process");
+        require(
+                entry || !settings.dataFolder().isEmpty(),
+                "dataFolder",
+                "is empty at a control process");
+    }
+
+    private static void checkTimings(GatewaySettings.Timings t) throws QuilldykeException {
+        requirePositive("targetReport", t.targetReport());
+        requirePositive("revoke", t.revoke());
+        requirePositive("grace", t.grace());
+        requirePositive("convergence", t.convergence());
+        requirePositive("retryWindow", t.retryWindow());
+        require(t.orderLease() >= 0, "timings.orderLease", "is negative");
+        require(t.retryRatio() >= 0, "timings.retryRatio", "is negative");
+        require(t.retryFixed() >= 0, "timings.retryFixed", "is negative");
+    }
+
+    private static void checkAddress(String path, String address) throws QuilldykeException {
+        if (address.isEmpty()) {
+            return;
+        }
+        List<String> parts = List.of(address.split(":", -1));
+        boolean wellFormed =
+                parts.size() == 2 && parts.get(0).matches(IP) && parts.get(1).matches("\\d{1,5}");
+        require(wellFormed, path, "is not IP:port: " + address);
+        require(isPort(Integer.parseInt(parts.get(1))), path, "has a port out of range");
+    }
+
+    private static boolean isPort(int port) {
+        return port > 0 && port <= MAX_PORT;
+    }
+
+    private static void requirePositive(String key, long value) throws QuilldykeException {
+        require(value > 0, "timings." + key, "is not positive: " + value);
+    }
+
+    private static void require(boolean holds, String path, String reason)
+            throws QuilldykeException {
+        if (!holds) {
+            throw StrictJson.refused(ResultCode.SETTINGS_IMPOSSIBLE, path, reason);
+        }
+    }
+}
