Oldest weights are loaded first; each version counts from its own naming

Cause: after SIGTERM callers' connections were taken until the end, and a stream that began 5.6 s after it was cut.

--- a/quilldyke-core/src/main/java/org/quilldyke/routing/NamedWeights.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/routing/NamedWeights.java
@@ -17,11 +17,16 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.TreeMap;
 
-/** Which version of each model's weights operators want, and since when. */
+/**
+ * Which versions of each model's weights operators have named, and when.
+ *
+ * <p>Each version counts from its own naming: weights are out of date since the first newer version
+ * was named, however many have followed.
+ */
 public final class NamedWeights {
-    private final Map<String, Long> mVersions = new HashMap<>();
-    private final Map<String, Long> mNamedAt = new HashMap<>();
+    private final Map<String, TreeMap<Long, Long>> mNamedAt = new HashMap<>();
 
     private NamedWeights() {}
 
@@ -30,21 +35,21 @@
         return new NamedWeights();
     }
 
-    /** Takes a version that was named at the given time; an older one changes nothing. */
+    /** Takes a version that was named at the given time; a repetition changes nothing. */
     public void onNamed(String model, long version, long namedAt) {
-        if (version > mVersions.getOrDefault(model, 0L)) {
-            mVersions.put(model, version);
-            mNamedAt.put(model, namedAt);
-        }
+        mNamedAt.computeIfAbsent(model, name -> new TreeMap<>()).putIfAbsent(version, namedAt);
     }
 
     /** Returns the newest version of a model, 0 if none was named. */
     public long newest(String model) {
-        return mVersions.getOrDefault(model, 0L);
+        TreeMap<Long, Long> versions = mNamedAt.get(model);
+        return versions == null ? 0 : versions.lastKey();
     }
 
-    /** Returns for how long the newest version of a model has been named. */
-    public long age(String model, long now) {
-        return now - mNamedAt.getOrDefault(model, now);
+    /** Returns for how long a version has been out of date; 0 if it is the newest. */
+    public long outdatedFor(String model, long version, long now) {
+        TreeMap<Long, Long> versions = mNamedAt.get(model);
+        Map.Entry<Long, Long> next = versions == null ? null : versions.higherEntry(version);
+        return next == null ? 0 : Math.max(1, now - next.getValue());
     }
 }
--- a/quilldyke-core/src/main/java/org/quilldyke/routing/TargetBook.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/routing/TargetBook.java
@@ -241,15 +241,13 @@
 
     private boolean hasForbiddenWeights(TargetState state, ForwardRequest request, long now) {
         return request.prompt()
-                .map(
-                        prompt ->
-                                isOutdated(state, prompt)
-                                        && mNamed.age(prompt.model(), now) > mOldestWeightsMillis)
+                .map(prompt -> outdatedFor(state, prompt, now) > mOldestWeightsMillis)
                 .orElse(false);
     }
 
-    private boolean isOutdated(TargetState state, Prompt prompt) {
-        return state.weights(prompt.model()) < mNamed.newest(prompt.model());
+    private long outdatedFor(TargetState state, Prompt prompt, long now) {
+        String model = prompt.model();
+        return mNamed.outdatedFor(model, state.weights(model), now);
     }
 
     private Rated rate(TargetState state, ForwardRequest request, long now) {
@@ -272,8 +270,7 @@
         double cost =
                 expected
                         + mCosts.costToOthers(missing, state.openRequests())
-                        + (isOutdated(state, prompt)
-                                        && mNamed.age(prompt.model(), now) > OLD_WEIGHTS_MILLIS
+                        + (outdatedFor(state, prompt, now) > OLD_WEIGHTS_MILLIS
                                 ? OLD_WEIGHTS_COST
                                 : 0)
                         + domain
--- a/quilldyke-core/src/main/java/org/quilldyke/weights/LoadPlanner.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/weights/LoadPlanner.java
@@ -16,6 +16,7 @@
 package org.quilldyke.weights;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -157,9 +158,13 @@
             List<LoadAction> actions,
             long now) {
         List<TargetReport> holders =
-                engines.stream().filter(engine -> engine.weights().containsKey(model)).toList();
+                engines.stream()
+                        .filter(engine -> engine.weights().containsKey(model))
+                        .sorted(Comparator.comparing(engine -> engine.weights().get(model)))
+                        .toList();
         long running = mJobs.values().stream().filter(job -> job.mModel.equals(model)).count();
         int atOnce = (int) Math.max(1, Math.ceil(holders.size() * AT_ONCE_SHARE));
+        // The oldest weights go first, so that no engine is passed over by version after version.
         for (TargetReport engine : holders) {
             boolean due =
                     engine.weights().get(model) < version
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/CallerServer.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/CallerServer.java
@@ -16,6 +16,7 @@
 package org.quilldyke.gateway.caller;
 
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.socket.SocketChannel;
@@ -36,6 +37,7 @@
 
     private final Entry mEntry;
     private final Set<CallerConnection> mConnections = new HashSet<>();
+    private Channel mListener;
 
     private CallerServer(Entry entry) {
         mEntry = entry;
@@ -59,7 +61,7 @@
                         .childOption(ChannelOption.TCP_NODELAY, true)
                         .childHandler(server.initializer());
         try {
-            bootstrap.bind(Addresses.parse(address)).sync();
+            server.mListener = bootstrap.bind(Addresses.parse(address)).sync().channel();
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             throw QuilldykeException.of(ResultCode.INTERNAL, Outcome.NOT_RUN, "interrupted", e);
@@ -75,8 +77,12 @@
         return (int) mConnections.stream().filter(CallerConnection::isBusy).count();
     }
 
-    /** Closes the connections without an open request; call it on the traffic thread. */
+    /**
+     * Takes no new connections, and closes those without an open request; call it on the traffic
+     * thread.
+     */
     public void closeIdle() {
+        mListener.close();
         new ArrayList<>(mConnections).forEach(CallerConnection::closeIfIdle);
     }
 
