--- a/quilldyke-core/src/main/java/org/quilldyke/caller/ForwardRequest.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/caller/ForwardRequest.java
@@ -43,7 +43,11 @@
     /** Returns the rank of the request; 0 goes first. */
     public int priority() {
         return organisation
-                .flatMap(o -> o.priority().isPresent() ? Optional.of(o.priority()) : Optional.empty())
+                .flatMap(
+                        o ->
+                                o.priority().isPresent()
+                                        ? Optional.of(o.priority())
+                                        : Optional.empty())
                 .map(java.util.OptionalInt::getAsInt)
                 .orElse(route.priority());
     }
--- a/quilldyke-core/src/main/java/org/quilldyke/caller/Forwarding.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/caller/Forwarding.java
@@ -37,6 +37,9 @@
 
     private static final long WAIT_STEP_MILLIS = 20;
 
+    /** A prompt that would wait for more than this part of its objective is refused at once. */
+    private static final double HOPELESS_FACTOR = 2.0;
+
     /** How often a request may fail to reach a target before its caller is told. */
     private static final int MAX_UNSENT = 5;
 
@@ -176,9 +179,16 @@
             return Long.MAX_VALUE;
         }
         long objective = mRequest.route().objectiveMillis();
-        return mHeadPassed
-                ? Math.max(MIN_SILENCE_MILLIS, 2 * mRequest.route().pauseMillis())
-                : Math.max(MIN_SILENCE_MILLIS, 2 * objective);
+        long patience = mHeadPassed ? 2 * mRequest.route().pauseMillis() : 2 * objective;
+        return Math.max(MIN_SILENCE_MILLIS, patience);
+    }
+
+    /**
+     * Returns whether a target that has been silent on this request may be given up: not while it
+     * answers others, since then it is only busy and would read the prompt once more elsewhere.
+     */
+    public boolean isSilenceTelling(long now) {
+        return !mBook.isAlive(mChoice.target(), now);
     }
 
     private Step onRefusedUnrun(AnswerHead head, long now) {
@@ -222,6 +232,9 @@
             return giveUp(ResultCode.DEADLINE_PASSED, now);
         }
         Optional<Choice> choice = mBook.choose(mRequest, mExcluded, now);
+        if (choice.isPresent() && isHopeless(choice.get())) {
+            return giveUp(ResultCode.OVERLOADED, now);
+        }
         if (choice.isPresent()) {
             mChoice = choice.get();
             mOpen = true;
@@ -230,8 +243,7 @@
             mBook.onChosen(mChoice, mRequest);
             return new Step.Send(mChoice, left, mLastEvent);
         }
-        long waitUntil =
-                mRequest.arrivedAt() + mRequest.route().objectiveMillis() / WAIT_DIVISOR;
+        long waitUntil = mRequest.arrivedAt() + mRequest.route().objectiveMillis() / WAIT_DIVISOR;
         if (now + WAIT_STEP_MILLIS < Math.min(waitUntil, mRequest.answerBy())) {
             mExcluded.clear();
             return new Step.Wait(now + WAIT_STEP_MILLIS);
@@ -239,6 +251,13 @@
         return giveUp(ResultCode.NO_TARGET, now);
     }
 
+    /** Returns whether even the best target would answer a prompt far too late. */
+    private boolean isHopeless(Choice choice) {
+        return mRequest.prompt().isPresent()
+                && mMayHaveRun == 0
+                && choice.expectedMillis() > HOPELESS_FACTOR * mRequest.route().objectiveMillis();
+    }
+
     private Step giveUp(ResultCode code, long now) {
         if (mHeadPassed) {
             return new Step.Break(code);
--- a/quilldyke-core/src/main/java/org/quilldyke/caller/KeyLease.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/caller/KeyLease.java
@@ -51,7 +51,9 @@
         return mConfirmedAt != Long.MIN_VALUE && now - mConfirmedAt < mMillis;
     }
 
-    /** Returns the time since the last confirmed question was sent, {@link Long#MAX_VALUE} if none. */
+    /**
+     * Returns the time since the last confirmed question was sent, {@link Long#MAX_VALUE} if none.
+     */
     public long age(long now) {
         return mConfirmedAt == Long.MIN_VALUE ? Long.MAX_VALUE : now - mConfirmedAt;
     }
--- a/quilldyke-core/src/main/java/org/quilldyke/caller/RetryAllowance.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/caller/RetryAllowance.java
@@ -27,7 +27,9 @@
 public final class RetryAllowance {
     private static final int BUCKETS = 20;
 
-    /** The part of the allowance that is used: other instances may count one less than there are. */
+    /**
+     * The part of the allowance that is used: other instances may count one less than there are.
+     */
     private static final double USED_PART = 0.8;
 
     private final double mRatio;
--- a/quilldyke-core/src/main/java/org/quilldyke/manifest/Organisation.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/manifest/Organisation.java
@@ -26,8 +26,7 @@
  * @param priority the rank of its requests, which goes before that of their route
  * @param isolated whether it shares no cached prompt with any other organisation
  */
-public record Organisation(
-        String name, Set<String> keys, OptionalInt priority, boolean isolated) {
+public record Organisation(String name, Set<String> keys, OptionalInt priority, boolean isolated) {
     /** Copies the keys. */
     public Organisation {
         keys = Set.copyOf(keys);
--- a/quilldyke-core/src/main/java/org/quilldyke/routing/PromptChain.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/routing/CacheKeys.java
@@ -17,44 +17,24 @@
 
 import com.dynatrace.hash4j.hashing.HashStream64;
 import com.dynatrace.hash4j.hashing.Hashing;
-import java.util.ArrayList;
-import java.util.List;
 import org.quilldyke.caller.Prompt;
 
-/**
- * The keys under which a target keeps the parts of a prompt.
- *
- * <p>A cached part is of use only after all parts before it, and only to those that share its salt;
- * so a part's key covers the salt and everything up to the part.
- *
- * @param keys a key for each part
- * @param tokens each part's size
- */
-record PromptChain(List<Long> keys, List<Integer> tokens) {
-    static PromptChain of(String salt, Prompt prompt) {
-        List<Long> keys = new ArrayList<>();
-        List<Integer> tokens = new ArrayList<>();
-        HashStream64 hash = Hashing.wyhashFinal4().hashStream();
-        hash.putString(salt);
-        for (Prompt.Part part : prompt.parts()) {
-            hash.putLong(part.id());
-            keys.add(hash.getAsLong());
-            tokens.add(part.tokens());
-        }
-        return new PromptChain(keys, tokens);
+/** Short keys for cached parts of prompts, and for where requests for one subject belong. */
+public final class CacheKeys {
+    private CacheKeys() {}
+
+    /** Returns the key of a part that is kept under a salt. */
+    public static long of(String salt, long part) {
+        return Hashing.wyhashFinal4().hashStream().putString(salt).putLong(part).getAsLong();
     }
 
     /**
      * Returns the key by which requests for one subject are kept together: the shared parts,
      * whatever the salt, so that a subject stays where it is when weights change.
      */
-    static long affinityKey(Prompt prompt) {
+    static long affinity(Prompt prompt) {
         HashStream64 hash = Hashing.wyhashFinal4().hashStream();
         prompt.sharedParts().forEach(part -> hash.putLong(part.id()));
         return hash.getAsLong();
     }
-
-    int size() {
-        return keys.size();
-    }
 }
--- /dev/null
+++ b/quilldyke-core/src/main/java/org/quilldyke/routing/CacheNews.java
@@ -0,0 +1,36 @@
+/*
+ * Copyright 2026 The quilldyke authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.quilldyke.routing;
+
+import java.util.List;
+
+/**
+ * What has changed in the cache of an engine or a store.
+ *
+ * @param holder the engine's id or the store's address
+ * @param up whether it answers
+ * @param restarted whether all that was kept before is gone
+ * @param added keys of parts that are kept now
+ * @param removed keys of parts that aren't kept any more
+ */
+public record CacheNews(
+        String holder, boolean up, boolean restarted, List<Long> added, List<Long> removed) {
+    /** Copies the lists. */
+    public CacheNews {
+        added = List.copyOf(added);
+        removed = List.copyOf(removed);
+    }
+}
--- a/quilldyke-core/src/main/java/org/quilldyke/routing/Choice.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/routing/Choice.java
@@ -24,6 +24,8 @@
  * @param cacheSalt the name under which it shares cached prompts, empty for a request without one
  * @param cachedTokens how much of the prompt it is expected to hold
  * @param missingTokens how much of the prompt it is expected to read
+ * @param cacheSource where it fetches what it lacks of the prompt, empty for nowhere
+ * @param cacheTarget where it sends the parts that it has read, empty for nowhere
  * @param expectedMillis the expected time to the first event
  * @param runnerUp the next best target, empty if there was none
  * @param runnerUpMillis the expected time there
@@ -35,6 +37,8 @@
         String cacheSalt,
         int cachedTokens,
         int missingTokens,
+        String cacheSource,
+        String cacheTarget,
         long expectedMillis,
         String runnerUp,
         long runnerUpMillis) {
--- /dev/null
+++ b/quilldyke-core/src/main/java/org/quilldyke/routing/DelayTracker.java
@@ -0,0 +1,42 @@
+/*
+ * Copyright 2026 The quilldyke authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.quilldyke.routing;
+
+/**
+ * How much longer a target takes to its first event than was expected: an average that fades.
+ *
+ * <p>The expectation knows what instances have sent; what it doesn't know (a slow engine, a batch
+ * that is full, loads that were told late) shows here.
+ */
+final class DelayTracker {
+    private static final double NEW_PART = 0.3;
+    private static final double HALF_LIFE_MILLIS = 1500;
+
+    private double mExcessMillis;
+    private long mAt;
+
+    /** Takes a seen and an expected time to the first event. */
+    void onSeen(double seenMillis, double expectedMillis, long now) {
+        double excess = Math.max(0, seenMillis - expectedMillis);
+        mExcessMillis = (1 - NEW_PART) * excessMillis(now) + NEW_PART * excess;
+        mAt = now;
+    }
+
+    /** Returns the average as of now. */
+    double excessMillis(long now) {
+        return mExcessMillis * Math.pow(0.5, Math.max(0, now - mAt) / HALF_LIFE_MILLIS);
+    }
+}
--- /dev/null
+++ b/quilldyke-core/src/main/java/org/quilldyke/routing/KvStoreView.java
@@ -0,0 +1,51 @@
+/*
+ * Copyright 2026 The quilldyke authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.quilldyke.routing;
+
+/** The store of kept cache as an instance sees it. */
+final class KvStoreView {
+    private final CacheView mCache = new CacheView();
+    private String mAddress = "";
+    private boolean mUp = true;
+
+    /** Takes the store's address from the manifest; empty if there is none. */
+    void onAddress(String address) {
+        if (!address.equals(mAddress)) {
+            mAddress = address;
+            mCache.clear();
+        }
+    }
+
+    String address() {
+        return mAddress;
+    }
+
+    CacheView cache() {
+        return mCache;
+    }
+
+    /** Returns whether there is a store that answers. */
+    boolean isUsable() {
+        return mUp && !mAddress.isEmpty();
+    }
+
+    void onStanding(boolean up) {
+        mUp = up;
+        if (!up) {
+            mCache.clear();
+        }
+    }
+}
--- a/quilldyke-core/src/main/java/org/quilldyke/routing/TargetBook.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/routing/TargetBook.java
@@ -27,6 +27,7 @@
 import org.quilldyke.caller.ForwardRequest;
 import org.quilldyke.caller.Prompt;
 import org.quilldyke.engine.TargetReport;
+import org.quilldyke.manifest.Service;
 
 /**
  * The targets as one instance sees them, and the choice among them.
@@ -35,15 +36,23 @@
  * back: a target that can't be reached or fails is avoided for a while, longer each time.
  */
 public final class TargetBook {
-    /** What is believed to be kept of prompts: somewhat more than half of an engine's memory. */
-    private static final long CACHE_TOKENS = 60_000;
-
-    /** Weights that were replaced this long ago cost something: a good while before they must go. */
+    /**
+     * Weights that were replaced this long ago cost something: a good while before they must go.
+     */
     private static final long OLD_WEIGHTS_MILLIS = 1200;
 
     private static final double OLD_WEIGHTS_COST = 120;
     private static final double OTHER_DOMAIN_COST = 0.5;
-    private static final long RETRY_AFTER_MILLIS = 150;
+    private static final long RETRY_AFTER_MILLIS = 300;
+
+    /** A target that sent something this lately is alive, however long one answer takes. */
+    private static final long ALIVE_MILLIS = 600;
+
+    /** A prompt with less to share isn't worth a transfer: its reading takes a few milliseconds. */
+    private static final int MIN_SHARED_TOKENS = 1000;
+
+    /** What a target that isn't a subject's usual one costs more: its cache gives way to it. */
+    private static final double STRANGER_COST = 12;
 
     private final String mFailureDomain;
     private final long mOldestWeightsMillis;
@@ -51,6 +60,7 @@
     private final CostModel mCosts = CostModel.standard();
     private final NamedWeights mNamed = NamedWeights.create();
     private final Map<String, TargetState> mTargets = new HashMap<>();
+    private final KvStoreView mStore = new KvStoreView();
 
     private TargetBook(String failureDomain, long oldestWeightsMillis, RandomGenerator random) {
         mFailureDomain = failureDomain;
@@ -75,7 +85,7 @@
     public void onReport(TargetReport report) {
         TargetState state = mTargets.get(report.id());
         if (state == null) {
-            mTargets.put(report.id(), new TargetState(report, CACHE_TOKENS));
+            mTargets.put(report.id(), new TargetState(report));
         } else {
             state.onReport(report);
         }
@@ -86,6 +96,34 @@
         mTargets.remove(id);
     }
 
+    /** Takes the services that the manifest names: one of them may be a store of kept cache. */
+    public void onServices(List<Service> services) {
+        mStore.onAddress(
+                services.stream()
+                        .flatMap(service -> service.store().stream())
+                        .map(Service.KvStore::address)
+                        .findFirst()
+                        .orElse(""));
+    }
+
+    /** Takes what has changed in the cache of an engine or the store. */
+    public void onCacheNews(CacheNews news) {
+        TargetState state = mTargets.get(news.holder());
+        boolean isStore = news.holder().equals(mStore.address());
+        if (isStore) {
+            mStore.onStanding(news.up());
+        }
+        CacheView cache = isStore ? mStore.cache() : state == null ? null : state.cache();
+        if (cache == null) {
+            return;
+        }
+        if (news.restarted()) {
+            cache.clear();
+        }
+        news.removed().forEach(cache::remove);
+        news.added().forEach(cache::add);
+    }
+
     /** Takes a version of a model's weights that operators named. */
     public void onNamedWeights(String model, long version, long namedAt) {
         mNamed.onNamed(model, version, namedAt);
@@ -136,6 +174,8 @@
                         best.salt(),
                         best.cached(),
                         best.missing(),
+                        best.source(),
+                        cacheTarget(best, request),
                         Math.round(best.expected()),
                         next == null ? "" : next.state().id(),
                         next == null ? 0 : Math.round(next.expected())));
@@ -150,7 +190,7 @@
     public void onChosen(Choice choice, ForwardRequest request) {
         TargetState state = mTargets.get(choice.target());
         if (state != null) {
-            state.onChosen(choice, chainFor(state, request));
+            state.onChosen(choice, request.prompt().orElse(null));
         }
     }
 
@@ -170,6 +210,28 @@
         }
     }
 
+    /** Notes the first event of an answer, so many milliseconds after the request was sent. */
+    public void onFirstEvent(Choice choice, long millis, long now) {
+        TargetState state = mTargets.get(choice.target());
+        if (state != null) {
+            state.onFirstEvent(millis, choice.expectedMillis(), now);
+        }
+    }
+
+    /** Notes that a target has sent something. */
+    public void onHeard(String id, long now) {
+        TargetState state = mTargets.get(id);
+        if (state != null) {
+            state.onHeard(now);
+        }
+    }
+
+    /** Returns whether a target has sent something just now, on any answer. */
+    public boolean isAlive(String id, long now) {
+        TargetState state = mTargets.get(id);
+        return state != null && state.wasHeard(ALIVE_MILLIS, now);
+    }
+
     /** Notes that a target couldn't be reached. */
     public void onUnreachable(String id, long now) {
         onTrouble(id, now);
@@ -206,7 +268,9 @@
         }
     }
 
-    /** Returns when a caller that is refused may try again: spread, so that not all come at once. */
+    /**
+     * Returns when a caller that is refused may try again: spread, so that not all come at once.
+     */
     public long retryAfterMillis(ForwardRequest request, long now) {
         return RETRY_AFTER_MILLIS + mRandom.nextLong(RETRY_AFTER_MILLIS);
     }
@@ -224,8 +288,7 @@
     }
 
     /** Returns the targets that may take a request: those in good standing, else the others. */
-    private List<TargetState> candidates(
-            ForwardRequest request, Set<String> excluded, long now) {
+    private List<TargetState> candidates(ForwardRequest request, Set<String> excluded, long now) {
         List<TargetState> good = new ArrayList<>();
         List<TargetState> doubtful = new ArrayList<>();
         for (TargetState state : mTargets.values()) {
@@ -255,39 +318,80 @@
         double noise = mRandom.nextDouble() * 0.1;
         if (request.prompt().isEmpty()) {
             double cost = 10.0 * state.openRequests() / state.slots() + domain + noise;
-            return new Rated(state, Choice.NO_WEIGHTS, "", 0, 0, cost, cost);
+            return new Rated(state, Choice.NO_WEIGHTS, "", 0, 0, "", cost, cost);
         }
-        Prompt prompt = request.prompt().get();
-        PromptChain chain = chainFor(state, request);
-        int cached = state.cachedTokens(chain);
-        if (cached < prompt.sharedTokens() && isHome(state, request, now)) {
-            cached = prompt.sharedTokens();
-        }
-        int missing = Math.max(1, prompt.tokens() - cached);
+        return rateEngine(state, request, request.prompt().get(), domain + noise, now);
+    }
+
+    private Rated rateEngine(
+            TargetState state, ForwardRequest request, Prompt prompt, double extra, long now) {
+        String salt = salt(state, request);
+        int cached = state.cache().cachedTokens(salt, prompt);
+        boolean lacksShared =
+                cached < prompt.sharedTokens() && prompt.sharedTokens() >= MIN_SHARED_TOKENS;
+        Optional<Source> source =
+                lacksShared ? source(state, request, prompt, salt) : Optional.empty();
+        int held = source.isPresent() ? prompt.sharedTokens() : cached;
+        double fetch =
+                source.map(s -> s.millisPerToken() * (prompt.sharedTokens() - cached)).orElse(0.0);
+        int missing = Math.max(1, prompt.tokens() - held);
         double expected =
-                mCosts.firstTokenMillis(
-                        missing, state.backlogTokens(), state.openRequests(), state.slots());
+                fetch
+                        + mCosts.firstTokenMillis(
+                                missing, state.backlogTokens(), state.openRequests(), state.slots())
+                        + state.excessMillis(now);
+        boolean old = outdatedFor(state, prompt, now) > OLD_WEIGHTS_MILLIS;
         double cost =
                 expected
                         + mCosts.costToOthers(missing, state.openRequests())
-                        + (outdatedFor(state, prompt, now) > OLD_WEIGHTS_MILLIS
-                                ? OLD_WEIGHTS_COST
-                                : 0)
-                        + domain
-                        + noise;
+                        + (old ? OLD_WEIGHTS_COST : 0)
+                        + (isHome(state, request, now) ? 0 : STRANGER_COST)
+                        + extra;
         return new Rated(
                 state,
                 state.weights(prompt.model()),
-                salt(state, request),
-                cached,
+                salt,
+                held,
                 missing,
+                source.map(Source::address).orElse(""),
                 expected,
                 cost);
     }
 
+    /** Returns who else keeps the shared parts of a prompt: an engine, or else the store. */
+    private Optional<Source> source(
+            TargetState state, ForwardRequest request, Prompt prompt, String salt) {
+        for (TargetState other : mTargets.values()) {
+            boolean same =
+                    other != state
+                            && other.service().equals(request.service())
+                            && other.weights(prompt.model()) == state.weights(prompt.model());
+            if (same && other.cache().holdsShared(salt, prompt)) {
+                return Optional.of(
+                        new Source(other.address(), CostModel.ENGINE_FETCH_MILLIS_PER_TOKEN));
+            }
+        }
+        boolean stored = mStore.isUsable() && mStore.cache().holdsShared(salt, prompt);
+        return stored
+                ? Optional.of(new Source(mStore.address(), CostModel.STORE_FETCH_MILLIS_PER_TOKEN))
+                : Optional.empty();
+    }
+
+    /** Has shared parts kept in the store that are read now and aren't there yet. */
+    private String cacheTarget(Rated rated, ForwardRequest request) {
+        if (request.prompt().isEmpty() || !mStore.isUsable()) {
+            return "";
+        }
+        Prompt prompt = request.prompt().get();
+        boolean worth =
+                prompt.sharedTokens() >= MIN_SHARED_TOKENS
+                        && !mStore.cache().holdsShared(rated.salt(), prompt);
+        return worth ? mStore.address() : "";
+    }
+
     /** Returns whether all instances send requests for this subject to this target first. */
     private boolean isHome(TargetState state, ForwardRequest request, long now) {
-        long key = request.prompt().map(PromptChain::affinityKey).orElse(0L);
+        long key = request.prompt().map(CacheKeys::affinity).orElse(0L);
         long own = Rendezvous.rank(key, state.id());
         for (TargetState other : mTargets.values()) {
             boolean rival = other != state && other.serves(request.service());
@@ -300,10 +404,6 @@
         return true;
     }
 
-    private static PromptChain chainFor(TargetState state, ForwardRequest request) {
-        return request.prompt().map(prompt -> PromptChain.of(salt(state, request), prompt)).orElse(null);
-    }
-
     /** Returns the name under which prompts are shared: by model, weights and organisation. */
     private static String salt(TargetState state, ForwardRequest request) {
         String model = request.prompt().map(Prompt::model).orElse("");
@@ -311,6 +411,9 @@
         return model + "." + state.weights(model) + (owner.isEmpty() ? "" : "." + owner);
     }
 
+    /** Who keeps parts of a prompt, and how long a token takes from there. */
+    private record Source(String address, double millisPerToken) {}
+
     /** A target with what a request would cost there. */
     private record Rated(
             TargetState state,
@@ -318,6 +421,7 @@
             String salt,
             int cached,
             int missing,
+            String source,
             double expected,
             double cost) {}
 }
--- a/quilldyke-core/src/main/java/org/quilldyke/routing/TargetState.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/routing/TargetState.java
@@ -17,6 +17,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import org.quilldyke.caller.Prompt;
 import org.quilldyke.engine.TargetReport;
 
 /** One target as an instance sees it: its reports, what is open there, and how it has behaved. */
@@ -29,16 +30,17 @@
     int mOthersRequests;
     long mOthersTokens;
     private final Map<String, Long> mWeights = new HashMap<>();
-    private final PrefixBelief mCache;
+    private final CacheView mCache = new CacheView();
+    private final DelayTracker mDelay = new DelayTracker();
     private TargetReport mReport;
     private int mRequests;
     private long mTokens;
     private int mTroubles;
     private long mSuspectUntil = Long.MIN_VALUE;
+    private long mHeardAt = Long.MIN_VALUE;
 
-    TargetState(TargetReport report, long cacheTokens) {
+    TargetState(TargetReport report) {
         mReport = report;
-        mCache = new PrefixBelief(cacheTokens);
         mWeights.putAll(report.weights());
     }
 
@@ -109,15 +111,33 @@
         return mTokens + mOthersTokens;
     }
 
-    int cachedTokens(PromptChain chain) {
-        return mCache.cachedTokens(chain);
+    CacheView cache() {
+        return mCache;
     }
 
-    void onChosen(Choice choice, PromptChain chain) {
+    /** Returns how much longer than expected first events take here, while there is a line. */
+    double excessMillis(long now) {
+        return openRequests() == 0 ? 0 : mDelay.excessMillis(now);
+    }
+
+    /** Returns whether the target has sent something in the last {@code millis}. */
+    boolean wasHeard(long millis, long now) {
+        return mHeardAt != Long.MIN_VALUE && now - mHeardAt < millis;
+    }
+
+    void onHeard(long now) {
+        mHeardAt = now;
+    }
+
+    void onFirstEvent(long seenMillis, long expectedMillis, long now) {
+        mDelay.onSeen(seenMillis, expectedMillis, now);
+    }
+
+    void onChosen(Choice choice, Prompt prompt) {
         mRequests++;
         mTokens += choice.missingTokens();
-        if (chain != null) {
-            mCache.onRead(chain);
+        if (prompt != null) {
+            mCache.addAll(choice.cacheSalt(), prompt);
         }
     }
 
--- a/quilldyke-core/src/main/java/org/quilldyke/weights/LoadPlanner.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/weights/LoadPlanner.java
@@ -77,8 +77,7 @@
      * @param wanted the version of each model's weights that all shall hold
      * @param now the present time
      */
-    public List<LoadAction> tick(
-            List<TargetReport> engines, Map<String, Long> wanted, long now) {
+    public List<LoadAction> tick(List<TargetReport> engines, Map<String, Long> wanted, long now) {
         List<LoadAction> actions = new ArrayList<>();
         Set<String> alive = new HashSet<>();
         engines.forEach(engine -> alive.add(engine.id()));
@@ -115,8 +114,7 @@
         job.mOrdered = true;
         job.mOrderedAt = now;
         job.mDueAt = now + FIRST_POLL_MILLIS;
-        return List.of(
-                new LoadAction.Order(target, job.mModel, job.mVersion, status.revision()));
+        return List.of(new LoadAction.Order(target, job.mModel, job.mVersion, status.revision()));
     }
 
     /** Notes that an engine didn't tell its status. */
--- /dev/null
+++ b/quilldyke-core/src/test/java/org/quilldyke/caller/ForwardingTest.java
@@ -0,0 +1,230 @@
+/*
+ * Copyright 2026 The quilldyke authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.quilldyke.caller;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.quilldyke.ResultCode;
+import org.quilldyke.engine.TargetReport;
+import org.quilldyke.manifest.RequestKind;
+import org.quilldyke.manifest.Route;
+import org.quilldyke.routing.TargetBook;
+
+/** Whether the caller is told the truth, and nothing runs more often than it may. */
+class ForwardingTest {
+    private static final AnswerHead OK = new AnswerHead(200, false, false, true, false);
+    private static final AnswerHead STREAM = new AnswerHead(200, false, false, true, true);
+    private static final AnswerHead SHED = new AnswerHead(503, true, false, false, false);
+    private static final AnswerHead MISDIRECTED = new AnswerHead(421, false, true, false, false);
+    private static final AnswerHead FAILED = new AnswerHead(500, false, false, true, false);
+    private static final AnswerHead UNSIGNED = new AnswerHead(200, false, false, false, false);
+
+    private final TargetBook mBook = TargetBook.create("z", 7500, new SplittableRandom(1));
+    private RetryAllowance mRetries = RetryAllowance.create(0.2, 100, 10_000, 1);
+
+    @BeforeEach
+    void addTargets() {
+        for (String id : List.of("a", "b", "c")) {
+            mBook.onReport(
+                    new TargetReport(
+                            id, "s", id + ":1", "z", "v1", 4, false, 0, Map.of("m", 1L), 1));
+        }
+    }
+
+    @Test
+    void unsafeRequestIsNeverSentAgainOnceItMayHaveRun() {
+        Forwarding forwarding = forwarding(RequestKind.NON_IDEMPOTENT, 3);
+        sent(forwarding.start(0), forwarding);
+
+        assertThat(forwarding.onBroken(ResultCode.TARGET_LOST, 10))
+                .isEqualTo(new Step.Fail(ResultCode.TARGET_LOST));
+    }
+
+    @Test
+    void unsafeRequestGoesOnAfterAProvenRefusal() {
+        Forwarding forwarding = forwarding(RequestKind.NON_IDEMPOTENT, 1);
+        String first = sent(forwarding.start(0), forwarding);
+
+        String second = sent(forwarding.onAnswer(SHED, 5), forwarding);
+        String third = sent(forwarding.onAnswer(MISDIRECTED, 8), forwarding);
+
+        assertThat(List.of(first, second, third)).containsNoDuplicates();
+        assertThat(forwarding.onAnswer(OK, 20)).isEqualTo(new Step.PassOn());
+    }
+
+    @Test
+    void refusalIsToldOnlyIfNothingRan() {
+        Forwarding forwarding = forwarding(RequestKind.IDEMPOTENT, 3);
+        sent(forwarding.start(0), forwarding);
+        sent(forwarding.onBroken(ResultCode.TARGET_LOST, 5), forwarding);
+        sent(forwarding.onAnswer(SHED, 10), forwarding);
+
+        assertThat(forwarding.onAnswer(SHED, 15)).isEqualTo(new Step.Fail(ResultCode.TARGET_LOST));
+    }
+
+    @Test
+    void allTargetsRefuseAndTheCallerHearsThatNothingRan() {
+        Forwarding forwarding = forwarding(RequestKind.NON_IDEMPOTENT, 1);
+        sent(forwarding.start(0), forwarding);
+        sent(forwarding.onAnswer(SHED, 5), forwarding);
+        sent(forwarding.onAnswer(SHED, 10), forwarding);
+
+        Step end = forwarding.onAnswer(SHED, 15);
+
+        assertThat(end).isInstanceOf(Step.Refuse.class);
+        assertThat(((Step.Refuse) end).retryAfterMillis()).isGreaterThan(0L);
+    }
+
+    @Test
+    void attemptsAreBoundedByTheRoute() {
+        Forwarding forwarding = forwarding(RequestKind.IDEMPOTENT, 2);
+        sent(forwarding.start(0), forwarding);
+        sent(forwarding.onBroken(ResultCode.TARGET_LOST, 5), forwarding);
+
+        assertThat(forwarding.onBroken(ResultCode.TARGET_LOST, 10))
+                .isEqualTo(new Step.Fail(ResultCode.TARGET_LOST));
+    }
+
+    @Test
+    void withoutAllowanceNothingIsSentTwice() {
+        mRetries = RetryAllowance.create(0, 0, 10_000, 1);
+        Forwarding forwarding = forwarding(RequestKind.IDEMPOTENT, 3);
+        sent(forwarding.start(0), forwarding);
+
+        assertThat(forwarding.onBroken(ResultCode.TARGET_LOST, 5))
+                .isEqualTo(new Step.Fail(ResultCode.TARGET_LOST));
+    }
+
+    @Test
+    void targetOutOfReachCostsNoAttempt() {
+        mRetries = RetryAllowance.create(0, 0, 10_000, 1);
+        Forwarding forwarding = forwarding(RequestKind.NON_IDEMPOTENT, 1);
+        forwarding.start(0);
+        Step next = forwarding.onUnsent(3);
+
+        assertThat(next).isInstanceOf(Step.Send.class);
+    }
+
+    @Test
+    void answerWithoutItsMarkIsNoAnswer() {
+        Forwarding once = forwarding(RequestKind.NON_IDEMPOTENT, 1);
+        sent(once.start(0), once);
+        assertThat(once.onAnswer(UNSIGNED, 5)).isEqualTo(new Step.Fail(ResultCode.ANSWER_SPOILED));
+
+        Forwarding again = forwarding(RequestKind.IDEMPOTENT, 2);
+        sent(again.start(0), again);
+        sent(again.onAnswer(UNSIGNED, 5), again);
+    }
+
+    @Test
+    void genuineFailureIsPassedOnWhenNoAttemptIsLeft() {
+        Forwarding forwarding = forwarding(RequestKind.IDEMPOTENT, 2);
+        sent(forwarding.start(0), forwarding);
+        sent(forwarding.onAnswer(FAILED, 5), forwarding);
+
+        assertThat(forwarding.onAnswer(FAILED, 10)).isEqualTo(new Step.PassOn());
+    }
+
+    @Test
+    void resumableStreamGoesOnAfterTheLastEventPassed() {
+        Forwarding forwarding = forwarding(RequestKind.STREAMING, 2);
+        sent(forwarding.start(0), forwarding);
+        assertThat(forwarding.onAnswer(STREAM, 5)).isEqualTo(new Step.PassOn());
+        forwarding.onEventPassed(7);
+
+        Step next = forwarding.onBroken(ResultCode.TARGET_LOST, 50);
+
+        assertThat(((Step.Send) next).lastEvent()).isEqualTo(7);
+    }
+
+    @Test
+    void brokenStreamThatCantGoOnIsCut() {
+        Forwarding forwarding = forwarding(RequestKind.STREAMING, 1);
+        sent(forwarding.start(0), forwarding);
+        forwarding.onAnswer(STREAM, 5);
+        forwarding.onEventPassed(7);
+
+        assertThat(forwarding.onBroken(ResultCode.TARGET_LOST, 50))
+                .isEqualTo(new Step.Break(ResultCode.TARGET_LOST));
+    }
+
+    @Test
+    void timeOverIsARefusalOnlyIfNothingWasSent() {
+        Forwarding sent = forwarding(RequestKind.NON_IDEMPOTENT, 1);
+        sent(sent.start(0), sent);
+        assertThat(sent.onTimeOver(1000)).isEqualTo(new Step.Fail(ResultCode.ROUTE_TIMEOUT));
+
+        Forwarding unsent = forwarding(RequestKind.NON_IDEMPOTENT, 1);
+        unsent.start(0);
+        assertThat(unsent.onTimeOver(1000)).isInstanceOf(Step.Refuse.class);
+    }
+
+    @Test
+    void withoutATargetTheRequestWaitsABitAndIsRefused() {
+        List.of("a", "b", "c").forEach(mBook::onGone);
+        Forwarding forwarding = forwarding(RequestKind.NON_IDEMPOTENT, 1);
+
+        assertThat(forwarding.start(0)).isInstanceOf(Step.Wait.class);
+        assertThat(forwarding.onWaited(60)).isInstanceOf(Step.Wait.class);
+        assertThat(forwarding.onWaited(95)).isInstanceOf(Step.Refuse.class);
+    }
+
+    /** Giving a busy engine up once made it read the same prompts again elsewhere, without end. */
+    @Test
+    void busyTargetIsNotTakenForASilentOne() {
+        Forwarding forwarding = forwarding(RequestKind.IDEMPOTENT, 2);
+        String target = sent(forwarding.start(0), forwarding);
+        assertThat(forwarding.isSilenceTelling(2000)).isTrue();
+
+        mBook.onHeard(target, 1900);
+
+        assertThat(forwarding.isSilenceTelling(2000)).isFalse();
+    }
+
+    private static String sent(Step step, Forwarding forwarding) {
+        assertThat(step).isInstanceOf(Step.Send.class);
+        forwarding.onSending();
+        return ((Step.Send) step).choice().target();
+    }
+
+    private Forwarding forwarding(RequestKind kind, int maxAttempts) {
+        Route route =
+                new Route(
+                        "r",
+                        "h",
+                        "/",
+                        kind,
+                        1000,
+                        500,
+                        500,
+                        1,
+                        List.of(new Route.Share("s", 1)),
+                        maxAttempts,
+                        false,
+                        false,
+                        kind == RequestKind.STREAMING);
+        ForwardRequest request =
+                new ForwardRequest(
+                        "id", route, "s", Optional.empty(), Optional.empty(), 0, 1000, -1);
+        return Forwarding.of(request, mBook, mRetries);
+    }
+}
--- /dev/null
+++ b/quilldyke-core/src/test/java/org/quilldyke/engine/TargetRegistryTest.java
@@ -0,0 +1,94 @@
+/*
+ * Copyright 2026 The quilldyke authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.quilldyke.engine;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+class TargetRegistryTest {
+    private final TargetRegistry mRegistry = TargetRegistry.create();
+
+    @Test
+    void lateReportChangesNothing() {
+        assertThat(mRegistry.onReport(report("a", "1:1", 5, true), 100)).isTrue();
+
+        assertThat(mRegistry.onReport(report("a", "1:1", 4, false), 200)).isFalse();
+
+        assertThat(mRegistry.report("a").get().leaving()).isTrue();
+        assertThat(mRegistry.heardAt("a")).isEqualTo(200);
+    }
+
+    @Test
+    void reportThatTellsTheSameIsNoNews() {
+        mRegistry.onReport(report("a", "1:1", 1, false), 0);
+
+        assertThat(mRegistry.onReport(report("a", "1:1", 2, false), 10)).isFalse();
+        assertThat(mRegistry.onReport(report("a", "1:1", 3, true), 20)).isTrue();
+    }
+
+    @Test
+    void whoIsGoneStaysGoneWhateverComesLate() {
+        mRegistry.onReport(report("a", "1:1", 1, false), 0);
+
+        assertThat(mRegistry.onGone("a", 10)).isTrue();
+        assertThat(mRegistry.onGone("a", 11)).isFalse();
+
+        assertThat(mRegistry.onReport(report("a", "1:1", 9, false), 20)).isFalse();
+        assertThat(mRegistry.reports()).isEmpty();
+        assertThat(mRegistry.gone()).containsExactly("a");
+    }
+
+    @Test
+    void silentTargetLapsesAndIsBackWithItsNextReport() {
+        mRegistry.onReport(report("a", "1:1", 1, false), 0);
+        mRegistry.onReport(report("b", "1:2", 1, false), 0);
+        mRegistry.onAlive("b", 900);
+
+        assertThat(ids(mRegistry.lapse(500, 1000))).containsExactly("a");
+        assertThat(mRegistry.onReport(report("a", "1:1", 2, false), 1100)).isTrue();
+    }
+
+    @Test
+    void addressBelongsToWhoWasHeardThereLast() {
+        mRegistry.onReport(report("a", "1:1", 50, false), 0);
+
+        mRegistry.onReport(report("b", "1:1", 1, false), 10);
+
+        assertThat(ids(mRegistry.reports())).containsExactly("b");
+    }
+
+    @Test
+    void weightsThatWereSeenGoBeforeThoseReported() {
+        mRegistry.onReport(report("a", "1:1", 1, false), 0);
+
+        mRegistry.onWeights("a", "m", 3);
+        mRegistry.onWeights("a", "m", 2);
+
+        assertThat(mRegistry.report("a").get().weights()).containsExactly("m", 3L);
+    }
+
+    private static List<String> ids(List<TargetReport> reports) {
+        return reports.stream().map(TargetReport::id).toList();
+    }
+
+    private static TargetReport report(String id, String address, long sequence, boolean leaving) {
+        return new TargetReport(
+                id, "s", address, "z", "v1", 4, leaving, 0, Map.of("m", 1L), sequence);
+    }
+}
--- /dev/null
+++ b/quilldyke-core/src/test/java/org/quilldyke/manifest/FleetStateTest.java
@@ -0,0 +1,66 @@
+/*
+ * Copyright 2026 The quilldyke authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.quilldyke.manifest;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import org.junit.jupiter.api.Test;
+
+class FleetStateTest {
+    @Test
+    void onlyAHigherVersionReplacesTheManifest() {
+        FleetState state = FleetState.create();
+
+        assertThat(publish(state, 1, 7, 1).changed()).isTrue();
+        assertThat(publish(state, 2, 7, 2).changed()).isFalse();
+        assertThat(publish(state, 3, 5, 3).changed()).isFalse();
+
+        assertThat(state.version()).isEqualTo(7);
+        assertThat(state.document()).isEqualTo(new byte[] {1});
+        assertThat(state.index()).isEqualTo(1);
+    }
+
+    @Test
+    void fencesRiseWithTheLogAndChangeNothing() {
+        FleetState state = FleetState.create();
+
+        FleetResult first = state.apply(4, new FleetCommand.TakeFence("a"));
+        FleetResult second = state.apply(9, new FleetCommand.TakeFence("b"));
+
+        assertThat(second.index()).isGreaterThan(first.index());
+        assertThat(first.changed() || second.changed()).isFalse();
+    }
+
+    @Test
+    void snapshotHoldsAll() {
+        FleetState state = FleetState.create();
+        publish(state, 1, 7, 1);
+        state.apply(2, new FleetCommand.NameWeights("m", 3));
+        state.apply(3, new FleetCommand.NameWeights("m", 2));
+
+        FleetState restored = FleetState.restore(state.snapshot());
+
+        assertThat(restored.version()).isEqualTo(7);
+        assertThat(restored.weights()).containsExactly("m", 3L);
+        assertThat(restored.index()).isEqualTo(2);
+        assertThat(FleetState.create().hasManifest()).isFalse();
+    }
+
+    private static FleetResult publish(FleetState state, long index, long version, int content) {
+        return state.apply(
+                index, new FleetCommand.PublishManifest(version, new byte[] {(byte) content}));
+    }
+}
--- /dev/null
+++ b/quilldyke-core/src/test/java/org/quilldyke/weights/LoadPlannerTest.java
@@ -0,0 +1,108 @@
+/*
+ * Copyright 2026 The quilldyke authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.quilldyke.weights;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.quilldyke.engine.TargetReport;
+
+class LoadPlannerTest {
+    private static final Map<String, Long> WANTED = Map.of("m", 2L);
+
+    private final LoadPlanner mPlanner = LoadPlanner.create();
+
+    @Test
+    void announcesThenAsksThenOrdersAtTheRevision() {
+        List<TargetReport> engines = engines(1);
+
+        assertThat(mPlanner.tick(engines, WANTED, 0))
+                .containsExactly(new LoadAction.Announce("e0"));
+        assertThat(mPlanner.tick(engines, WANTED, 20)).isEmpty();
+        assertThat(mPlanner.tick(engines, WANTED, 50)).containsExactly(new LoadAction.Ask("e0"));
+        assertThat(mPlanner.onStatus("e0", status(false, 7, 1), 55))
+                .containsExactly(new LoadAction.Order("e0", "m", 2, 7));
+        assertThat(mPlanner.onOrdered("e0", OrderOutcome.ACCEPTED, 60)).isEmpty();
+        mPlanner.tick(engines, WANTED, 900);
+        assertThat(mPlanner.onStatus("e0", status(true, 8, 1), 910)).isEmpty();
+        mPlanner.tick(engines, WANTED, 1200);
+        assertThat(mPlanner.onStatus("e0", status(false, 8, 2), 1210))
+                .containsExactly(new LoadAction.Release("e0", "m", 2));
+    }
+
+    @Test
+    void fewEnginesAreAwayAtOnce() {
+        assertThat(mPlanner.tick(engines(6), WANTED, 0)).hasSize(2);
+        assertThat(LoadPlanner.create().tick(engines(63), WANTED, 0)).hasSize(18);
+    }
+
+    /** In the registry's order the first engines got each version and the last got none. */
+    @Test
+    void oldestWeightsGoFirst() {
+        List<TargetReport> engines = new ArrayList<>();
+        for (int i = 0; i < 6; i++) {
+            engines.add(engine("e" + i, i == 5 ? 1 : 2));
+        }
+
+        assertThat(mPlanner.tick(engines, Map.of("m", 3L), 0).get(0).target()).isEqualTo("e5");
+    }
+
+    @Test
+    void orderWithoutAnAnswerIsRepeatedOnlyWhileTheRevisionStands() {
+        List<TargetReport> engines = engines(1);
+        mPlanner.tick(engines, WANTED, 0);
+        mPlanner.tick(engines, WANTED, 50);
+        mPlanner.onStatus("e0", status(false, 7, 1), 55);
+        mPlanner.onOrdered("e0", OrderOutcome.UNKNOWN, 700);
+        mPlanner.tick(engines, WANTED, 1300);
+
+        assertThat(mPlanner.onStatus("e0", status(false, 8, 1), 1310)).isEmpty();
+        mPlanner.tick(engines, WANTED, 1600);
+        assertThat(mPlanner.onStatus("e0", status(false, 7, 1), 1610))
+                .containsExactly(new LoadAction.Order("e0", "m", 2, 7));
+    }
+
+    @Test
+    void engineThatNeverLoadsIsLetGo() {
+        List<TargetReport> engines = engines(1);
+        mPlanner.tick(engines, WANTED, 0);
+        mPlanner.tick(engines, WANTED, 50);
+        mPlanner.onNoStatus("e0", 60);
+
+        assertThat(mPlanner.tick(engines, WANTED, LoadPlanner.GIVE_UP_MILLIS + 10))
+                .contains(new LoadAction.Release("e0", "m", 0));
+    }
+
+    private static EngineStatus status(boolean busy, long revision, long version) {
+        return new EngineStatus(busy, revision, Map.of("m", version));
+    }
+
+    private static List<TargetReport> engines(int count) {
+        List<TargetReport> engines = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            engines.add(engine("e" + i, 1));
+        }
+        return engines;
+    }
+
+    private static TargetReport engine(String id, long version) {
+        return new TargetReport(
+                id, "s", id + ":1", "z", "v1", 4, false, 0, Map.of("m", version), 1);
+    }
+}
--- a/quilldyke-daemon/src/main/java/org/quilldyke/daemon/log/Event.java
+++ b/quilldyke-daemon/src/main/java/org/quilldyke/daemon/log/Event.java
@@ -49,16 +49,15 @@
     DISK_FAILED(4009, Level.ERROR, "disk", "the data folder failed; the write is tried again"),
     LOG_REPAIRED(4010, Level.WARN, "repair", "a replica whose disk was lost is trusted again"),
     DISK_RECOVERED(4011, Level.INFO, "disk-recovered", "the data folder can be written again"),
-
     MEMBERSHIP(4012, Level.INFO, "membership", "other replicas hold the log from now on"),
     MANIFEST_ACCEPTED(4013, Level.INFO, "manifest", "a manifest is committed"),
     MANIFEST_REFUSED(4014, Level.WARN, "manifest-refused", "a manifest breaks a rule"),
     WEIGHTS_NAMED(4015, Level.INFO, "weights-named", "a version of a model's weights is wanted"),
     WEIGHTS_LOADED(4016, Level.INFO, "weights-loaded", "an engine holds new weights"),
+    IDENTITY(4017, Level.INFO, "identity", "the replica takes part under this name"),
     ORDER_RIGHT(4018, Level.INFO, "order-right", "this replica may order engines now"),
     CALL_REFUSED(4019, Level.WARN, "call-refused", "a call of an operator or a target failed"),
     DISK_CLEARED(4020, Level.ERROR, "disk-cleared", "a damaged data folder was emptied"),
-    IDENTITY(4017, Level.INFO, "identity", "the replica takes part under this name"),
 
     STARTED(5001, Level.INFO, "start", "the instance serves"),
     SHUTTING_DOWN(5002, Level.INFO, "drain", "the instance takes no new requests"),
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/EntrySubscriber.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/EntrySubscriber.java
@@ -39,6 +39,7 @@
 import org.quilldyke.gateway.instance.proto.TargetLoad;
 import org.quilldyke.gateway.instance.proto.Targets;
 import org.quilldyke.manifest.RouteTable;
+import org.quilldyke.routing.CacheNews;
 import org.quilldyke.routing.TargetState;
 
 /**
@@ -74,7 +75,8 @@
     /** Begins to note what is open at targets; call it on the traffic thread. */
     void noteLoads() {
         mEntry.loop()
-                .schedule(this::noteLoads, LOADS_MILLIS, java.util.concurrent.TimeUnit.MILLISECONDS);
+                .schedule(
+                        this::noteLoads, LOADS_MILLIS, java.util.concurrent.TimeUnit.MILLISECONDS);
         List<TargetLoad> loads = new ArrayList<>();
         for (TargetState target : mEntry.book().targets()) {
             if (target.ownRequests() > 0) {
@@ -94,8 +96,7 @@
         long now = mClock.getAsLong();
         Targets.Builder known = Targets.newBuilder();
         for (TargetReport report : mRegistry.reports()) {
-            known.addTargets(
-                    TargetFrames.encode(report, now - mRegistry.heardAt(report.id())));
+            known.addTargets(TargetFrames.encode(report, now - mRegistry.heardAt(report.id())));
         }
         return Hello.newBuilder()
                 .setEntry(mInstance)
@@ -130,6 +131,7 @@
             case CONFIGURATION -> onConfiguration(frame.getConfiguration());
             case TARGETS -> onTargets(frame.getTargets());
             case LOADING -> onLoading(frame.getLoading());
+            case CACHE -> onCache(frame.getCache());
             default -> {
                 // A frame of a newer version.
             }
@@ -154,16 +156,13 @@
                             () ->
                                     mEntry.book()
                                             .onNamedWeights(
-                                                    named.getModel(),
-                                                    named.getVersion(),
-                                                    namedAt));
+                                                    named.getModel(), named.getVersion(), namedAt));
         }
         if (configuration.getIndex() <= mHeldIndex || configuration.getDocument().isEmpty()) {
             return;
         }
         try {
-            byte[] document =
-                    Compression.expand(configuration.getDocument().toByteArray());
+            byte[] document = Compression.expand(configuration.getDocument().toByteArray());
             RouteTable routes = RouteTable.of(mDialect.readManifest(document));
             mHeldIndex = configuration.getIndex();
             mEntry.loop().execute(() -> mEntry.onRoutes(routes));
@@ -220,6 +219,17 @@
         }
     }
 
+    private void onCache(org.quilldyke.gateway.instance.proto.CacheNews news) {
+        CacheNews decoded =
+                new CacheNews(
+                        news.getHolder(),
+                        news.getUp(),
+                        news.getRestarted(),
+                        news.getAddedList(),
+                        news.getRemovedList());
+        mEntry.loop().execute(() -> mEntry.book().onCacheNews(decoded));
+    }
+
     private void onLoading(Loading loading) {
         mEntry.loop()
                 .execute(
@@ -231,8 +241,7 @@
                                                 loading.getWeights().getModel(),
                                                 loading.getWeights().getVersion());
                             }
-                            mEntry.book()
-                                    .onLoading(loading.getTarget(), loading.getLoading());
+                            mEntry.book().onLoading(loading.getTarget(), loading.getLoading());
                         });
     }
 }
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/GatewayProcess.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/GatewayProcess.java
@@ -52,20 +52,25 @@
     /** A key is taken for good for this part of the bound: the rest is for the way to a target. */
     private static final double LEASE_PART = 0.7;
 
-    /** Requests go to older weights for this part of the bound: the rest is for their wait there. */
+    /**
+     * Requests go to older weights for this part of the bound: the rest is for their wait there.
+     */
     private static final double OLD_WEIGHTS_PART = 0.75;
 
     /** How many entries share what is shared as long as their number isn't known. */
     private static final int UNKNOWN_ENTRIES = 32;
 
-    /** The platform's balancer notices within two probes, a second apart, and some time to spare. */
+    /**
+     * The platform's balancer notices within two probes, a second apart, and some time to spare.
+     */
     private static final long OUT_OF_ROTATION_MILLIS = 2600;
 
     /** What is kept of the time to shut down for the last answers to leave. */
-    private static final long EXIT_MARGIN_MILLIS = 900;
+    private static final long EXIT_MARGIN_MILLIS = 400;
 
     private static final long POLL_MILLIS = 50;
     private static final long SWEEP_MILLIS = 1000;
+    private static final long HALT_MILLIS = 200;
 
     private final GatewaySettings mSettings;
     private final Dialect mDialect;
@@ -79,6 +84,7 @@
     private CallerServer mCallers;
     private ControlNode mNode;
     private ControlLinks mLinks;
+    private SessionServer mSessions;
 
     private GatewayProcess(GatewaySettings settings, Dialect dialect) {
         mSettings = settings;
@@ -146,6 +152,31 @@
         mLog.write(Event.STOPPED, "after", mClock.getAsLong() - start);
     }
 
+    /** Stops at once and says nothing, as a killed process does. */
+    public void halt() {
+        CompletableFuture<Void> stopped = new CompletableFuture<>();
+        mControl.execute(
+                () -> {
+                    try {
+                        if (mSessions != null) {
+                            mSessions.close();
+                        }
+                        if (mLinks != null) {
+                            mLinks.close();
+                        }
+                        if (mNode != null) {
+                            mNode.stop();
+                        }
+                    } catch (QuilldykeException e) {
+                        mLog.fault(e, "halt");
+                    }
+                    stopped.complete(null);
+                });
+        stopped.completeOnTimeout(null, 2, TimeUnit.SECONDS).join();
+        mTraffic.shutdownGracefully(0, HALT_MILLIS, TimeUnit.MILLISECONDS);
+        mControl.loop().shutdownGracefully(0, HALT_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
     private int busyConnections() {
         CompletableFuture<Integer> busy = new CompletableFuture<>();
         mTraffic.execute(
@@ -177,8 +208,7 @@
         mCallers = CallerServer.start(mSettings.callers(), mEntry);
         ProbeServer.start(mSettings.ready(), mTraffic, this::isReady, mMetrics.registry());
         EntrySubscriber subscriber =
-                new EntrySubscriber(
-                        mSettings.instance(), mEntry, mDialect.control(), mClock, mLog);
+                new EntrySubscriber(mSettings.instance(), mEntry, mDialect.control(), mClock, mLog);
         mTraffic.execute(subscriber::noteLoads);
         mTraffic.scheduleAtFixedRate(
                 mEntry.pool()::closeIdle, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
@@ -195,21 +225,25 @@
     }
 
     private void startControl() throws QuilldykeException {
-        EngineOrders orders =
-                EngineOrders.create(mTraffic, mDialect.targets(), mClock, mLog);
+        EngineOrders orders = EngineOrders.create(mTraffic, mDialect.targets(), mClock, mLog);
         CompletableFuture<ControlNode> started = new CompletableFuture<>();
         mControl.execute(
                 () -> {
                     try {
                         started.complete(
-                                ControlNode.start(mSettings, mControl, mClock, mLog, orders));
+                                ControlNode.start(
+                                        mSettings,
+                                        mControl,
+                                        mClock,
+                                        mLog,
+                                        orders,
+                                        mDialect.control()));
                     } catch (QuilldykeException | RuntimeException e) {
                         started.completeExceptionally(e);
                     }
                 });
         mNode = await(started);
-        SessionServer.start(
-                mSettings.internalAddress(mSettings.ip()), mControl, mNode);
+        mSessions = SessionServer.start(mSettings.internalAddress(mSettings.ip()), mControl, mNode);
         ControlServer.start(
                 mSettings.control(), mTraffic, mControl, mNode, mDialect.control(), mLog);
     }
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/CallerConnection.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/CallerConnection.java
@@ -145,9 +145,10 @@
     /** Answers that the instance itself refuses or gives up a request. */
     void answer(ResultCode code, long retryAfterMillis) {
         String text = code.label() + " " + code.meaning() + "\n";
-        HttpHeaders headers = new DefaultFullHttpResponse(
-                        HttpVersion.HTTP_1_1, HttpResponseStatus.OK, Unpooled.EMPTY_BUFFER)
-                .headers();
+        HttpHeaders headers =
+                new DefaultFullHttpResponse(
+                                HttpVersion.HTTP_1_1, HttpResponseStatus.OK, Unpooled.EMPTY_BUFFER)
+                        .headers();
         headers.set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.TEXT_PLAIN);
         if (retryAfterMillis > 0) {
             headers.set(
@@ -266,8 +267,7 @@
         stopTimer();
         if (!mKeepAlive) {
             mClosing = true;
-            mContext.writeAndFlush(Unpooled.EMPTY_BUFFER)
-                    .addListener(ChannelFutureListener.CLOSE);
+            mContext.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
             return;
         }
         startTimer(mEntry.limits().idleMillis(), this::onIdle);
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Entry.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Entry.java
@@ -68,6 +68,7 @@
     /** Takes a configuration. */
     public void onRoutes(RouteTable routes) {
         mRoutes = routes;
+        mBook.onServices(routes.manifest().services());
     }
 
     /** Notes that a target is gone or was silent for too long: what is open there is lost. */
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Exchange.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Exchange.java
@@ -54,6 +54,9 @@
 
     private static final int MAX_EVENT_BYTES = 1 << 20;
 
+    /** How often it is looked whether a silent target is still alive. */
+    private static final long SILENCE_STEP_MILLIS = 200;
+
     private final Entry mEntry;
     private final CallerConnection mCaller;
     private final HttpRequest mHead;
@@ -72,6 +75,7 @@
     private ScheduledFuture<?> mSilence;
     private ScheduledFuture<?> mWait;
     private long mHeardAt;
+    private long mSentAt;
     private boolean mStreamBegun;
     private boolean mEnded;
 
@@ -132,13 +136,14 @@
     @Override
     public void onSending() {
         mForwarding.onSending();
-        mHeardAt = now();
+        mSentAt = now();
+        mHeardAt = mSentAt;
         watchSilence(mForwarding.silenceMillis());
     }
 
     @Override
     public void onHead(HttpResponse head) {
-        mHeardAt = now();
+        onHeard();
         mAnswerHead = head;
         mAnswer = mEntry.dialect().targets().read(head);
         mAnswer.weights()
@@ -177,7 +182,7 @@
 
     @Override
     public void onBody(ByteBuf bytes) {
-        mHeardAt = now();
+        onHeard();
         if (mEvents != null) {
             passEvents(bytes);
             return;
@@ -296,6 +301,8 @@
                         mChoice.cachedTokens(),
                         "missing",
                         mChoice.missingTokens(),
+                        "fetched_from",
+                        mChoice.cacheSource(),
                         "predicted_ms",
                         mChoice.expectedMillis(),
                         "runner_up",
@@ -346,6 +353,11 @@
         return request;
     }
 
+    private void onHeard() {
+        mHeardAt = now();
+        mEntry.book().onHeard(mChoice.target(), mHeardAt);
+    }
+
     private void passEvents(ByteBuf bytes) {
         for (EventSplitter.Event event : mEvents.add(bytes)) {
             if (mEnded) {
@@ -359,8 +371,7 @@
                 return;
             }
             beginStream();
-            mForwarding.onEventPassed(
-                    numbered ? event.number() : mForwarding.lastEvent());
+            mForwarding.onEventPassed(numbered ? event.number() : mForwarding.lastEvent());
             mCaller.write(event.bytes());
         }
         if (!mEnded && mEvents.partBytes() > MAX_EVENT_BYTES) {
@@ -392,7 +403,9 @@
         }
         mStreamBegun = true;
         mFirstHeaders = passedOn(mAnswerHead.headers());
-        mEntry.metrics().onFirstEvent(now() - mArrivedAt, mChoice.expectedMillis());
+        long millis = now() - mSentAt;
+        mEntry.book().onFirstEvent(mChoice, millis, now());
+        mEntry.metrics().onFirstEvent(millis, mChoice.expectedMillis());
         mCaller.beginStream(mAnswerHead.status(), mFirstHeaders);
     }
 
@@ -437,17 +450,15 @@
             return;
         }
         long wait = Math.max(1, mHeardAt + millis - now());
-        mSilence =
-                mEntry.loop()
-                        .schedule(() -> checkSilence(millis), wait, TimeUnit.MILLISECONDS);
+        mSilence = mEntry.loop().schedule(() -> checkSilence(millis), wait, TimeUnit.MILLISECONDS);
     }
 
     private void checkSilence(long millis) {
         if (mEnded || mAttempt == null) {
             return;
         }
-        if (now() - mHeardAt < millis) {
-            watchSilence(mForwarding.silenceMillis());
+        if (now() - mHeardAt < millis || !mForwarding.isSilenceTelling(now())) {
+            watchSilence(Math.max(millis, now() - mHeardAt + SILENCE_STEP_MILLIS));
             return;
         }
         cancelAttempt();
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/RequestFraming.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/RequestFraming.java
@@ -81,8 +81,7 @@
         throw malformed(String.valueOf(cause));
     }
 
-    private static void checkCodings(
-            HttpRequest head, List<String> codings, List<String> lengths)
+    private static void checkCodings(HttpRequest head, List<String> codings, List<String> lengths)
             throws QuilldykeException {
         if (!lengths.isEmpty()) {
             throw malformed("both a length and a transfer coding");
--- /dev/null
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/CacheWatch.java
@@ -0,0 +1,175 @@
+/*
+ * Copyright 2026 The quilldyke authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.quilldyke.gateway.control;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.quilldyke.daemon.log.Event;
+import org.quilldyke.daemon.log.EventLog;
+import org.quilldyke.engine.TargetReport;
+import org.quilldyke.gateway.dialect.CacheEvents;
+import org.quilldyke.gateway.instance.NettyLoop;
+import org.quilldyke.gateway.instance.proto.CacheNews;
+import org.quilldyke.gateway.target.EngineOrders;
+import org.quilldyke.manifest.Manifest;
+import org.quilldyke.manifest.Service;
+import org.quilldyke.routing.CacheKeys;
+
+/**
+ * Watches what engines and stores keep of prompts, and tells it to all instances in short form.
+ *
+ * <p>Only the leader watches: an engine bears few readers, and one is enough. A holder that doesn't
+ * answer is asked again; what it kept is believed lost only if it says that it has restarted, but
+ * for a store, which costs time as long as it doesn't answer.
+ */
+final class CacheWatch {
+    private static final long RETRY_MILLIS = 400;
+
+    private final EngineOrders mEngines;
+    private final NettyLoop mLoop;
+    private final EventLog mLog;
+    private final Consumer<CacheNews> mTell;
+    private final Map<String, Watch> mWatches = new HashMap<>();
+    private Map<String, Service> mServices = Map.of();
+    private boolean mLeads;
+
+    CacheWatch(EngineOrders engines, NettyLoop loop, EventLog log, Consumer<CacheNews> tell) {
+        mEngines = engines;
+        mLoop = loop;
+        mLog = log;
+        mTell = tell;
+    }
+
+    /** Takes the services: which have engines, and which are stores. */
+    void onManifest(Manifest manifest) {
+        Map<String, Service> services = new HashMap<>();
+        manifest.services().forEach(service -> services.put(service.name(), service));
+        mServices = services;
+    }
+
+    /** Begins to watch what is new, and stops to watch what is gone. */
+    void tick(boolean leads, List<TargetReport> targets) {
+        mLeads = leads;
+        if (!leads) {
+            mWatches.clear();
+            return;
+        }
+        Set<String> wanted = new HashSet<>();
+        for (TargetReport target : targets) {
+            Service service = mServices.get(target.service());
+            if (service != null && service.engines().isPresent()) {
+                wanted.add(target.id());
+                watch(target.id(), target.address(), false);
+            }
+        }
+        for (Service service : mServices.values()) {
+            service.store()
+                    .ifPresent(
+                            store -> {
+                                wanted.add(store.address());
+                                watch(store.address(), store.address(), true);
+                            });
+        }
+        mWatches.keySet().retainAll(wanted);
+    }
+
+    private void watch(String holder, String address, boolean store) {
+        if (!mWatches.containsKey(holder)) {
+            Watch watch = new Watch(holder, address, store);
+            mWatches.put(holder, watch);
+            ask(watch);
+        }
+    }
+
+    private void ask(Watch watch) {
+        if (!mLeads || mWatches.get(watch.mHolder) != watch) {
+            return;
+        }
+        mEngines.watchCache(
+                watch.mAddress,
+                watch.mNext,
+                events -> mLoop.execute(() -> onEvents(watch, events)));
+    }
+
+    private void onEvents(Watch watch, Optional<CacheEvents> answer) {
+        if (!mLeads || mWatches.get(watch.mHolder) != watch) {
+            return;
+        }
+        if (answer.isEmpty()) {
+            onNoAnswer(watch);
+            return;
+        }
+        CacheEvents events = answer.get();
+        boolean restarted = watch.mEpoch != 0 && watch.mEpoch != events.epoch();
+        if (restarted || events.gap()) {
+            mLog.write(
+                    Event.INDEX_RESYNCED,
+                    "holder",
+                    watch.mHolder,
+                    "restarted",
+                    restarted,
+                    "gap",
+                    events.gap());
+        }
+        CacheNews.Builder news =
+                CacheNews.newBuilder().setHolder(watch.mHolder).setUp(true).setRestarted(restarted);
+        for (CacheEvents.Change change : events.changes()) {
+            long key = CacheKeys.of(change.salt(), change.part());
+            if (change.added()) {
+                news.addAdded(key);
+            } else {
+                news.addRemoved(key);
+            }
+        }
+        if (restarted || !watch.mUp || !events.changes().isEmpty()) {
+            mTell.accept(news.build());
+        }
+        watch.mUp = true;
+        watch.mEpoch = events.epoch();
+        watch.mNext = events.next();
+        ask(watch);
+    }
+
+    private void onNoAnswer(Watch watch) {
+        if (watch.mUp && watch.mStore) {
+            mLog.write(Event.WATCH_FAILED, "holder", watch.mHolder);
+            mTell.accept(CacheNews.newBuilder().setHolder(watch.mHolder).setUp(false).build());
+        }
+        watch.mUp = false;
+        mLoop.schedule(RETRY_MILLIS, () -> ask(watch));
+    }
+
+    /** How far one holder's events are read. */
+    private static final class Watch {
+        final String mHolder;
+        final String mAddress;
+        final boolean mStore;
+        boolean mUp = true;
+        long mEpoch;
+        long mNext;
+
+        Watch(String holder, String address, boolean store) {
+            mHolder = holder;
+            mAddress = address;
+            mStore = store;
+        }
+    }
+}
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/Confirmations.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/Confirmations.java
@@ -73,9 +73,7 @@
             return;
         }
         mAtLeader.add(
-                new Waiting(
-                        mClock.getAsLong(),
-                        leads -> reply(from, question.getNumber(), leads)));
+                new Waiting(mClock.getAsLong(), leads -> reply(from, question.getNumber(), leads)));
         advance();
     }
 
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/ControlNode.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/ControlNode.java
@@ -22,7 +22,6 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.LongSupplier;
-import org.quilldyke.Outcome;
 import org.quilldyke.QuilldykeException;
 import org.quilldyke.ResultCode;
 import org.quilldyke.control.Membership;
@@ -35,10 +34,12 @@
 import org.quilldyke.daemon.log.Event;
 import org.quilldyke.daemon.log.EventLog;
 import org.quilldyke.engine.TargetReport;
+import org.quilldyke.gateway.dialect.ControlDialect;
 import org.quilldyke.gateway.instance.Compression;
 import org.quilldyke.gateway.instance.NettyLoop;
 import org.quilldyke.gateway.instance.Peers;
 import org.quilldyke.gateway.instance.SessionServer;
+import org.quilldyke.gateway.instance.proto.CacheNews;
 import org.quilldyke.gateway.instance.proto.ControlFrame;
 import org.quilldyke.gateway.instance.proto.Loading;
 import org.quilldyke.gateway.instance.proto.PeerFrame;
@@ -73,14 +74,18 @@
     private final TargetSpread mTargets;
     private final MembershipKeeper mMembership;
     private final WeightsKeeper mWeights;
+    private final CacheWatch mCaches;
+    private final ControlDialect mDialect;
     private volatile Set<String> mSeeds;
+    private boolean mStopped;
 
     private ControlNode(
             GatewaySettings settings,
             NettyLoop loop,
             LongSupplier clock,
             EventLog log,
-            EngineOrders orders)
+            EngineOrders orders,
+            ControlDialect dialect)
             throws QuilldykeException {
         mLoop = loop;
         mClock = clock;
@@ -114,15 +119,10 @@
         mProposals = new Proposals(mGroup, mPeers, loop, clock);
         mTargets =
                 new TargetSpread(
-                        mPeers,
-                        mEntries::onTargets,
-                        clock,
-                        log,
-                        settings.timings().targetReport());
+                        mPeers, mEntries::onTargets, clock, log, settings.timings().targetReport());
         mEntries.connect(mConfirmations, mTargets);
         mMembership =
-                new MembershipKeeper(
-                        mGroup, mPeers, mAddress, clock, settings.toleratedLosses());
+                new MembershipKeeper(mGroup, mPeers, mAddress, clock, settings.toleratedLosses());
         mWeights =
                 new WeightsKeeper(
                         new WeightsKeeper.Parts(
@@ -135,6 +135,9 @@
                                 log,
                                 this::tellLoading,
                                 settings.timings().orderLease()));
+        mDialect = dialect;
+        mCaches = new CacheWatch(orders, loop, log, this::tellCache);
+        onState(mMachine.state());
         log.write(
                 Event.IDENTITY,
                 "id",
@@ -153,6 +156,7 @@
      * @param clock monotonic milliseconds
      * @param log where events go
      * @param orders speaks to engines
+     * @param dialect reads manifests
      * @throws QuilldykeException if the data folder can't be read
      */
     public static ControlNode start(
@@ -160,9 +164,10 @@
             NettyLoop loop,
             LongSupplier clock,
             EventLog log,
-            EngineOrders orders)
+            EngineOrders orders,
+            ControlDialect dialect)
             throws QuilldykeException {
-        ControlNode node = new ControlNode(settings, loop, clock, log, orders);
+        ControlNode node = new ControlNode(settings, loop, clock, log, orders, dialect);
         node.mPeers.onUp(node::onPeerUp);
         node.mGroup.node().start();
         node.tick();
@@ -179,6 +184,13 @@
         mGroup.node().transferLeadership();
     }
 
+    /** Stops without a word to the others, and closes the files. */
+    public void stop() throws QuilldykeException {
+        mStopped = true;
+        mPeers.retain(Set.of());
+        mGroup.node().stop();
+    }
+
     /** Publishes a manifest; completes when it, or a newer one, is committed. */
     public CompletableFuture<Void> publish(long version, byte[] document) {
         if (mMachine.state().version() >= version) {
@@ -261,6 +273,9 @@
 
     @Override
     public void onPeerFrame(PeerFrame frame) {
+        if (mStopped) {
+            return;
+        }
         switch (frame.getKindCase()) {
             case REPLICA -> onReplica(frame);
             case JOIN -> mMembership.onJoin(frame.getJoin());
@@ -271,6 +286,7 @@
             case TARGETS -> mTargets.onTargets(frame.getTargets());
             case LOADING -> onLoading(frame.getLoading());
             case LOADS -> mEntries.onLoads(frame.getLoads());
+            case CACHE -> mEntries.onCache(frame.getCache());
             default -> {
                 // A sign of life.
             }
@@ -331,16 +347,33 @@
         mPeers.send(address, PeerFrame.newBuilder().setTargets(mTargets.all()));
     }
 
+    private void tellCache(CacheNews news) {
+        mPeers.sendToAll(PeerFrame.newBuilder().setCache(news));
+        mEntries.onCache(news);
+    }
+
     private void onState(FleetState state) {
         mEntries.onState(state);
+        if (mCaches == null || !state.hasManifest()) {
+            return;
+        }
+        try {
+            mCaches.onManifest(mDialect.readManifest(Compression.expand(state.document())));
+        } catch (QuilldykeException e) {
+            mLog.write(Event.INVARIANT, "detail", e.getMessage());
+        }
     }
 
     private void tick() {
+        if (mStopped) {
+            return;
+        }
         mLoop.schedule(TICK_MILLIS, this::tick);
         mConfirmations.advance();
         mMembership.tick(mSeeds);
         mTargets.tick(isInTouch());
         mEntries.tick();
         mWeights.tick(mMachine.state().weights());
+        mCaches.tick(mGroup.leads(), mTargets.reports());
     }
 }
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/EntryLoads.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/EntryLoads.java
@@ -80,8 +80,7 @@
 
     private static void add(Map<String, TargetLoad.Builder> sums, TargetLoad load) {
         TargetLoad.Builder sum =
-                sums.computeIfAbsent(
-                        load.getTarget(), id -> TargetLoad.newBuilder().setTarget(id));
+                sums.computeIfAbsent(load.getTarget(), id -> TargetLoad.newBuilder().setTarget(id));
         sum.setRequests(sum.getRequests() + load.getRequests());
         sum.setTokens(sum.getTokens() + load.getTokens());
     }
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/EntrySessions.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/EntrySessions.java
@@ -30,12 +30,13 @@
 import org.quilldyke.gateway.instance.Peers;
 import org.quilldyke.gateway.instance.SessionServer;
 import org.quilldyke.gateway.instance.proto.Answer;
+import org.quilldyke.gateway.instance.proto.CacheNews;
 import org.quilldyke.gateway.instance.proto.Configuration;
 import org.quilldyke.gateway.instance.proto.ControlFrame;
 import org.quilldyke.gateway.instance.proto.EntryFrame;
 import org.quilldyke.gateway.instance.proto.Hello;
-import org.quilldyke.gateway.instance.proto.Loads;
 import org.quilldyke.gateway.instance.proto.Loading;
+import org.quilldyke.gateway.instance.proto.Loads;
 import org.quilldyke.gateway.instance.proto.ModelWeights;
 import org.quilldyke.gateway.instance.proto.PeerFrame;
 import org.quilldyke.gateway.instance.proto.Question;
@@ -103,6 +104,12 @@
         mSessions.forEach(session -> session.send(frame));
     }
 
+    /** Tells all what has changed in a cache. */
+    void onCache(CacheNews news) {
+        ControlFrame frame = ControlFrame.newBuilder().setCache(news).build();
+        mSessions.forEach(session -> session.send(frame));
+    }
+
     /** Takes what entries told at another control process. */
     void onLoads(Loads loads) {
         mLoads.onOthers(loads.getEntriesList(), mClock.getAsLong());
@@ -183,8 +190,7 @@
 
         private void onHello(Hello hello) {
             mEntry = hello.getEntry();
-            mLog.write(
-                    Event.SUBSCRIBER_GAINED, "entry", mEntry, "index", hello.getHeldIndex());
+            mLog.write(Event.SUBSCRIBER_GAINED, "entry", mEntry, "index", hello.getHeldIndex());
             mTargets.onTargets(hello.getTargets());
             mSessions.add(this);
             if (mState.hasManifest()) {
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/MembershipKeeper.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/MembershipKeeper.java
@@ -67,9 +67,7 @@
             mPeers.sendToAll(
                     PeerFrame.newBuilder()
                             .setJoin(
-                                    Join.newBuilder()
-                                            .setId(mGroup.selfId())
-                                            .setAddress(mAddress)));
+                                    Join.newBuilder().setId(mGroup.selfId()).setAddress(mAddress)));
         }
     }
 }
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/Proposals.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/Proposals.java
@@ -109,8 +109,7 @@
                             if (e == null) {
                                 result.complete(done);
                             } else {
-                                mLoop.schedule(
-                                        RETRY_MILLIS, () -> attempt(command, until, result));
+                                mLoop.schedule(RETRY_MILLIS, () -> attempt(command, until, result));
                             }
                         });
     }
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/TargetSpread.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/TargetSpread.java
@@ -132,8 +132,7 @@
         long now = mClock.getAsLong();
         Targets.Builder all = Targets.newBuilder();
         for (TargetReport report : mRegistry.reports()) {
-            all.addTargets(
-                    TargetFrames.encode(report, now - mRegistry.heardAt(report.id())));
+            all.addTargets(TargetFrames.encode(report, now - mRegistry.heardAt(report.id())));
         }
         for (String id : mRegistry.gone()) {
             all.addTargets(TargetFrames.encode(id, Target.Standing.GONE));
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/WeightsKeeper.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/WeightsKeeper.java
@@ -161,8 +161,7 @@
         }
         LoadPlanner planner = mPlanner;
         mOrders.ask(
-                address.get(),
-                status -> mLoop.execute(() -> onStatus(planner, target, status)));
+                address.get(), status -> mLoop.execute(() -> onStatus(planner, target, status)));
     }
 
     private void onStatus(LoadPlanner planner, String target, Optional<EngineStatus> status) {
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/dialect/TargetDialect.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/dialect/TargetDialect.java
@@ -39,6 +39,21 @@
      */
     EngineStatus readStatus(byte[] body) throws QuilldykeException;
 
+    /**
+     * Returns the request that waits for changes in the cache of an engine or a store.
+     *
+     * @param address where it takes requests
+     * @param since the event after which to begin
+     */
+    FullHttpRequest cacheEventsRequest(String address, long since);
+
+    /**
+     * Reads changes in a cache.
+     *
+     * @throws QuilldykeException {@link org.quilldyke.ResultCode#REPORT_INVALID} if they are none
+     */
+    CacheEvents readCacheEvents(byte[] body) throws QuilldykeException;
+
     /** Returns the request that gives an engine an order. */
     FullHttpRequest orderRequest(String address, LoadOrder order);
 }
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/instance/ControlLinks.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/instance/ControlLinks.java
@@ -49,9 +49,9 @@
     private final Set<String> mAddresses = new LinkedHashSet<>();
     private final List<ControlLink> mLinks = new ArrayList<>();
     private int mNext;
+    private boolean mClosed;
 
-    private ControlLinks(
-            NettyLoop loop, LongSupplier clock, EventLog log, Subscriber subscriber) {
+    private ControlLinks(NettyLoop loop, LongSupplier clock, EventLog log, Subscriber subscriber) {
         mLoop = loop;
         mClock = clock;
         mLog = log;
@@ -89,6 +89,13 @@
         }
     }
 
+    /** Closes all streams for good. */
+    public void close() {
+        mClosed = true;
+        mLinks.forEach(ControlLink::close);
+        mLinks.clear();
+    }
+
     /** Returns whether any control process is in reach. */
     public boolean isUp() {
         return mLinks.stream().anyMatch(ControlLink::isUp);
@@ -116,6 +123,9 @@
     }
 
     private void check() {
+        if (mClosed) {
+            return;
+        }
         mLoop.schedule(CHECK_MILLIS, this::check);
         long now = mClock.getAsLong();
         mLinks.removeIf(
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/operator/ControlServer.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/operator/ControlServer.java
@@ -216,10 +216,7 @@
         }
 
         private void refuse(
-                ChannelHandlerContext ctx,
-                QuilldykeException e,
-                String path,
-                boolean keepAlive) {
+                ChannelHandlerContext ctx, QuilldykeException e, String path, boolean keepAlive) {
             mLog.write(
                     e.code() == ResultCode.MANIFEST_INVALID
                             ? Event.MANIFEST_REFUSED
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/package-info.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/package-info.java
@@ -13,5 +13,7 @@
  * See the License for the specific language governing permissions and
  * limitations under the License.
  */
-/** The two thin daemons of a gateway, which forwards requests as a manifest says: entry, control. */
+/**
+ * The two thin daemons of a gateway, which forwards requests as a manifest says: entry, control.
+ */
 package org.quilldyke.gateway;
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/settings/GatewaySettingsReader.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/settings/GatewaySettingsReader.java
@@ -42,8 +42,7 @@
         try {
             text = Files.readAllBytes(file);
         } catch (IOException e) {
-            throw StrictJson.refused(
-                    ResultCode.SETTINGS_UNREADABLE, file.toString(), e.toString());
+            throw StrictJson.refused(ResultCode.SETTINGS_UNREADABLE, file.toString(), e.toString());
         }
         return parse(text);
     }
