--- a/quilldyke-core/src/main/java/org/quilldyke/routing/CostModel.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/routing/CostModel.java
@@ -28,15 +28,15 @@
  */
 public record CostModel(
         double tokensPerMilli, double firstMillis, double stepMillis, double stepMillisPerRequest) {
-    /** The part of a request's reading that counts against it for delaying those that run. */
-    private static final double OTHERS_WEIGHT = 0.02;
-
     /** A token of 18 KB over an engine's link of 370 to 550 Gbit/s, between failure domains. */
     public static final double ENGINE_FETCH_MILLIS_PER_TOKEN = 0.001;
 
     /** A token of 18 KB over a store's link of 25 Gbit/s. */
     public static final double STORE_FETCH_MILLIS_PER_TOKEN = 0.0065;
 
+    /** The part of a request's reading that counts against it for delaying those that run. */
+    private static final double OTHERS_WEIGHT = 0.02;
+
     /** Returns the model for engines of today's sites; refined by what is seen. */
     public static CostModel standard() {
         return new CostModel(50, 15, 3.5, 0.1);
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/ControlNode.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/ControlNode.java
@@ -138,14 +138,6 @@
         mDialect = dialect;
         mCaches = new CacheWatch(orders, loop, log, this::tellCache);
         onState(mMachine.state());
-        log.write(
-                Event.IDENTITY,
-                "id",
-                mGroup.selfId(),
-                "members",
-                replica.membership().all().size(),
-                "last",
-                replica.lastIndex());
     }
 
     /**
@@ -168,6 +160,14 @@
             ControlDialect dialect)
             throws QuilldykeException {
         ControlNode node = new ControlNode(settings, loop, clock, log, orders, dialect);
+        node.mLog.write(
+                Event.IDENTITY,
+                "id",
+                node.mGroup.selfId(),
+                "members",
+                node.mGroup.node().replica().membership().all().size(),
+                "last",
+                node.mGroup.node().replica().lastIndex());
         node.mPeers.onUp(node::onPeerUp);
         node.mGroup.node().start();
         node.tick();
