--- a/quilldyke-core/src/main/java/org/quilldyke/routing/TargetBook.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/routing/TargetBook.java
@@ -48,7 +48,10 @@
     /** A target that sent something this lately is alive, however long one answer takes. */
     private static final long ALIVE_MILLIS = 600;
 
-    /** A prompt with less to share isn't worth a transfer: its reading takes a few milliseconds. */
+    /** Less than this isn't worth a transfer: a target reads it in a few milliseconds. */
+    private static final int MIN_FETCHED_TOKENS = 400;
+
+    /** A prompt with less to share isn't worth its place in the store. */
     private static final int MIN_SHARED_TOKENS = 1000;
 
     /** What a target that isn't a subject's usual one costs more: its cache gives way to it. */
@@ -112,6 +115,8 @@
         boolean isStore = news.holder().equals(mStore.address());
         if (isStore) {
             mStore.onStanding(news.up());
+        } else if (state != null) {
+            state.onWatched(news.up());
         }
         CacheView cache = isStore ? mStore.cache() : state == null ? null : state.cache();
         if (cache == null) {
@@ -187,10 +192,10 @@
     }
 
     /** Notes that a request is about to be sent to a target. */
-    public void onChosen(Choice choice, ForwardRequest request) {
+    public void onChosen(Choice choice, ForwardRequest request, long now) {
         TargetState state = mTargets.get(choice.target());
         if (state != null) {
-            state.onChosen(choice, request.prompt().orElse(null));
+            state.onChosen(choice, request.prompt().orElse(null), now);
         }
     }
 
@@ -327,13 +332,9 @@
             TargetState state, ForwardRequest request, Prompt prompt, double extra, long now) {
         String salt = salt(state, request);
         int cached = state.cache().cachedTokens(salt, prompt);
-        boolean lacksShared =
-                cached < prompt.sharedTokens() && prompt.sharedTokens() >= MIN_SHARED_TOKENS;
-        Optional<Source> source =
-                lacksShared ? source(state, request, prompt, salt) : Optional.empty();
-        int held = source.isPresent() ? prompt.sharedTokens() : cached;
-        double fetch =
-                source.map(s -> s.millisPerToken() * (prompt.sharedTokens() - cached)).orElse(0.0);
+        Optional<Source> source = source(state, request, prompt, salt, cached);
+        int held = source.map(Source::tokens).orElse(cached);
+        double fetch = source.map(s -> s.millisPerToken() * (s.tokens() - cached)).orElse(0.0);
         int missing = Math.max(1, prompt.tokens() - held);
         double expected =
                 fetch
@@ -358,23 +359,33 @@
                 cost);
     }
 
-    /** Returns who else keeps the shared parts of a prompt: an engine, or else the store. */
+    /** Returns who else keeps most of the shared parts, if that is a good deal more than here. */
     private Optional<Source> source(
-            TargetState state, ForwardRequest request, Prompt prompt, String salt) {
+            TargetState state, ForwardRequest request, Prompt prompt, String salt, int cached) {
+        int shared = prompt.sharedTokens();
+        int most = cached + MIN_FETCHED_TOKENS - 1;
+        Source best = null;
+        if (mStore.isUsable() && cached < shared) {
+            int stored = Math.min(shared, mStore.cache().cachedTokens(salt, prompt));
+            if (stored > most) {
+                most = stored;
+                best = Source.store(mStore.address(), stored);
+            }
+        }
         for (TargetState other : mTargets.values()) {
             boolean same =
                     other != state
                             && other.service().equals(request.service())
                             && other.weights(prompt.model()) == state.weights(prompt.model());
-            if (same && other.cache().holdsShared(salt, prompt)) {
-                return Optional.of(
-                        new Source(other.address(), CostModel.ENGINE_FETCH_MILLIS_PER_TOKEN));
+            int kept = same ? Math.min(shared, other.cache().cachedTokens(salt, prompt)) : 0;
+            // Of equal sources, an engine's link is faster than the store's.
+            boolean better = kept > most || best != null && best.isStore() && kept == most;
+            if (better) {
+                most = kept;
+                best = Source.engine(other.address(), kept);
             }
         }
-        boolean stored = mStore.isUsable() && mStore.cache().holdsShared(salt, prompt);
-        return stored
-                ? Optional.of(new Source(mStore.address(), CostModel.STORE_FETCH_MILLIS_PER_TOKEN))
-                : Optional.empty();
+        return Optional.ofNullable(best);
     }
 
     /** Has shared parts kept in the store that are read now and aren't there yet. */
@@ -411,8 +422,16 @@
         return model + "." + state.weights(model) + (owner.isEmpty() ? "" : "." + owner);
     }
 
-    /** Who keeps parts of a prompt, and how long a token takes from there. */
-    private record Source(String address, double millisPerToken) {}
+    /** Who keeps parts of a prompt, how many tokens, and how long a token takes from there. */
+    private record Source(String address, int tokens, boolean isStore, double millisPerToken) {
+        static Source store(String address, int tokens) {
+            return new Source(address, tokens, true, CostModel.STORE_FETCH_MILLIS_PER_TOKEN);
+        }
+
+        static Source engine(String address, int tokens) {
+            return new Source(address, tokens, false, CostModel.ENGINE_FETCH_MILLIS_PER_TOKEN);
+        }
+    }
 
     /** A target with what a request would cost there. */
     private record Rated(
--- a/quilldyke-core/src/main/java/org/quilldyke/routing/TargetState.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/routing/TargetState.java
@@ -26,6 +26,9 @@
     private static final int MAX_DOUBLINGS = 4;
     private static final long OVERLOADED_MILLIS = 60;
 
+    /** A target that owes answers and sends nothing for this long is avoided. */
+    private static final long MUTE_MILLIS = 900;
+
     boolean mLoading;
     int mOthersRequests;
     long mOthersTokens;
@@ -38,6 +41,8 @@
     private int mTroubles;
     private long mSuspectUntil = Long.MIN_VALUE;
     private long mHeardAt = Long.MIN_VALUE;
+    private long mWaitingSince;
+    private boolean mAnswersWatch = true;
 
     TargetState(TargetReport report) {
         mReport = report;
@@ -91,8 +96,16 @@
         return mReport.failureDomain().equals(failureDomain);
     }
 
+    /** Returns whether the target has failed lately, or says nothing though it should. */
     boolean isSuspect(long now) {
-        return now < mSuspectUntil;
+        boolean heard = wasHeard(MUTE_MILLIS, now);
+        boolean mute = mRequests > 0 && now - mWaitingSince > MUTE_MILLIS;
+        return now < mSuspectUntil || !heard && (mute || !mAnswersWatch);
+    }
+
+    /** Notes whether the target answers the process that watches its cache. */
+    void onWatched(boolean answers) {
+        mAnswersWatch = answers;
     }
 
     long weights(String model) {
@@ -127,13 +140,15 @@
 
     void onHeard(long now) {
         mHeardAt = now;
+        mWaitingSince = now;
     }
 
     void onFirstEvent(long seenMillis, long expectedMillis, long now) {
         mDelay.onSeen(seenMillis, expectedMillis, now);
     }
 
-    void onChosen(Choice choice, Prompt prompt) {
+    void onChosen(Choice choice, Prompt prompt, long now) {
+        mWaitingSince = mRequests == 0 ? now : mWaitingSince;
         mRequests++;
         mTokens += choice.missingTokens();
         if (prompt != null) {
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/CacheWatch.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/CacheWatch.java
@@ -37,8 +37,8 @@
  * Watches what engines and stores keep of prompts, and tells it to all instances in short form.
  *
  * <p>Only the leader watches: an engine bears few readers, and one is enough. A holder that doesn't
- * answer is asked again; what it kept is believed lost only if it says that it has restarted, but
- * for a store, which costs time as long as it doesn't answer.
+ * answer is asked again, and all instances hear of it: they avoid it unless they hear it themselves.
+ * What an engine kept is believed lost only if it says that it has restarted.
  */
 final class CacheWatch {
     private static final long RETRY_MILLIS = 400;
@@ -77,7 +77,7 @@
             Service service = mServices.get(target.service());
             if (service != null && service.engines().isPresent()) {
                 wanted.add(target.id());
-                watch(target.id(), target.address(), false);
+                watch(target.id(), target.address());
             }
         }
         for (Service service : mServices.values()) {
@@ -85,15 +85,15 @@
                     .ifPresent(
                             store -> {
                                 wanted.add(store.address());
-                                watch(store.address(), store.address(), true);
+                                watch(store.address(), store.address());
                             });
         }
         mWatches.keySet().retainAll(wanted);
     }
 
-    private void watch(String holder, String address, boolean store) {
+    private void watch(String holder, String address) {
         if (!mWatches.containsKey(holder)) {
-            Watch watch = new Watch(holder, address, store);
+            Watch watch = new Watch(holder, address);
             mWatches.put(holder, watch);
             ask(watch);
         }
@@ -139,7 +139,8 @@
                 news.addRemoved(key);
             }
         }
-        if (restarted || !watch.mUp || !events.changes().isEmpty()) {
+        boolean first = watch.mEpoch == 0;
+        if (first || restarted || !watch.mUp || !events.changes().isEmpty()) {
             mTell.accept(news.build());
         }
         watch.mUp = true;
@@ -149,8 +150,8 @@
     }
 
     private void onNoAnswer(Watch watch) {
-        if (watch.mUp && watch.mStore) {
-            mLog.write(Event.WATCH_FAILED, "holder", watch.mHolder);
+        if (watch.mUp) {
+            mLog.write(Event.WATCH_LOST, "holder", watch.mHolder);
             mTell.accept(CacheNews.newBuilder().setHolder(watch.mHolder).setUp(false).build());
         }
         watch.mUp = false;
@@ -161,15 +162,13 @@
     private static final class Watch {
         final String mHolder;
         final String mAddress;
-        final boolean mStore;
         boolean mUp = true;
         long mEpoch;
         long mNext;
 
-        Watch(String holder, String address, boolean store) {
+        Watch(String holder, String address) {
             mHolder = holder;
             mAddress = address;
-            mStore = store;
         }
     }
 }
