--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/GatewayProcess.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/GatewayProcess.java
@@ -37,6 +37,7 @@
 import org.quilldyke.gateway.caller.Entry;
 import org.quilldyke.gateway.control.ControlNode;
 import org.quilldyke.gateway.dialect.Dialect;
+import org.quilldyke.gateway.engine.EngineOrders;
 import org.quilldyke.gateway.instance.ControlLinks;
 import org.quilldyke.gateway.instance.NettyLoop;
 import org.quilldyke.gateway.instance.SessionServer;
@@ -44,7 +45,6 @@
 import org.quilldyke.gateway.platform.GatewayMetrics;
 import org.quilldyke.gateway.platform.ProbeServer;
 import org.quilldyke.gateway.settings.GatewaySettings;
-import org.quilldyke.gateway.target.EngineOrders;
 import org.quilldyke.routing.TargetBook;
 
 /** One process of a gateway: two threads, and the parts that its role asks for. */
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/CacheWatch.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/CacheWatch.java
@@ -26,9 +26,9 @@
 import org.quilldyke.daemon.log.EventLog;
 import org.quilldyke.engine.TargetReport;
 import org.quilldyke.gateway.dialect.CacheEvents;
+import org.quilldyke.gateway.engine.EngineOrders;
 import org.quilldyke.gateway.instance.NettyLoop;
 import org.quilldyke.gateway.instance.proto.CacheNews;
-import org.quilldyke.gateway.target.EngineOrders;
 import org.quilldyke.manifest.Manifest;
 import org.quilldyke.manifest.Service;
 import org.quilldyke.routing.CacheKeys;
@@ -37,8 +37,8 @@
  * Watches what engines and stores keep of prompts, and tells it to all instances in short form.
  *
  * <p>Only the leader watches: an engine bears few readers, and one is enough. A holder that doesn't
- * answer is asked again, and all instances hear of it: they avoid it unless they hear it themselves.
- * What an engine kept is believed lost only if it says that it has restarted.
+ * answer is asked again, and all instances hear of it: they avoid it unless they hear it
+ * themselves. What an engine kept is believed lost only if it says that it has restarted.
  */
 final class CacheWatch {
     private static final long RETRY_MILLIS = 400;
--- /dev/null
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/engine/AttemptListener.java
@@ -0,0 +1,41 @@
+/*
+ * Copyright 2026 The quilldyke authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.quilldyke.gateway.engine;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpResponse;
+import org.quilldyke.ResultCode;
+
+/** Hears what becomes of a request that was sent to a target. Called on the traffic thread. */
+public interface AttemptListener {
+    /** The target couldn't be reached; no byte of the request was sent. */
+    void onUnsent(String why);
+
+    /** The first byte is about to be sent. */
+    void onSending();
+
+    /** The head of the answer is here. */
+    void onHead(HttpResponse head);
+
+    /** A part of the answer's body is here; the caller releases it. */
+    void onBody(ByteBuf bytes);
+
+    /** The answer is whole. */
+    void onEnd();
+
+    /** The answer broke off, never came, or can't be what was asked for; nothing else follows. */
+    void onBroken(ResultCode code, String why);
+}
--- /dev/null
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/engine/EngineOrders.java
@@ -0,0 +1,206 @@
+/*
+ * Copyright 2026 The quilldyke authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.quilldyke.gateway.engine;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import org.quilldyke.QuilldykeException;
+import org.quilldyke.ResultCode;
+import org.quilldyke.daemon.log.Event;
+import org.quilldyke.daemon.log.EventLog;
+import org.quilldyke.gateway.dialect.CacheEvents;
+import org.quilldyke.gateway.dialect.LoadOrder;
+import org.quilldyke.gateway.dialect.TargetDialect;
+import org.quilldyke.weights.EngineStatus;
+import org.quilldyke.weights.OrderOutcome;
+
+/** Asks engines for their status and gives them orders. Safe for use by several threads. */
+public final class EngineOrders {
+    private static final long TIMEOUT_MILLIS = 700;
+
+    /** Calls for cache events wait for less than half a second; the rest is for the way. */
+    private static final long CACHE_TIMEOUT_MILLIS = 800;
+
+    private static final int MAX_BODY_BYTES = 1 << 20;
+
+    private final EventLoop mLoop;
+    private final TargetDialect mDialect;
+    private final TargetPool mPool;
+    private final EventLog mLog;
+
+    private EngineOrders(EventLoop loop, TargetDialect dialect, LongSupplier clock, EventLog log) {
+        mLoop = loop;
+        mDialect = dialect;
+        mPool = TargetPool.create(loop, dialect, clock);
+        mLog = log;
+    }
+
+    /**
+     * Returns a client.
+     *
+     * @param loop the traffic thread, which does the work
+     * @param dialect how engines speak
+     * @param clock monotonic milliseconds
+     * @param log where answers go that can't be read
+     */
+    public static EngineOrders create(
+            EventLoop loop, TargetDialect dialect, LongSupplier clock, EventLog log) {
+        return new EngineOrders(loop, dialect, clock, log);
+    }
+
+    /**
+     * Asks for an engine's status; {@code done} hears it on the traffic thread, or that none came.
+     */
+    public void ask(String address, Consumer<Optional<EngineStatus>> done) {
+        send(
+                address,
+                mDialect.statusRequest(address),
+                TIMEOUT_MILLIS,
+                (status, body) -> done.accept(status == 200 ? read(body) : Optional.empty()));
+    }
+
+    /** Gives an order; {@code done} hears on the traffic thread what became of it. */
+    public void order(String address, LoadOrder order, Consumer<OrderOutcome> done) {
+        send(
+                address,
+                mDialect.orderRequest(address, order),
+                TIMEOUT_MILLIS,
+                (status, body) -> done.accept(outcome(status)));
+    }
+
+    /**
+     * Waits for changes in the cache of an engine or a store; {@code done} hears them on the
+     * traffic thread, or that no answer came.
+     */
+    public void watchCache(String address, long since, Consumer<Optional<CacheEvents>> done) {
+        send(
+                address,
+                mDialect.cacheEventsRequest(address, since),
+                CACHE_TIMEOUT_MILLIS,
+                (status, body) -> done.accept(status == 200 ? readEvents(body) : Optional.empty()));
+    }
+
+    private Optional<CacheEvents> readEvents(byte[] body) {
+        try {
+            return Optional.of(mDialect.readCacheEvents(body));
+        } catch (QuilldykeException e) {
+            mLog.write(Event.WATCH_FAILED, "detail", e.getMessage());
+            return Optional.empty();
+        }
+    }
+
+    private static OrderOutcome outcome(int status) {
+        return switch (status) {
+            case 0 -> OrderOutcome.UNKNOWN;
+            case 202 -> OrderOutcome.ACCEPTED;
+            case 200 -> OrderOutcome.HOLDS;
+            case 409 -> OrderOutcome.CONFLICT;
+            default -> status >= 500 ? OrderOutcome.UNKNOWN : OrderOutcome.REFUSED;
+        };
+    }
+
+    private Optional<EngineStatus> read(byte[] body) {
+        try {
+            return Optional.of(mDialect.readStatus(body));
+        } catch (QuilldykeException e) {
+            mLog.write(Event.WATCH_FAILED, "detail", e.getMessage());
+            return Optional.empty();
+        }
+    }
+
+    private void send(
+            String address,
+            FullHttpRequest request,
+            long timeoutMillis,
+            BiConsumer<Integer, byte[]> done) {
+        mLoop.execute(() -> new Call(address, request, timeoutMillis, done));
+    }
+
+    /** One call; its end is told once, with status 0 if there was no answer. */
+    private final class Call implements AttemptListener {
+        private final BiConsumer<Integer, byte[]> mDone;
+        private final Attempt mAttempt;
+        private final ScheduledFuture<?> mTimer;
+        private final ByteBuf mBody = Unpooled.buffer();
+        private int mStatus;
+        private boolean mEnded;
+
+        Call(
+                String address,
+                FullHttpRequest request,
+                long timeoutMillis,
+                BiConsumer<Integer, byte[]> done) {
+            mDone = done;
+            mTimer = mLoop.schedule(this::onTimeout, timeoutMillis, TimeUnit.MILLISECONDS);
+            mAttempt = mPool.send(address, address, request, "", this);
+        }
+
+        @Override
+        public void onUnsent(String why) {
+            end(0);
+        }
+
+        @Override
+        public void onSending() {
+            // Nothing depends on it.
+        }
+
+        @Override
+        public void onHead(HttpResponse head) {
+            mStatus = head.status().code();
+        }
+
+        @Override
+        public void onBody(ByteBuf bytes) {
+            if (mBody.readableBytes() < MAX_BODY_BYTES) {
+                mBody.writeBytes(bytes);
+            }
+        }
+
+        @Override
+        public void onEnd() {
+            end(mStatus);
+        }
+
+        @Override
+        public void onBroken(ResultCode code, String why) {
+            end(0);
+        }
+
+        private void onTimeout() {
+            mAttempt.cancel();
+            end(0);
+        }
+
+        private void end(int status) {
+            if (!mEnded) {
+                mEnded = true;
+                mTimer.cancel(false);
+                mDone.accept(status, ByteBufUtil.getBytes(mBody));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/engine/SilentListener.java
@@ -0,0 +1,57 @@
+/*
+ * Copyright 2026 The quilldyke authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.quilldyke.gateway.engine;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpResponse;
+import org.quilldyke.ResultCode;
+
+/** Takes no notice of an attempt that was given up. */
+final class SilentListener implements AttemptListener {
+    static final SilentListener INSTANCE = new SilentListener();
+
+    private SilentListener() {}
+
+    @Override
+    public void onUnsent(String why) {
+        // Given up before.
+    }
+
+    @Override
+    public void onSending() {
+        // Given up before.
+    }
+
+    @Override
+    public void onHead(HttpResponse head) {
+        // Given up before.
+    }
+
+    @Override
+    public void onBody(ByteBuf bytes) {
+        // Given up before.
+    }
+
+    @Override
+    public void onEnd() {
+        // Given up before.
+    }
+
+    @Override
+    public void onBroken(ResultCode code, String why) {
+        // Given up before.
+    }
+}
--- /dev/null
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/engine/TargetPool.java
@@ -0,0 +1,220 @@
+/*
+ * Copyright 2026 The quilldyke authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.quilldyke.gateway.engine;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.LongSupplier;
+import org.quilldyke.daemon.settings.Addresses;
+import org.quilldyke.gateway.dialect.TargetDialect;
+
+/** Connections to targets, kept for the next request. Lives on the traffic thread. */
+public final class TargetPool {
+    /** A target in reach accepts within a few milliseconds; one that is dark never does. */
+    private static final int CONNECT_MILLIS = 300;
+
+    private static final int MAX_HEADER_BYTES = 64 << 10;
+
+    private final EventLoop mLoop;
+    private final TargetDialect mDialect;
+    private final LongSupplier mClock;
+    private final Map<String, Slot> mSlots = new HashMap<>();
+
+    private TargetPool(EventLoop loop, TargetDialect dialect, LongSupplier clock) {
+        mLoop = loop;
+        mDialect = dialect;
+        mClock = clock;
+    }
+
+    /**
+     * Returns a pool without connections.
+     *
+     * @param loop the traffic thread
+     * @param dialect how targets speak
+     * @param clock monotonic milliseconds
+     */
+    public static TargetPool create(EventLoop loop, TargetDialect dialect, LongSupplier clock) {
+        return new TargetPool(loop, dialect, clock);
+    }
+
+    /**
+     * Sends a request to a target.
+     *
+     * @param target the target's id: a connection is never used for another one at the same address
+     * @param address where it takes requests
+     * @param request the request; released when it is written or given up
+     * @param requestId the id that the answer must bear, empty if none
+     * @param listener hears what becomes of it
+     */
+    public Attempt send(
+            String target,
+            String address,
+            FullHttpRequest request,
+            String requestId,
+            AttemptListener listener) {
+        Attempt attempt = new Attempt(request, requestId, listener);
+        Slot slot = mSlots.computeIfAbsent(target, id -> new Slot(address));
+        TargetConnection free = slot.takeFree();
+        if (free != null) {
+            free.send(attempt);
+        } else {
+            slot.connect(attempt);
+        }
+        return attempt;
+    }
+
+    /** Closes the connections to a target that is gone, as soon as they are free. */
+    public void forget(String target) {
+        Slot slot = mSlots.remove(target);
+        if (slot != null) {
+            slot.retire();
+        }
+    }
+
+    /** Returns the number of connections that were opened since the start. */
+    public int connections() {
+        return mSlots.values().stream().mapToInt(slot -> slot.mOpen.size()).sum();
+    }
+
+    /** Closes connections that were idle for too long. */
+    public void closeIdle() {
+        mSlots.values().forEach(Slot::closeIdle);
+    }
+
+    /** The connections to one target. */
+    final class Slot {
+        private final String mAddress;
+        private final Deque<TargetConnection> mFree = new ArrayDeque<>();
+        private final List<TargetConnection> mOpen = new ArrayList<>();
+        private boolean mRetired;
+
+        Slot(String address) {
+            mAddress = address;
+        }
+
+        long now() {
+            return mClock.getAsLong();
+        }
+
+        /** Returns the free connection that was used last, or null. */
+        TargetConnection takeFree() {
+            TargetConnection connection;
+            while ((connection = mFree.pollFirst()) != null) {
+                if (connection.isUsable(now())) {
+                    return connection;
+                }
+                connection.close();
+            }
+            return null;
+        }
+
+        void connect(Attempt attempt) {
+            TargetConnection connection = new TargetConnection(this, mDialect);
+            InetSocketAddress address = Addresses.parse(mAddress);
+            ChannelFuture connecting = bootstrap(connection).connect(address);
+            connecting.addListener(done -> onConnected(connecting, connection, attempt));
+        }
+
+        void onFree(TargetConnection connection) {
+            if (mRetired) {
+                connection.close();
+            } else {
+                mFree.addFirst(connection);
+            }
+        }
+
+        void onClosed(TargetConnection connection) {
+            mOpen.remove(connection);
+            mFree.remove(connection);
+        }
+
+        void closeIdle() {
+            List<TargetConnection> stale = new ArrayList<>();
+            for (TargetConnection connection : mFree) {
+                if (!connection.isUsable(now())) {
+                    stale.add(connection);
+                }
+            }
+            mFree.removeAll(stale);
+            stale.forEach(TargetConnection::close);
+        }
+
+        void retire() {
+            mRetired = true;
+            mFree.forEach(TargetConnection::close);
+            mFree.clear();
+        }
+
+        private void onConnected(
+                ChannelFuture connecting, TargetConnection connection, Attempt attempt) {
+            if (!connecting.isSuccess()) {
+                if (!attempt.isCancelled()) {
+                    attempt.request().release();
+                    attempt.listener().onUnsent(String.valueOf(connecting.cause()));
+                }
+                return;
+            }
+            mOpen.add(connection);
+            if (attempt.isCancelled()) {
+                connection.close();
+            } else {
+                connection.send(attempt);
+            }
+        }
+
+        private Bootstrap bootstrap(TargetConnection connection) {
+            return new Bootstrap()
+                    .group(mLoop)
+                    .channel(NioSocketChannel.class)
+                    .option(ChannelOption.TCP_NODELAY, true)
+                    .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MILLIS)
+                    .handler(
+                            new ChannelInitializer<Channel>() {
+                                @Override
+                                protected void initChannel(Channel channel) {
+                                    channel.pipeline()
+                                            .addLast(
+                                                    new HttpClientCodec(
+                                                            decoderConfig(), false, false))
+                                            .addLast(connection);
+                                }
+                            });
+        }
+    }
+
+    private static HttpDecoderConfig decoderConfig() {
+        return new HttpDecoderConfig()
+                .setMaxHeaderSize(MAX_HEADER_BYTES)
+                .setAllowDuplicateContentLengths(false)
+                .setStrictLineParsing(true)
+                .setUseRfc9112TransferEncoding(true);
+    }
+}
