Weights: silent engines are left alone and count as away; prompts refused at their objective

Now a silent engine is no candidate, gives its place back after two unanswered questions, and counts as away.

--- a/quilldyke-core/src/main/java/org/quilldyke/caller/Forwarding.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/caller/Forwarding.java
@@ -38,7 +38,7 @@
     private static final long WAIT_STEP_MILLIS = 20;
 
     /** A prompt that would wait for more than this part of its objective is refused at once. */
-    private static final double HOPELESS_FACTOR = 1.3;
+    private static final double HOPELESS_FACTOR = 1.0;
 
     /** How often a request may fail to reach a target before its caller is told. */
     private static final int MAX_UNSENT = 5;
--- a/quilldyke-core/src/main/java/org/quilldyke/weights/LoadPlanner.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/weights/LoadPlanner.java
@@ -48,6 +48,9 @@
     /** An engine that doesn't answer is asked again after this. */
     static final long RETRY_MILLIS = 500;
 
+    /** An engine that hasn't been ordered and doesn't answer this often is let go. */
+    static final int MAX_UNANSWERED = 2;
+
     /** An engine that hasn't loaded by then is let go and taken up again later. */
     static final long GIVE_UP_MILLIS = 8000;
 
@@ -74,10 +77,13 @@
      * Returns what is due.
      *
      * @param engines the live engines
+     * @param silent those of them that don't answer just now: they are left alone, and since they
+     *     serve nothing either, fewer others load at once
      * @param wanted the version of each model's weights that all shall hold
      * @param now the present time
      */
-    public List<LoadAction> tick(List<TargetReport> engines, Map<String, Long> wanted, long now) {
+    public List<LoadAction> tick(
+            List<TargetReport> engines, Set<String> silent, Map<String, Long> wanted, long now) {
         List<LoadAction> actions = new ArrayList<>();
         Set<String> alive = new HashSet<>();
         engines.forEach(engine -> alive.add(engine.id()));
@@ -85,7 +91,7 @@
         for (Job job : List.copyOf(mJobs.values())) {
             advance(job, actions, now);
         }
-        wanted.forEach((model, version) -> start(engines, model, version, actions, now));
+        wanted.forEach((model, version) -> start(engines, silent, model, version, actions, now));
         return actions;
     }
 
@@ -96,6 +102,7 @@
             return List.of();
         }
         job.mAsking = false;
+        job.mUnanswered = 0;
         long held = status.weights().getOrDefault(job.mModel, 0L);
         if (!status.busy() && held >= job.mVersion) {
             mJobs.remove(target);
@@ -118,12 +125,16 @@
     }
 
     /** Notes that an engine didn't tell its status. */
-    public void onNoStatus(String target, long now) {
+    public List<LoadAction> onNoStatus(String target, long now) {
         Job job = mJobs.get(target);
-        if (job != null) {
-            job.mAsking = false;
-            job.mDueAt = now + RETRY_MILLIS;
+        if (job == null) {
+            return List.of();
         }
+        job.mAsking = false;
+        job.mDueAt = now + RETRY_MILLIS;
+        job.mUnanswered++;
+        boolean goOn = job.mOrdered || job.mUnanswered < MAX_UNANSWERED;
+        return goOn ? List.of() : List.of(letGo(job, now));
     }
 
     /** Takes an engine's answer to an order. */
@@ -151,6 +162,7 @@
 
     private void start(
             List<TargetReport> engines,
+            Set<String> silent,
             String model,
             long version,
             List<LoadAction> actions,
@@ -161,12 +173,17 @@
                         .sorted(Comparator.comparing(engine -> engine.weights().get(model)))
                         .toList();
         long running = mJobs.values().stream().filter(job -> job.mModel.equals(model)).count();
-        int atOnce = (int) Math.max(1, Math.ceil(holders.size() * AT_ONCE_SHARE));
+        long away =
+                holders.stream()
+                        .filter(e -> silent.contains(e.id()) && !mJobs.containsKey(e.id()))
+                        .count();
+        long atOnce = Math.max(1, (long) Math.ceil(holders.size() * AT_ONCE_SHARE) - away);
         // The oldest weights go first, so that no engine is passed over by version after version.
         for (TargetReport engine : holders) {
             boolean due =
                     engine.weights().get(model) < version
                             && !engine.leaving()
+                            && !silent.contains(engine.id())
                             && !mJobs.containsKey(engine.id())
                             && now >= mRestUntil.getOrDefault(engine.id(), Long.MIN_VALUE);
             if (due && running < atOnce) {
@@ -179,15 +196,19 @@
 
     private void advance(Job job, List<LoadAction> actions, long now) {
         if (now - job.mStartedAt > GIVE_UP_MILLIS) {
-            mJobs.remove(job.mTarget);
-            mRestUntil.put(job.mTarget, now + RETRY_MILLIS);
-            actions.add(new LoadAction.Release(job.mTarget, job.mModel, 0));
+            actions.add(letGo(job, now));
         } else if (!job.mAsking && now >= job.mDueAt) {
             job.mAsking = true;
             actions.add(new LoadAction.Ask(job.mTarget));
         }
     }
 
+    private LoadAction letGo(Job job, long now) {
+        mJobs.remove(job.mTarget);
+        mRestUntil.put(job.mTarget, now + RETRY_MILLIS);
+        return new LoadAction.Release(job.mTarget, job.mModel, 0);
+    }
+
     /** One engine on its way to new weights. */
     private static final class Job {
         final String mTarget;
@@ -199,6 +220,7 @@
         boolean mOrdered;
         long mOrderedAt;
         long mRevision;
+        int mUnanswered;
 
         Job(String target, String model, long version, long now) {
             mTarget = target;
--- a/quilldyke-core/src/test/java/org/quilldyke/weights/LoadPlannerTest.java
+++ b/quilldyke-core/src/test/java/org/quilldyke/weights/LoadPlannerTest.java
@@ -20,6 +20,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.quilldyke.engine.TargetReport;
 
@@ -32,24 +33,25 @@
     void announcesThenAsksThenOrdersAtTheRevision() {
         List<TargetReport> engines = engines(1);
 
-        assertThat(mPlanner.tick(engines, WANTED, 0))
+        assertThat(mPlanner.tick(engines, Set.of(), WANTED, 0))
                 .containsExactly(new LoadAction.Announce("e0"));
-        assertThat(mPlanner.tick(engines, WANTED, 20)).isEmpty();
-        assertThat(mPlanner.tick(engines, WANTED, 50)).containsExactly(new LoadAction.Ask("e0"));
+        assertThat(mPlanner.tick(engines, Set.of(), WANTED, 20)).isEmpty();
+        assertThat(mPlanner.tick(engines, Set.of(), WANTED, 50))
+                .containsExactly(new LoadAction.Ask("e0"));
         assertThat(mPlanner.onStatus("e0", status(false, 7, 1), 55))
                 .containsExactly(new LoadAction.Order("e0", "m", 2, 7));
         assertThat(mPlanner.onOrdered("e0", OrderOutcome.ACCEPTED, 60)).isEmpty();
-        mPlanner.tick(engines, WANTED, 900);
+        mPlanner.tick(engines, Set.of(), WANTED, 900);
         assertThat(mPlanner.onStatus("e0", status(true, 8, 1), 910)).isEmpty();
-        mPlanner.tick(engines, WANTED, 1200);
+        mPlanner.tick(engines, Set.of(), WANTED, 1200);
         assertThat(mPlanner.onStatus("e0", status(false, 8, 2), 1210))
                 .containsExactly(new LoadAction.Release("e0", "m", 2));
     }
 
     @Test
     void fewEnginesAreAwayAtOnce() {
-        assertThat(mPlanner.tick(engines(6), WANTED, 0)).hasSize(2);
-        assertThat(LoadPlanner.create().tick(engines(63), WANTED, 0)).hasSize(18);
+        assertThat(mPlanner.tick(engines(6), Set.of(), WANTED, 0)).hasSize(2);
+        assertThat(LoadPlanner.create().tick(engines(63), Set.of(), WANTED, 0)).hasSize(18);
     }
 
     /** In the registry's order the first engines got each version and the last got none. */
@@ -60,20 +62,21 @@
             engines.add(engine("e" + i, i == 5 ? 1 : 2));
         }
 
-        assertThat(mPlanner.tick(engines, Map.of("m", 3L), 0).get(0).target()).isEqualTo("e5");
+        assertThat(mPlanner.tick(engines, Set.of(), Map.of("m", 3L), 0).get(0).target())
+                .isEqualTo("e5");
     }
 
     @Test
     void orderWithoutAnAnswerIsRepeatedOnlyWhileTheRevisionStands() {
         List<TargetReport> engines = engines(1);
-        mPlanner.tick(engines, WANTED, 0);
-        mPlanner.tick(engines, WANTED, 50);
+        mPlanner.tick(engines, Set.of(), WANTED, 0);
+        mPlanner.tick(engines, Set.of(), WANTED, 50);
         mPlanner.onStatus("e0", status(false, 7, 1), 55);
         mPlanner.onOrdered("e0", OrderOutcome.UNKNOWN, 700);
-        mPlanner.tick(engines, WANTED, 1300);
+        mPlanner.tick(engines, Set.of(), WANTED, 1300);
 
         assertThat(mPlanner.onStatus("e0", status(false, 8, 1), 1310)).isEmpty();
-        mPlanner.tick(engines, WANTED, 1600);
+        mPlanner.tick(engines, Set.of(), WANTED, 1600);
         assertThat(mPlanner.onStatus("e0", status(false, 7, 1), 1610))
                 .containsExactly(new LoadAction.Order("e0", "m", 2, 7));
     }
@@ -81,14 +84,34 @@
     @Test
     void engineThatNeverLoadsIsLetGo() {
         List<TargetReport> engines = engines(1);
-        mPlanner.tick(engines, WANTED, 0);
-        mPlanner.tick(engines, WANTED, 50);
+        mPlanner.tick(engines, Set.of(), WANTED, 0);
+        mPlanner.tick(engines, Set.of(), WANTED, 50);
         mPlanner.onNoStatus("e0", 60);
 
-        assertThat(mPlanner.tick(engines, WANTED, LoadPlanner.GIVE_UP_MILLIS + 10))
+        assertThat(mPlanner.tick(engines, Set.of(), WANTED, LoadPlanner.GIVE_UP_MILLIS + 10))
                 .contains(new LoadAction.Release("e0", "m", 0));
     }
 
+    /** Two dark engines once held both places until their lease ended. */
+    @Test
+    void silentEnginesAreLeftAloneAndCountAsAway() {
+        List<LoadAction> actions = mPlanner.tick(engines(7), Set.of("e0", "e1"), WANTED, 0);
+
+        assertThat(actions).containsExactly(new LoadAction.Announce("e2"));
+    }
+
+    @Test
+    void engineThatFallsSilentMakesRoom() {
+        List<TargetReport> engines = engines(1);
+        mPlanner.tick(engines, Set.of(), WANTED, 0);
+        mPlanner.tick(engines, Set.of(), WANTED, 50);
+
+        assertThat(mPlanner.onNoStatus("e0", 60)).isEmpty();
+        mPlanner.tick(engines, Set.of(), WANTED, 600);
+        assertThat(mPlanner.onNoStatus("e0", 1300))
+                .containsExactly(new LoadAction.Release("e0", "m", 0));
+    }
+
     private static EngineStatus status(boolean busy, long revision, long version) {
         return new EngineStatus(busy, revision, Map.of("m", version));
     }
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/CacheWatch.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/CacheWatch.java
@@ -91,6 +91,13 @@
         mWatches.keySet().retainAll(wanted);
     }
 
+    /** Returns the holders that don't answer just now. */
+    Set<String> silent() {
+        Set<String> silent = new HashSet<>();
+        mWatches.values().stream().filter(w -> !w.mUp).forEach(w -> silent.add(w.mHolder));
+        return silent;
+    }
+
     private void watch(String holder, String address) {
         if (!mWatches.containsKey(holder)) {
             Watch watch = new Watch(holder, address);
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/ControlNode.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/ControlNode.java
@@ -373,7 +373,7 @@
         mMembership.tick(mSeeds);
         mTargets.tick(isInTouch());
         mEntries.tick();
-        mWeights.tick(mMachine.state().weights());
         mCaches.tick(mGroup.leads(), mTargets.reports());
+        mWeights.tick(mMachine.state().weights(), mCaches.silent());
     }
 }
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/WeightsKeeper.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/WeightsKeeper.java
@@ -19,6 +19,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.quilldyke.daemon.log.Event;
@@ -81,8 +82,8 @@
         }
     }
 
-    /** Does what is due to bring all engines to the given weights. */
-    void tick(Map<String, Long> wanted) {
+    /** Does what is due to bring all engines to the given weights, but those that are silent. */
+    void tick(Map<String, Long> wanted, Set<String> silent) {
         if (wanted.isEmpty() || !mayOrder()) {
             return;
         }
@@ -94,7 +95,8 @@
             mHolds = true;
             mLog.write(Event.ORDER_RIGHT, "fence", mFence);
         }
-        mPlanner.tick(mTargets.reports(), wanted, mClock.getAsLong()).forEach(this::perform);
+        mPlanner.tick(mTargets.reports(), silent, wanted, mClock.getAsLong())
+                .forEach(this::perform);
     }
 
     private boolean mayOrder() {
@@ -156,7 +158,7 @@
     private void ask(String target) {
         Optional<String> address = addressOf(target);
         if (address.isEmpty()) {
-            mPlanner.onNoStatus(target, mClock.getAsLong());
+            mPlanner.onNoStatus(target, mClock.getAsLong()).forEach(this::perform);
             return;
         }
         LoadPlanner planner = mPlanner;
@@ -169,7 +171,7 @@
             return;
         }
         if (status.isEmpty()) {
-            mPlanner.onNoStatus(target, mClock.getAsLong());
+            mPlanner.onNoStatus(target, mClock.getAsLong()).forEach(this::perform);
         } else {
             mPlanner.onStatus(target, status.get(), mClock.getAsLong()).forEach(this::perform);
         }
