--- a/quilldyke-core/src/main/java/org/quilldyke/caller/Forwarding.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/caller/Forwarding.java
@@ -103,7 +103,9 @@
         finishAttempt();
         mUnsent++;
         mExcluded.add(mChoice.target());
-        return mUnsent >= MAX_UNSENT ? giveUp(ResultCode.NO_TARGET, now) : choose(now);
+        return mUnsent >= MAX_UNSENT
+                ? giveUp(ResultCode.NO_TARGET, mUnsent + " out of reach", now)
+                : choose(now);
     }
 
     /** Returns the step after the head of an answer; the body of a stream follows. */
@@ -165,7 +167,7 @@
         }
         return sent || mMayHaveRun > 0
                 ? new Step.Fail(ResultCode.ROUTE_TIMEOUT)
-                : new Step.Refuse(ResultCode.DEADLINE_PASSED, 0);
+                : new Step.Refuse(ResultCode.DEADLINE_PASSED, 0, "no target in time");
     }
 
     /** Notes that the caller went away. */
@@ -203,7 +205,7 @@
         if (timeLeft && mBook.hasOther(mRequest, mExcluded, now) && takeRetry(now)) {
             return choose(now);
         }
-        return giveUp(ResultCode.OVERLOADED, now);
+        return giveUp(ResultCode.OVERLOADED, "refused by " + mExcluded, now);
     }
 
     private Step sendAgainOr(Step end, long now) {
@@ -229,11 +231,19 @@
     private Step choose(long now) {
         long left = mRequest.answerBy() - now;
         if (left <= 0) {
-            return giveUp(ResultCode.DEADLINE_PASSED, now);
+            return giveUp(ResultCode.DEADLINE_PASSED, "no target in time", now);
         }
         Optional<Choice> choice = mBook.choose(mRequest, mExcluded, now);
         if (choice.isPresent() && isHopeless(choice.get())) {
-            return giveUp(ResultCode.OVERLOADED, now);
+            Choice best = choice.get();
+            String why =
+                    "best "
+                            + best.target()
+                            + " in "
+                            + best.expectedMillis()
+                            + " ms, objective "
+                            + mRequest.route().objectiveMillis();
+            return giveUp(ResultCode.OVERLOADED, why, now);
         }
         if (choice.isPresent()) {
             mChoice = choice.get();
@@ -248,7 +258,7 @@
             mExcluded.clear();
             return new Step.Wait(now + WAIT_STEP_MILLIS);
         }
-        return giveUp(ResultCode.NO_TARGET, now);
+        return giveUp(ResultCode.NO_TARGET, "none but " + mExcluded, now);
     }
 
     /** Returns whether even the best target would answer a prompt far too late. */
@@ -258,14 +268,14 @@
                 && choice.expectedMillis() > HOPELESS_FACTOR * mRequest.route().objectiveMillis();
     }
 
-    private Step giveUp(ResultCode code, long now) {
+    private Step giveUp(ResultCode code, String why, long now) {
         if (mHeadPassed) {
             return new Step.Break(code);
         }
         if (mMayHaveRun > 0) {
             return new Step.Fail(ResultCode.TARGET_LOST);
         }
-        return new Step.Refuse(code, mBook.retryAfterMillis(mRequest, now));
+        return new Step.Refuse(code, mBook.retryAfterMillis(mRequest, now), why);
     }
 
     private void onPromptRead() {
--- a/quilldyke-core/src/main/java/org/quilldyke/caller/Step.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/caller/Step.java
@@ -40,8 +40,9 @@
      *
      * @param code why
      * @param retryAfterMillis when the caller may try again, 0 if nothing is known
+     * @param why what was known of targets, for the log
      */
-    record Refuse(ResultCode code, long retryAfterMillis) implements Step {}
+    record Refuse(ResultCode code, long retryAfterMillis, String why) implements Step {}
 
     /** Tell the caller that no answer will come, though the request may have run. */
     record Fail(ResultCode code) implements Step {}
--- a/quilldyke-daemon/src/main/java/org/quilldyke/daemon/log/Event.java
+++ b/quilldyke-daemon/src/main/java/org/quilldyke/daemon/log/Event.java
@@ -37,6 +37,7 @@
     TARGET_LAPSED(3004, Level.WARN, "target-lapsed", "a target's lease ended without renewal"),
     INDEX_RESYNCED(3005, Level.INFO, "resync", "a target's cached blocks were read anew"),
     WATCH_FAILED(3006, Level.DEBUG, "watch", "an engine's events or load could not be read"),
+    WATCH_LOST(3007, Level.WARN, "watch-lost", "a holder of cached prompts does not answer"),
 
     LEADER_WON(4001, Level.INFO, "leader-won", "this replica leads"),
     LEADER_LOST(4002, Level.INFO, "leader-lost", "this replica leads no longer"),
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Exchange.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Exchange.java
@@ -92,7 +92,7 @@
         try {
             mRequest = admit();
         } catch (QuilldykeException e) {
-            refuse(e.code(), e.retryAfterMillis());
+            refuse(e.code(), e.retryAfterMillis(), e.getMessage());
             return;
         }
         long left = Math.max(0, mRequest.answerBy() - now());
@@ -266,11 +266,11 @@
                                     millis,
                                     TimeUnit.MILLISECONDS);
         } else if (step instanceof Step.Refuse refuse) {
-            refuse(refuse.code(), refuse.retryAfterMillis());
+            refuse(refuse.code(), refuse.retryAfterMillis(), refuse.why());
         } else if (step instanceof Step.Fail fail) {
-            refuse(fail.code(), 0);
+            refuse(fail.code(), 0, "may have run");
         } else if (step instanceof Step.Break broken) {
-            logEnd(Event.REFUSED, broken.code());
+            logEnd(broken.code(), "cut after event " + mForwarding.lastEvent());
             mEntry.metrics().onRefused(broken.code());
             end();
             mCaller.abort();
@@ -283,7 +283,7 @@
         mChoice = send.choice();
         boolean keyed = !mRequest.route().open() && mEntry.routes().needsKeys();
         if (keyed && !mEntry.isConfirmed()) {
-            refuse(ResultCode.KEYS_UNCONFIRMED, 500);
+            refuse(ResultCode.KEYS_UNCONFIRMED, 500, "age " + mEntry.lease().age(now()));
             return;
         }
         mEntry.log()
@@ -429,8 +429,8 @@
         return passed;
     }
 
-    private void refuse(ResultCode code, long retryAfterMillis) {
-        logEnd(Event.REFUSED, code);
+    private void refuse(ResultCode code, long retryAfterMillis, String why) {
+        logEnd(code, why);
         mEntry.metrics().onRefused(code);
         end();
         mCaller.answer(code, retryAfterMillis);
@@ -540,14 +540,16 @@
                         now() - mArrivedAt);
     }
 
-    private void logEnd(Event event, ResultCode code) {
+    private void logEnd(ResultCode code, String why) {
         mEntry.log()
                 .write(
-                        event,
+                        Event.REFUSED,
                         "request",
                         id(),
                         "code",
                         code.label(),
+                        "why",
+                        why,
                         "target",
                         mChoice == null ? "" : mChoice.target(),
                         "ms",
