--- a/quilldyke-core/src/main/java/org/quilldyke/caller/ForwardRequest.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/caller/ForwardRequest.java
@@ -26,6 +26,7 @@
  * @param route the route that it takes
  * @param service the service that it goes to
  * @param organisation who sends it, if it showed a key
+ * @param commonCache the name under which organisations share cached prompts
  * @param prompt its prompt, if it has one
  * @param arrivedAt when it was read
  * @param answerBy when its time is over: the caller's own deadline or the route's timeout
@@ -36,6 +37,7 @@
         Route route,
         String service,
         Optional<Organisation> organisation,
+        String commonCache,
         Optional<Prompt> prompt,
         long arrivedAt,
         long answerBy,
@@ -52,8 +54,11 @@
                 .orElse(route.priority());
     }
 
-    /** Returns whose cached prompts the request may share: an organisation's own, or the common. */
+    /** Returns whose cached prompts the request shares: its organisation's own, or the common. */
     public String cacheOwner() {
-        return organisation.filter(Organisation::isolated).map(Organisation::name).orElse("");
+        return organisation
+                .filter(Organisation::isolated)
+                .map(Organisation::name)
+                .orElse(commonCache);
     }
 }
--- a/quilldyke-core/src/main/java/org/quilldyke/manifest/RouteTable.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/manifest/RouteTable.java
@@ -15,6 +15,7 @@
  */
 package org.quilldyke.manifest;
 
+import com.dynatrace.hash4j.hashing.Hashing;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -22,6 +23,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.TreeSet;
 
 /** A manifest made ready to look up routes, services and keys. Immutable. */
 public final class RouteTable {
@@ -29,9 +31,11 @@
     private final Map<String, List<Route>> mRoutes = new HashMap<>();
     private final Map<String, Service> mServices = new HashMap<>();
     private final Map<String, Organisation> mOwners = new HashMap<>();
+    private final String mCommonCache;
 
     private RouteTable(Manifest manifest) {
         mManifest = manifest;
+        mCommonCache = commonCacheOf(manifest);
         for (Route route : manifest.routes()) {
             mRoutes.computeIfAbsent(route.host(), host -> new ArrayList<>()).add(route);
         }
@@ -84,6 +88,26 @@
         return !mManifest.organisations().isEmpty();
     }
 
+    /**
+     * Returns the name under which organisations that aren't isolated share cached prompts. It is
+     * another one whenever an organisation is isolated or no longer so: what it left in the common
+     * cache, or would find there, belongs to others.
+     */
+    public String commonCache() {
+        return mCommonCache;
+    }
+
+    private static String commonCacheOf(Manifest manifest) {
+        TreeSet<String> isolated = new TreeSet<>();
+        manifest.organisations().stream()
+                .filter(Organisation::isolated)
+                .forEach(organisation -> isolated.add(organisation.name()));
+        return isolated.isEmpty()
+                ? ""
+                : Long.toHexString(
+                        Hashing.wyhashFinal4().hashCharsToLong(String.join(" ", isolated)));
+    }
+
     private static String hostName(String host) {
         int colon = host.lastIndexOf(':');
         String name = colon > 0 ? host.substring(0, colon) : host;
--- a/quilldyke-core/src/test/java/org/quilldyke/manifest/ManifestRulesTest.java
+++ b/quilldyke-core/src/test/java/org/quilldyke/manifest/ManifestRulesTest.java
@@ -99,6 +99,23 @@
         assertThat(toT).isEqualTo(10);
     }
 
+    /** What an organisation left in the common cache is out of reach once it is isolated. */
+    @Test
+    void commonCacheChangesWithIsolation() {
+        Organisation shared = new Organisation("o", Set.of("k"), OptionalInt.empty(), false);
+        Organisation isolated = new Organisation("o", Set.of("k"), OptionalInt.empty(), true);
+
+        assertThat(commonCache(shared)).isEqualTo(commonCache(organisation("p", "q")));
+        assertThat(commonCache(isolated)).isNotEqualTo(commonCache(shared));
+    }
+
+    private static String commonCache(Organisation organisation) {
+        return RouteTable.of(
+                        new Manifest(
+                                1, List.of(), List.of(), List.of(organisation), Limits.standard()))
+                .commonCache();
+    }
+
     private static void assertObjection(String part, Route... routes) {
         assertThat(ManifestRules.objection(manifest(List.of(routes))).orElse("")).contains(part);
     }
--- /dev/null
+++ b/quilldyke-core/src/test/java/org/quilldyke/routing/TargetBookTest.java
@@ -0,0 +1,231 @@
+/*
+ * Copyright 2026 The quilldyke authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.quilldyke.routing;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.quilldyke.caller.ForwardRequest;
+import org.quilldyke.caller.Prompt;
+import org.quilldyke.engine.TargetReport;
+import org.quilldyke.manifest.Organisation;
+import org.quilldyke.manifest.RequestKind;
+import org.quilldyke.manifest.Route;
+import org.quilldyke.manifest.Service;
+
+class TargetBookTest {
+    private static final Prompt PROMPT =
+            new Prompt(
+                    "m",
+                    9000,
+                    10,
+                    List.of(
+                            new Prompt.Part(1, 2500),
+                            new Prompt.Part(2, 3800),
+                            new Prompt.Part(3, 2700)));
+
+    private final TargetBook mBook = TargetBook.create("z", 7500, new SplittableRandom(1));
+
+    @BeforeEach
+    void addEngines() {
+        for (String id : List.of("a", "b", "c")) {
+            mBook.onReport(report(id, 1));
+        }
+    }
+
+    @Test
+    void requestsForOneSubjectGoTogether() {
+        Choice first = choose(0);
+        for (int i = 0; i < 20; i++) {
+            assertThat(choose(i).target()).isEqualTo(first.target());
+        }
+    }
+
+    @Test
+    void whatAnEngineKeepsIsNotReadAgain() {
+        Choice before = choose(0);
+        assertThat(before.cachedTokens()).isEqualTo(0);
+
+        tellKept(before.target(), before.cacheSalt(), 1, 2);
+
+        assertThat(choose(10).cachedTokens()).isEqualTo(6300);
+        assertThat(choose(10).missingTokens()).isEqualTo(2700);
+    }
+
+    @Test
+    void partsAreFetchedFromWhoeverKeepsMost() {
+        Choice home = choose(0);
+        String salt = home.cacheSalt();
+        String other = home.target().equals("a") ? "b" : "a";
+        tellKept(other, salt, 1);
+        assertThat(choose(1, Set.of(other)).cacheSource()).isEqualTo(other + ":1");
+        assertThat(choose(1, Set.of(other)).cachedTokens()).isEqualTo(2500);
+
+        mBook.onServices(List.of(store()));
+        tellKept("store:1", salt, 1, 2);
+
+        assertThat(choose(2, Set.of(other)).cacheSource()).isEqualTo("store:1");
+        assertThat(choose(2, Set.of(other)).cachedTokens()).isEqualTo(6300);
+    }
+
+    @Test
+    void storeThatDoesntAnswerIsNotAsked() {
+        mBook.onServices(List.of(store()));
+        assertThat(choose(0).cacheTarget()).isEqualTo("store:1");
+        tellKept("store:1", choose(0).cacheSalt(), 1, 2);
+        assertThat(choose(1).cacheTarget()).isEmpty();
+        assertThat(choose(1).cacheSource()).isEqualTo("store:1");
+
+        mBook.onCacheNews(new CacheNews("store:1", false, false, List.of(), List.of()));
+
+        assertThat(choose(2).cacheSource()).isEmpty();
+        assertThat(choose(2).cacheTarget()).isEmpty();
+    }
+
+    /** Neither weights nor organisations that keep to themselves share what is kept. */
+    @Test
+    void saltDiffersByWeightsAndByIsolatedOrganisation() {
+        String common = choose(0).cacheSalt();
+        String isolated =
+                mBook.choose(request(true), Set.of(), 0).map(Choice::cacheSalt).orElse("");
+        mBook.onReport(report("a", 2));
+        String newer = choose(0, Set.of("b", "c")).cacheSalt();
+
+        assertThat(Set.of(common, isolated, newer)).hasSize(3);
+    }
+
+    @Test
+    void outdatedWeightsAreAvoidedAndThenForbidden() {
+        mBook.onReport(report("a", 2));
+        mBook.onNamedWeights("m", 2, 1000);
+
+        assertThat(choose(3000).target()).isEqualTo("a");
+        assertThat(choose(3000, Set.of("a")).weights()).isEqualTo(1);
+        assertThat(mBook.choose(request(false), Set.of("a"), 9000)).isEqualTo(Optional.empty());
+    }
+
+    /** A dark engine once got its share until its lease ended, 4.2 s later. */
+    @Test
+    void engineThatOwesAnswersAndSaysNothingIsAvoided() {
+        Choice home = choose(0);
+        mBook.onChosen(home, request(false), 0);
+        mBook.onPromptRead(home);
+        assertThat(choose(500).target()).isEqualTo(home.target());
+
+        assertThat(choose(1500).target()).isNotEqualTo(home.target());
+
+        mBook.onHeard(home.target(), 1600);
+        mBook.onFinished(home);
+        assertThat(choose(1700).target()).isEqualTo(home.target());
+    }
+
+    @Test
+    void engineThatDoesntAnswerItsWatcherIsAvoidedUnlessHeardHere() {
+        String home = choose(0).target();
+
+        mBook.onCacheNews(new CacheNews(home, false, false, List.of(), List.of()));
+        assertThat(choose(1).target()).isNotEqualTo(home);
+
+        mBook.onHeard(home, 2);
+        assertThat(choose(3).target()).isEqualTo(home);
+    }
+
+    @Test
+    void loadingAndLeavingEnginesGetNothing() {
+        mBook.onLoading("a", true);
+        mBook.onReport(
+                new TargetReport("b", "s", "b:1", "z", "v", 64, true, 0, Map.of("m", 1L), 2));
+
+        assertThat(choose(0).target()).isEqualTo("c");
+
+        mBook.onWeightsSeen("a", "m", 2);
+        assertThat(choose(0, Set.of("c")).target()).isEqualTo("a");
+    }
+
+    @Test
+    void backlogTurnsRequestsElsewhere() {
+        Choice home = choose(0);
+        mBook.onOthersLoad(home.target(), 10, 60_000);
+
+        assertThat(choose(1).target()).isNotEqualTo(home.target());
+    }
+
+    private void tellKept(String holder, String salt, long... parts) {
+        List<Long> keys = new ArrayList<>();
+        for (long part : parts) {
+            keys.add(CacheKeys.of(salt, part));
+        }
+        mBook.onCacheNews(new CacheNews(holder, true, false, keys, List.of()));
+    }
+
+    private Choice choose(long now) {
+        return choose(now, Set.of());
+    }
+
+    private Choice choose(long now, Set<String> excluded) {
+        return mBook.choose(request(false), excluded, now).get();
+    }
+
+    private static Service store() {
+        return new Service(
+                "k",
+                "",
+                0,
+                Optional.empty(),
+                Optional.of(new Service.KvStore("store:1", "z", 1, 1)));
+    }
+
+    private static TargetReport report(String id, long weights) {
+        return new TargetReport(
+                id, "s", id + ":1", "z", "v", 64, false, 0, Map.of("m", weights), weights);
+    }
+
+    private static ForwardRequest request(boolean isolated) {
+        Route route =
+                new Route(
+                        "r",
+                        "h",
+                        "/",
+                        RequestKind.STREAMING,
+                        4000,
+                        600,
+                        500,
+                        1,
+                        List.of(new Route.Share("s", 1)),
+                        1,
+                        false,
+                        true,
+                        false);
+        return new ForwardRequest(
+                "id",
+                route,
+                "s",
+                Optional.of(new Organisation("o", Set.of("k"), OptionalInt.empty(), isolated)),
+                "",
+                Optional.of(PROMPT),
+                0,
+                4000,
+                -1);
+    }
+}
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/EntrySubscriber.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/EntrySubscriber.java
@@ -215,7 +215,7 @@
                     report.weights(),
                     "sequence",
                     report.sequence());
-            mEntry.loop().execute(() -> mEntry.book().onReport(report));
+            mEntry.loop().execute(() -> mEntry.onReport(report));
         }
     }
 
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Entry.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Entry.java
@@ -22,10 +22,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import org.quilldyke.caller.KeyLease;
 import org.quilldyke.caller.RetryAllowance;
 import org.quilldyke.daemon.log.EventLog;
+import org.quilldyke.engine.TargetReport;
 import org.quilldyke.gateway.dialect.Dialect;
 import org.quilldyke.gateway.engine.TargetPool;
 import org.quilldyke.gateway.platform.GatewayMetrics;
@@ -35,6 +37,9 @@
 
 /** What all requests at an entry instance share. Lives on the traffic thread. */
 public final class Entry {
+    /** How often it is looked whether a target whose reports have ended still answers. */
+    private static final long HEARD_CHECK_MILLIS = 500;
+
     private final EventLoop mLoop;
     private final LongSupplier mClock;
     private final Dialect mDialect;
@@ -45,6 +50,7 @@
     private final EventLog mLog;
     private final GatewayMetrics mMetrics;
     private final Map<String, Set<Exchange>> mExchanges = new HashMap<>();
+    private final Set<String> mLapsing = new HashSet<>();
     private RouteTable mRoutes;
     private boolean mDraining;
 
@@ -73,6 +79,13 @@
 
     /** Notes that a target is gone or was silent for too long: what is open there is lost. */
     public void onTargetLost(String target, boolean silent) {
+        if (silent && mBook.isAlive(target, now())) {
+            // Its reports don't arrive, but its answers do.
+            mLapsing.add(target);
+            mLoop.schedule(() -> checkLapsing(target), HEARD_CHECK_MILLIS, TimeUnit.MILLISECONDS);
+            return;
+        }
+        mLapsing.remove(target);
         mBook.onGone(target);
         mPool.forget(target);
         if (silent) {
@@ -81,6 +94,18 @@
         }
     }
 
+    /** Takes what a target reports. */
+    public void onReport(TargetReport report) {
+        mLapsing.remove(report.id());
+        mBook.onReport(report);
+    }
+
+    private void checkLapsing(String target) {
+        if (mLapsing.contains(target)) {
+            onTargetLost(target, true);
+        }
+    }
+
     /** Takes no more connections for long: answers end their connections. */
     public void drain() {
         mDraining = true;
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Exchange.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Exchange.java
@@ -248,6 +248,7 @@
                 route,
                 route.serviceFor(facts.id().hashCode()),
                 owner,
+                routes.commonCache(),
                 route.usesModel() ? facts.prompt() : Optional.empty(),
                 now,
                 now + left,
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/WeightsKeeper.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/WeightsKeeper.java
@@ -167,10 +167,11 @@
     }
 
     private void onStatus(LoadPlanner planner, String target, Optional<EngineStatus> status) {
-        if (planner != mPlanner || !mayOrder()) {
+        if (planner != mPlanner) {
             return;
         }
-        if (status.isEmpty()) {
+        if (status.isEmpty() || !mayOrder()) {
+            // Without the right to order just now, the answer is worth as much as none.
             mPlanner.onNoStatus(target, mClock.getAsLong()).forEach(this::perform);
         } else {
             mPlanner.onStatus(target, status.get(), mClock.getAsLong()).forEach(this::perform);
