--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/GatewayProcess.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/GatewayProcess.java
@@ -71,6 +71,7 @@
     private static final long POLL_MILLIS = 50;
     private static final long SWEEP_MILLIS = 1000;
     private static final long HALT_MILLIS = 200;
+    private static final long DISK_RETRY_MILLIS = 300;
 
     private final GatewaySettings mSettings;
     private final Dialect mDialect;
@@ -226,6 +227,28 @@
 
     private void startControl() throws QuilldykeException {
         EngineOrders orders = EngineOrders.create(mTraffic, mDialect.targets(), mClock, mLog);
+        mNode = startNode(orders);
+        mSessions = SessionServer.start(mSettings.internalAddress(mSettings.ip()), mControl, mNode);
+        ControlServer.start(
+                mSettings.control(), mTraffic, mControl, mNode, mDialect.control(), mLog);
+    }
+
+    /** Starts the node; a disk that can't be written just now may be writable again soon. */
+    private ControlNode startNode(EngineOrders orders) throws QuilldykeException {
+        while (true) {
+            try {
+                return tryStartNode(orders);
+            } catch (QuilldykeException e) {
+                if (e.code() != ResultCode.DISK_FAILED) {
+                    throw e;
+                }
+                mLog.write(Event.DISK_FAILED, "detail", e.getMessage());
+                pause(DISK_RETRY_MILLIS);
+            }
+        }
+    }
+
+    private ControlNode tryStartNode(EngineOrders orders) throws QuilldykeException {
         CompletableFuture<ControlNode> started = new CompletableFuture<>();
         mControl.execute(
                 () -> {
@@ -242,10 +265,7 @@
                         started.completeExceptionally(e);
                     }
                 });
-        mNode = await(started);
-        mSessions = SessionServer.start(mSettings.internalAddress(mSettings.ip()), mControl, mNode);
-        ControlServer.start(
-                mSettings.control(), mTraffic, mControl, mNode, mDialect.control(), mLog);
+        return await(started);
     }
 
     /** Called on the traffic thread. */
