--- a/quilldyke-core/src/main/java/org/quilldyke/caller/Forwarding.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/caller/Forwarding.java
@@ -170,8 +170,8 @@
                 : new Step.Refuse(ResultCode.DEADLINE_PASSED, 0, "no target in time");
     }
 
-    /** Notes that the caller went away. */
-    public void onCallerGone() {
+    /** Notes that nothing more is done: the caller went away, or its key can't be confirmed. */
+    public void abandon() {
         finishAttempt();
     }
 
--- a/quilldyke-core/src/main/java/org/quilldyke/routing/TargetBook.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/routing/TargetBook.java
@@ -135,10 +135,10 @@
     }
 
     /** Notes that a target is about to load weights, or has done so. */
-    public void onLoading(String id, boolean loading) {
+    public void onLoading(String id, boolean loading, long now) {
         TargetState state = mTargets.get(id);
         if (state != null) {
-            state.mLoading = loading;
+            state.onLoading(loading, now);
         }
     }
 
@@ -297,7 +297,7 @@
         List<TargetState> good = new ArrayList<>();
         List<TargetState> doubtful = new ArrayList<>();
         for (TargetState state : mTargets.values()) {
-            if (!state.serves(request.service())
+            if (!state.serves(request.service(), now)
                     || excluded.contains(state.id())
                     || hasForbiddenWeights(state, request, now)) {
                 continue;
@@ -405,7 +405,7 @@
         long key = request.prompt().map(CacheKeys::affinity).orElse(0L);
         long own = Rendezvous.rank(key, state.id());
         for (TargetState other : mTargets.values()) {
-            boolean rival = other != state && other.serves(request.service());
+            boolean rival = other != state && other.serves(request.service(), now);
             if (rival
                     && !other.isSuspect(now)
                     && Long.compareUnsigned(Rendezvous.rank(key, other.id()), own) > 0) {
--- a/quilldyke-core/src/main/java/org/quilldyke/routing/TargetState.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/routing/TargetState.java
@@ -26,10 +26,12 @@
     private static final int MAX_DOUBLINGS = 4;
     private static final long OVERLOADED_MILLIS = 60;
 
+    /** A load that takes longer than this has been forgotten by whoever told of it. */
+    private static final long MAX_LOADING_MILLIS = 6000;
+
     /** A target that owes answers and sends nothing for this long is avoided. */
     private static final long MUTE_MILLIS = 900;
 
-    boolean mLoading;
     int mOthersRequests;
     long mOthersTokens;
     private final Map<String, Long> mWeights = new HashMap<>();
@@ -42,6 +44,7 @@
     private long mSuspectUntil = Long.MIN_VALUE;
     private long mHeardAt = Long.MIN_VALUE;
     private long mWaitingSince;
+    private long mLoadingUntil = Long.MIN_VALUE;
     private boolean mAnswersWatch = true;
 
     TargetState(TargetReport report) {
@@ -84,12 +87,17 @@
         if (known == null || version > known) {
             mWeights.put(model, version);
             mCache.clear();
-            mLoading = false;
+            mLoadingUntil = Long.MIN_VALUE;
         }
     }
 
-    boolean serves(String service) {
-        return mReport.service().equals(service) && !mReport.leaving() && !mLoading;
+    /** Notes that the target is about to load weights, or has done so; who said so may be gone. */
+    void onLoading(boolean loading, long now) {
+        mLoadingUntil = loading ? now + MAX_LOADING_MILLIS : Long.MIN_VALUE;
+    }
+
+    boolean serves(String service, long now) {
+        return mReport.service().equals(service) && !mReport.leaving() && now >= mLoadingUntil;
     }
 
     boolean isIn(String failureDomain) {
--- a/quilldyke-core/src/test/java/org/quilldyke/routing/TargetBookTest.java
+++ b/quilldyke-core/src/test/java/org/quilldyke/routing/TargetBookTest.java
@@ -153,7 +153,7 @@
 
     @Test
     void loadingAndLeavingEnginesGetNothing() {
-        mBook.onLoading("a", true);
+        mBook.onLoading("a", true, 0);
         mBook.onReport(
                 new TargetReport("b", "s", "b:1", "z", "v", 64, true, 0, Map.of("m", 1L), 2));
 
@@ -163,6 +163,17 @@
         assertThat(choose(0, Set.of("c")).target()).isEqualTo("a");
     }
 
+    /** A leader that dies between its announcement and its order once left the engine unused. */
+    @Test
+    void announcementOfALoadEndsByItself() {
+        mBook.onLoading("a", true, 0);
+        mBook.onGone("b");
+        mBook.onGone("c");
+        assertThat(mBook.choose(request(false), Set.of(), 5000)).isEqualTo(Optional.empty());
+
+        assertThat(choose(6001).target()).isEqualTo("a");
+    }
+
     @Test
     void backlogTurnsRequestsElsewhere() {
         Choice home = choose(0);
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/EntrySubscriber.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/EntrySubscriber.java
@@ -241,7 +241,11 @@
                                                 loading.getWeights().getModel(),
                                                 loading.getWeights().getVersion());
                             }
-                            mEntry.book().onLoading(loading.getTarget(), loading.getLoading());
+                            mEntry.book()
+                                    .onLoading(
+                                            loading.getTarget(),
+                                            loading.getLoading(),
+                                            mEntry.now());
                         });
     }
 }
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Exchange.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Exchange.java
@@ -108,7 +108,7 @@
         }
         mEntry.log().write(Event.CALLER_GONE, "request", id(), "after", now() - mArrivedAt);
         mEntry.metrics().onCallerGone();
-        mForwarding.onCallerGone();
+        mForwarding.abandon();
         cancelAttempt();
         end();
     }
@@ -284,6 +284,7 @@
         mChoice = send.choice();
         boolean keyed = !mRequest.route().open() && mEntry.routes().needsKeys();
         if (keyed && !mEntry.isConfirmed()) {
+            mForwarding.abandon();
             refuse(ResultCode.KEYS_UNCONFIRMED, 500, "age " + mEntry.lease().age(now()));
             return;
         }
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/EntrySessions.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/EntrySessions.java
@@ -18,7 +18,6 @@
 import com.google.protobuf.ByteString;
 import io.grpc.Status;
 import io.grpc.stub.StreamObserver;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -48,13 +47,16 @@
     private static final long LOADS_MILLIS = 300;
     private static final long SILENT_MILLIS = 3000;
 
+    /** A load that takes longer than this has been forgotten by whoever told of it. */
+    private static final long MAX_LOADING_MILLIS = 6000;
+
     private final LongSupplier mClock;
     private final EventLog mLog;
     private final Peers mPeers;
     private final EntryLoads mLoads = new EntryLoads();
     private final Set<Session> mSessions = new LinkedHashSet<>();
     private final Map<String, Long> mNamedAt = new HashMap<>();
-    private final Map<String, Loading> mLoading = new HashMap<>();
+    private final Map<String, Long> mLoading = new HashMap<>();
     private Confirmations mConfirmations;
     private TargetSpread mTargets;
     private FleetState mState = FleetState.create();
@@ -96,7 +98,7 @@
     /** Tells all that an engine is about to load weights, or has done so. */
     void onLoading(Loading loading) {
         if (loading.getLoading()) {
-            mLoading.put(loading.getTarget(), loading);
+            mLoading.put(loading.getTarget(), mClock.getAsLong());
         } else {
             mLoading.remove(loading.getTarget());
         }
@@ -197,7 +199,9 @@
                 send(configuration(true));
             }
             send(ControlFrame.newBuilder().setTargets(mTargets.all()).build());
-            for (Loading loading : new ArrayList<>(mLoading.values())) {
+            mLoading.values().removeIf(at -> mClock.getAsLong() - at > MAX_LOADING_MILLIS);
+            for (String target : mLoading.keySet()) {
+                Loading loading = Loading.newBuilder().setTarget(target).setLoading(true).build();
                 send(ControlFrame.newBuilder().setLoading(loading).build());
             }
         }
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/instance/StreamLink.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/instance/StreamLink.java
@@ -40,7 +40,8 @@
     /** A stream is dropped after this silence: several beats and a pause of the other process. */
     static final long SILENT_MILLIS = 1200;
 
-    private static final long RECONNECT_MILLIS = 200;
+    private static final long RECONNECT_MILLIS = 150;
+    private static final int MAX_DOUBLINGS = 2;
     private static final int CONNECT_MILLIS = 500;
     private static final int MAX_FRAME_BYTES = 64 << 20;
 
@@ -52,6 +53,7 @@
     private Receiver mReceiver;
     private long mHeardAt;
     private boolean mUp;
+    private int mFailures;
     private boolean mClosed;
 
     StreamLink(NettyLoop loop, LongSupplier clock, String address) {
@@ -158,7 +160,8 @@
         if (wasUp) {
             onDown(why);
         }
-        mLoop.schedule(RECONNECT_MILLIS, this::connect);
+        mFailures = wasUp ? 0 : Math.min(MAX_DOUBLINGS, mFailures + 1);
+        mLoop.schedule(RECONNECT_MILLIS << mFailures, this::connect);
     }
 
     private void drop() {
