--- a/quilldyke-core/src/main/java/org/quilldyke/routing/TargetBook.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/routing/TargetBook.java
@@ -43,7 +43,6 @@
 
     private static final double OLD_WEIGHTS_COST = 120;
     private static final double OTHER_DOMAIN_COST = 0.5;
-    private static final long RETRY_AFTER_MILLIS = 300;
 
     /** A target that sent something this lately is alive, however long one answer takes. */
     private static final long ALIVE_MILLIS = 600;
@@ -277,7 +276,8 @@
      * Returns when a caller that is refused may try again: spread, so that not all come at once.
      */
     public long retryAfterMillis(ForwardRequest request, long now) {
-        return RETRY_AFTER_MILLIS + mRandom.nextLong(RETRY_AFTER_MILLIS);
+        long objective = request.route().objectiveMillis();
+        return objective + mRandom.nextLong(Math.max(1, objective));
     }
 
     /** Returns the targets, to be read. */
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/CallerServer.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/CallerServer.java
@@ -15,26 +15,19 @@
  */
 package org.quilldyke.gateway.caller;
 
-import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpServerCodec;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.Set;
-import org.quilldyke.Outcome;
 import org.quilldyke.QuilldykeException;
 import org.quilldyke.ResultCode;
-import org.quilldyke.daemon.settings.Addresses;
+import org.quilldyke.gateway.http.HttpListener;
 
 /** Takes callers' connections. */
 public final class CallerServer {
-    private static final int BACKLOG = 1024;
-
     private final Entry mEntry;
     private final Set<CallerConnection> mConnections = new HashSet<>();
     private Channel mListener;
@@ -52,23 +45,7 @@
      */
     public static CallerServer start(String address, Entry entry) throws QuilldykeException {
         CallerServer server = new CallerServer(entry);
-        ServerBootstrap bootstrap =
-                new ServerBootstrap()
-                        .group(entry.loop())
-                        .channel(NioServerSocketChannel.class)
-                        .option(ChannelOption.SO_BACKLOG, BACKLOG)
-                        .option(ChannelOption.SO_REUSEADDR, true)
-                        .childOption(ChannelOption.TCP_NODELAY, true)
-                        .childHandler(server.initializer());
-        try {
-            server.mListener = bootstrap.bind(Addresses.parse(address)).sync().channel();
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-            throw QuilldykeException.of(ResultCode.INTERNAL, Outcome.NOT_RUN, "interrupted", e);
-        } catch (RuntimeException e) {
-            throw QuilldykeException.of(
-                    ResultCode.ADDRESS_IN_USE, Outcome.NOT_RUN, address + ": " + e, e);
-        }
+        server.mListener = HttpListener.bind(address, entry.loop(), server::initialize);
         return server;
     }
 
@@ -86,17 +63,12 @@
         new ArrayList<>(mConnections).forEach(CallerConnection::closeIfIdle);
     }
 
-    private ChannelInitializer<SocketChannel> initializer() {
-        return new ChannelInitializer<>() {
-            @Override
-            protected void initChannel(SocketChannel channel) {
-                CallerConnection connection = new CallerConnection(mEntry);
-                mConnections.add(connection);
-                channel.closeFuture().addListener(closed -> mConnections.remove(connection));
-                channel.pipeline().addLast(new HttpServerCodec(decoderConfig()));
-                channel.pipeline().addLast(connection);
-            }
-        };
+    private void initialize(SocketChannel channel) {
+        CallerConnection connection = new CallerConnection(mEntry);
+        mConnections.add(connection);
+        channel.closeFuture().addListener(closed -> mConnections.remove(connection));
+        channel.pipeline().addLast(new HttpServerCodec(decoderConfig()));
+        channel.pipeline().addLast(connection);
     }
 
     private HttpDecoderConfig decoderConfig() {
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/operator/ControlServer.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/operator/ControlServer.java
@@ -15,17 +15,13 @@
  */
 package org.quilldyke.gateway.operator;
 
-import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -46,10 +42,10 @@
 import org.quilldyke.daemon.json.Json;
 import org.quilldyke.daemon.log.Event;
 import org.quilldyke.daemon.log.EventLog;
-import org.quilldyke.daemon.settings.Addresses;
 import org.quilldyke.gateway.control.ControlNode;
 import org.quilldyke.gateway.dialect.ControlCall;
 import org.quilldyke.gateway.dialect.ControlDialect;
+import org.quilldyke.gateway.http.HttpListener;
 import org.quilldyke.gateway.instance.NettyLoop;
 import org.quilldyke.manifest.ManifestRules;
 
@@ -93,35 +89,15 @@
             EventLog log)
             throws QuilldykeException {
         ControlServer server = new ControlServer(control, node, dialect, log);
-        ServerBootstrap bootstrap =
-                new ServerBootstrap()
-                        .group(loop)
-                        .channel(NioServerSocketChannel.class)
-                        .option(ChannelOption.SO_REUSEADDR, true)
-                        .childOption(ChannelOption.TCP_NODELAY, true)
-                        .childHandler(server.initializer());
-        try {
-            bootstrap.bind(Addresses.parse(address)).sync();
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-            throw QuilldykeException.of(ResultCode.INTERNAL, Outcome.NOT_RUN, "interrupted", e);
-        } catch (RuntimeException e) {
-            throw QuilldykeException.of(
-                    ResultCode.ADDRESS_IN_USE, Outcome.NOT_RUN, address + ": " + e, e);
-        }
+        HttpListener.bind(address, loop, server::initialize);
     }
 
-    private ChannelInitializer<SocketChannel> initializer() {
-        return new ChannelInitializer<>() {
-            @Override
-            protected void initChannel(SocketChannel channel) {
-                channel.pipeline()
-                        .addLast(new ReadTimeoutHandler(IDLE_SECONDS, TimeUnit.SECONDS))
-                        .addLast(new HttpServerCodec())
-                        .addLast(new HttpObjectAggregator(MAX_BODY_BYTES, true))
-                        .addLast(new Handler());
-            }
-        };
+    private void initialize(SocketChannel channel) {
+        channel.pipeline()
+                .addLast(new ReadTimeoutHandler(IDLE_SECONDS, TimeUnit.SECONDS))
+                .addLast(new HttpServerCodec())
+                .addLast(new HttpObjectAggregator(MAX_BODY_BYTES, true))
+                .addLast(new Handler());
     }
 
     private CompletableFuture<byte[]> carryOut(ControlCall call) throws QuilldykeException {
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/platform/ProbeServer.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/platform/ProbeServer.java
@@ -21,16 +21,11 @@
 import com.codahale.metrics.Metric;
 import com.codahale.metrics.MetricRegistry;
 import com.codahale.metrics.Snapshot;
-import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -42,10 +37,9 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.function.BooleanSupplier;
-import org.quilldyke.Outcome;
 import org.quilldyke.QuilldykeException;
 import org.quilldyke.ResultCode;
-import org.quilldyke.daemon.settings.Addresses;
+import org.quilldyke.gateway.http.HttpListener;
 
 /** Answers the platform's probes: whether the process takes requests, and its metrics as text. */
 public final class ProbeServer {
@@ -73,30 +67,14 @@
             String address, EventLoop loop, BooleanSupplier ready, MetricRegistry metrics)
             throws QuilldykeException {
         ProbeServer server = new ProbeServer(ready, metrics);
-        ServerBootstrap bootstrap =
-                new ServerBootstrap()
-                        .group(loop)
-                        .channel(NioServerSocketChannel.class)
-                        .option(ChannelOption.SO_REUSEADDR, true)
-                        .childHandler(
-                                new ChannelInitializer<SocketChannel>() {
-                                    @Override
-                                    protected void initChannel(SocketChannel channel) {
-                                        channel.pipeline()
-                                                .addLast(new HttpServerCodec())
-                                                .addLast(new HttpObjectAggregator(MAX_BODY_BYTES))
-                                                .addLast(server.handler());
-                                    }
-                                });
-        try {
-            bootstrap.bind(Addresses.parse(address)).sync();
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-            throw QuilldykeException.of(ResultCode.INTERNAL, Outcome.NOT_RUN, "interrupted", e);
-        } catch (RuntimeException e) {
-            throw QuilldykeException.of(
-                    ResultCode.ADDRESS_IN_USE, Outcome.NOT_RUN, address + ": " + e, e);
-        }
+        HttpListener.bind(
+                address,
+                loop,
+                channel ->
+                        channel.pipeline()
+                                .addLast(new HttpServerCodec())
+                                .addLast(new HttpObjectAggregator(MAX_BODY_BYTES))
+                                .addLast(server.handler()));
     }
 
     private SimpleChannelInboundHandler<FullHttpRequest> handler() {
