--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/TargetSpread.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/TargetSpread.java
@@ -40,9 +40,15 @@
     /** How often the signs of life that came here are told to other control processes. */
     static final long ALIVE_MILLIS = 800;
 
+    /** How often all targets are told anew: one that lapsed somewhere by mistake is known again. */
+    static final long REFRESH_MILLIS = 5000;
+
     /** A target lapses after this many of its reports have not come, by a margin for late ones. */
     private static final double LAPSE_REPORTS = 3.5;
 
+    /** Signs of life come from others this often at the least before a target lapses here. */
+    private static final long LAPSE_TELLINGS = 3;
+
     private final TargetRegistry mRegistry = TargetRegistry.create();
     private final Set<String> mHeardHere = new HashSet<>();
     private final Peers mPeers;
@@ -51,6 +57,7 @@
     private final EventLog mLog;
     private final long mLapseMillis;
     private long mToldAt;
+    private long mRefreshedAt;
     private long mCompleteSince;
 
     TargetSpread(
@@ -63,8 +70,10 @@
         mEntries = entries;
         mClock = clock;
         mLog = log;
-        mLapseMillis = Math.round(reportMillis * LAPSE_REPORTS);
+        mLapseMillis =
+                Math.max(Math.round(reportMillis * LAPSE_REPORTS), LAPSE_TELLINGS * ALIVE_MILLIS);
         mCompleteSince = clock.getAsLong();
+        mRefreshedAt = mCompleteSince;
     }
 
     /** Takes a report that came here. */
@@ -162,6 +171,10 @@
             mToldAt = now;
             tellAlive(now);
         }
+        if (inTouch && now - mRefreshedAt >= REFRESH_MILLIS) {
+            mRefreshedAt = now;
+            tell(all());
+        }
         if (!inTouch) {
             mCompleteSince = now;
         }
