--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/GatewayProcess.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/GatewayProcess.java
@@ -15,6 +15,8 @@
  */
 package org.quilldyke.gateway;
 
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.MetricRegistry;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -206,6 +208,7 @@
                 Entry.of(
                         new Entry.Parts(
                                 mTraffic, mClock, mDialect, book, retries, lease, mLog, mMetrics));
+        registerGauges();
         mCallers = CallerServer.start(mSettings.callers(), mEntry);
         ProbeServer.start(mSettings.ready(), mTraffic, this::isReady, mMetrics.registry());
         EntrySubscriber subscriber =
@@ -225,6 +228,15 @@
                                         subscriber));
     }
 
+    /** What is read when metrics are asked for, on the traffic thread. */
+    private void registerGauges() {
+        MetricRegistry registry = mMetrics.registry();
+        registry.register("targets.known", (Gauge<Integer>) () -> mEntry.book().targets().size());
+        registry.register("targets.connections", (Gauge<Integer>) mEntry.pool()::connections);
+        registry.register(
+                "keys.lease-age.ms", (Gauge<Long>) () -> mEntry.lease().age(mEntry.now()));
+    }
+
     private void startControl() throws QuilldykeException {
         EngineOrders orders = EngineOrders.create(mTraffic, mDialect.targets(), mClock, mLog);
         mNode = startNode(orders);
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/engine/TargetPool.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/engine/TargetPool.java
@@ -99,7 +99,7 @@
         }
     }
 
-    /** Returns the number of connections that were opened since the start. */
+    /** Returns the number of connections that are open, free or not. */
     public int connections() {
         return mSlots.values().stream().mapToInt(slot -> slot.mOpen.size()).sum();
     }
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/instance/Peers.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/instance/Peers.java
@@ -96,11 +96,6 @@
         mLinks.values().stream().filter(PeerLink::isUp).forEach(link -> link.send(frame));
     }
 
-    /** Returns the addresses to which there are streams, in reach or not. */
-    public Collection<String> addresses() {
-        return mLinks.keySet();
-    }
-
     /** Returns the addresses of this process and of all peers in reach. */
     public List<String> known() {
         List<String> known = new ArrayList<>();
