Placement by one measure: lateness, shared tokens read again, copies

Parts that were only sent were fetched from engines that hadn't read them. Each token of reading was priced as its 0.02 ms, though a long prompt's shared parts, read again, cost more than its answer earns. Now: lateness is nearly free up to 0.4 of the objective; a shared token read again costs 1, a copied one 0.15; only confirmed parts are fetched; each lacking part has one home among engines of the same weights. One home for each part is not measured yet.

--- a/quilldyke-core/src/main/java/org/quilldyke/routing/CacheKeys.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/routing/CacheKeys.java
@@ -28,13 +28,31 @@
         return Hashing.wyhashFinal4().hashStream().putString(salt).putLong(part).getAsLong();
     }
 
-    /**
-     * Returns the key by which requests for one subject are kept together: the shared parts,
-     * whatever the salt, so that a subject stays where it is when weights change.
-     */
-    static long affinity(Prompt prompt) {
+    /** Returns a key of all shared parts, by which requests for one subject are told. */
+    public static long subject(Prompt prompt) {
         HashStream64 hash = Hashing.wyhashFinal4().hashStream();
         prompt.sharedParts().forEach(part -> hash.putLong(part.id()));
         return hash.getAsLong();
     }
+
+    /**
+     * Returns the key by which prompts are kept together that lack the same part: the shared parts
+     * up to the first one that isn't held. Weights don't count, so that a subject stays where it is
+     * when they change.
+     *
+     * @param owner whose cache it is, empty for the common one
+     * @param heldTokens how many tokens of the prompt are held
+     */
+    static long affinity(String owner, Prompt prompt, int heldTokens) {
+        HashStream64 hash = Hashing.wyhashFinal4().hashStream().putString(owner);
+        int tokens = 0;
+        for (Prompt.Part part : prompt.sharedParts()) {
+            hash.putLong(part.id());
+            tokens += part.tokens();
+            if (tokens > heldTokens) {
+                break;
+            }
+        }
+        return hash.getAsLong();
+    }
 }
--- a/quilldyke-core/src/main/java/org/quilldyke/routing/CacheView.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/routing/CacheView.java
@@ -19,44 +19,67 @@
 import java.util.Map;
 import org.quilldyke.caller.Prompt;
 
-/** What a target or a store is believed to keep of prompts, by its events and what was sent it. */
+/**
+ * What a target or a store is believed to keep of prompts: what its events say, and for a while
+ * what was sent to it, since events come late.
+ */
 final class CacheView {
     /** More parts than any engine of today's sites keeps; the oldest are forgotten beyond. */
     private static final int MAX_PARTS = 8192;
 
-    private final Map<Long, Boolean> mParts =
+    /** A prompt that was sent is read within this time, or its target has refused it. */
+    private static final long EXPECTED_MILLIS = 3000;
+
+    private static final long CONFIRMED = Long.MAX_VALUE;
+
+    /** Until when each part is believed to be kept, by its key. */
+    private final Map<Long, Long> mParts =
             new LinkedHashMap<>(256, 0.75f, true) {
                 private static final long serialVersionUID = 1;
 
                 @Override
-                protected boolean removeEldestEntry(Map.Entry<Long, Boolean> eldest) {
+                protected boolean removeEldestEntry(Map.Entry<Long, Long> eldest) {
                     return size() > MAX_PARTS;
                 }
             };
 
-    /** Returns how many tokens of a prompt are kept: its parts from the first on, without a gap. */
-    int cachedTokens(String salt, Prompt prompt) {
-        int cached = 0;
+    /**
+     * Returns how many tokens of a prompt are kept here, or will be when what was sent is read: its
+     * parts from the first on, without a gap.
+     */
+    int cachedTokens(String salt, Prompt prompt, long now) {
+        return tokensBelievedAt(salt, prompt, now);
+    }
+
+    /**
+     * Returns how many tokens of a prompt are surely kept by now, so that others may fetch them.
+     */
+    int fetchableTokens(String salt, Prompt prompt) {
+        return tokensBelievedAt(salt, prompt, CONFIRMED - 1);
+    }
+
+    private int tokensBelievedAt(String salt, Prompt prompt, long time) {
+        int tokens = 0;
         for (Prompt.Part part : prompt.parts()) {
-            if (!mParts.containsKey(CacheKeys.of(salt, part.id()))) {
-                return cached;
+            Long until = mParts.get(CacheKeys.of(salt, part.id()));
+            if (until == null || until <= time) {
+                return tokens;
             }
-            cached += part.tokens();
+            tokens += part.tokens();
         }
-        return cached;
-    }
-
-    /** Returns whether all parts that others may share are kept. */
-    boolean holdsShared(String salt, Prompt prompt) {
-        return cachedTokens(salt, prompt) >= prompt.sharedTokens();
+        return tokens;
     }
 
+    /** Takes a part that is kept, by an event. */
     void add(long key) {
-        mParts.put(key, Boolean.TRUE);
+        mParts.put(key, CONFIRMED);
     }
 
-    void addAll(String salt, Prompt prompt) {
-        prompt.parts().forEach(part -> add(CacheKeys.of(salt, part.id())));
+    /** Takes a prompt that is sent. */
+    void expect(String salt, Prompt prompt, long now) {
+        for (Prompt.Part part : prompt.parts()) {
+            mParts.merge(CacheKeys.of(salt, part.id()), now + EXPECTED_MILLIS, Math::max);
+        }
     }
 
     void remove(long key) {
--- a/quilldyke-core/src/main/java/org/quilldyke/routing/CostModel.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/routing/CostModel.java
@@ -34,8 +34,11 @@
     /** A token of 18 KB over a store's link of 25 Gbit/s. */
     public static final double STORE_FETCH_MILLIS_PER_TOKEN = 0.0065;
 
-    /** The part of a request's reading that counts against it for delaying those that run. */
-    private static final double OTHERS_WEIGHT = 0.02;
+    /**
+     * What a millisecond of reading costs each request that runs and waits for it, in shared tokens
+     * read again, see {@link PlacementCost}.
+     */
+    private static final double DELAY_TOKENS_PER_MILLI = 0.14;
 
     /** Returns the model for engines of today's sites; refined by what is seen. */
     public static CostModel standard() {
@@ -50,8 +53,8 @@
         return firstMillis + step + reading + line;
     }
 
-    /** Returns what the request costs those that run already. */
+    /** Returns what the request costs those that run already, in shared tokens read again. */
     public double costToOthers(long missingTokens, int running) {
-        return missingTokens / tokensPerMilli * running * OTHERS_WEIGHT;
+        return missingTokens / tokensPerMilli * running * DELAY_TOKENS_PER_MILLI;
     }
 }
--- /dev/null
+++ b/quilldyke-core/src/main/java/org/quilldyke/routing/PlacementCost.java
@@ -0,0 +1,73 @@
+/*
+ * Copyright 2026 The quilldyke authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.quilldyke.routing;
+
+/**
+ * What it costs to send a prompt to an engine, in shared tokens read again: the common measure of
+ * lateness, wasted reading, and cache that gives way.
+ *
+ * <p>Today's sites price a thousand shared tokens that are read again at 0.73 of the worth of a
+ * plain request; a late answer loses some 2 of the 2.9 that a long prompt is worth. So a late
+ * answer costs as much as 2,700 tokens, and as long as answers are early, the place that reads
+ * least is best.
+ */
+final class PlacementCost {
+    /** An answer that comes at its objective costs this many tokens; one that is later, more. */
+    static final double LATE_TOKENS = 2700;
+
+    /** Up to this part of the objective, the risk of coming late is small. */
+    static final double EASY_PART = 0.4;
+
+    /** What an answer costs that is expected at the end of the easy part. */
+    static final double EASY_TOKENS = 150;
+
+    /**
+     * What each shared token costs that is brought to an engine: something else must give way
+     * there, which is brought back or read again later.
+     */
+    static final double COPY_TOKENS_PER_TOKEN = 0.15;
+
+    /** A prompt and its answer, 20 KB, through the links between failure domains. */
+    static final double OTHER_DOMAIN_TOKENS = 30;
+
+    /** Replaced weights cost a fifth of an answer's worth. */
+    static final double OLD_WEIGHTS_TOKENS = 700;
+
+    private PlacementCost() {}
+
+    /** Returns what it costs that the first token is expected after so many milliseconds. */
+    static double lateness(double expectedMillis, long objectiveMillis) {
+        double part = expectedMillis / Math.max(1, objectiveMillis);
+        if (part <= EASY_PART) {
+            return EASY_TOKENS * part / EASY_PART;
+        }
+        return EASY_TOKENS + (LATE_TOKENS - EASY_TOKENS) * (part - EASY_PART) / (1 - EASY_PART);
+    }
+
+    /**
+     * Returns what it costs to have a prompt's shared parts at an engine.
+     *
+     * @param sharedTokens how many tokens others may share
+     * @param cachedTokens how many of the prompt's tokens the engine keeps
+     * @param heldTokens how many it has once it has fetched what others keep; all, if the rest is
+     *     read for the first time there
+     */
+    static double reading(int sharedTokens, int cachedTokens, int heldTokens) {
+        int brought = Math.max(0, sharedTokens - cachedTokens);
+        int read = Math.max(0, sharedTokens - heldTokens);
+        return read + COPY_TOKENS_PER_TOKEN * brought;
+    }
+}
--- a/quilldyke-core/src/main/java/org/quilldyke/routing/TargetBook.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/routing/TargetBook.java
@@ -41,21 +41,18 @@
      */
     private static final long OLD_WEIGHTS_MILLIS = 1200;
 
-    private static final double OLD_WEIGHTS_COST = 120;
+    /** What the way to another failure domain costs a plain request, in tenths of a full target. */
     private static final double OTHER_DOMAIN_COST = 0.5;
 
     /** A target that sent something this lately is alive, however long one answer takes. */
     private static final long ALIVE_MILLIS = 600;
 
-    /** Less than this isn't worth a transfer: a target reads it in a few milliseconds. */
-    private static final int MIN_FETCHED_TOKENS = 400;
+    /** Less than this isn't worth a transfer: an engine reads it in a millisecond. */
+    private static final int MIN_FETCHED_TOKENS = 64;
 
     /** A prompt with less to share isn't worth its place in the store. */
     private static final int MIN_SHARED_TOKENS = 1000;
 
-    /** What a target that isn't a subject's usual one costs more: its cache gives way to it. */
-    private static final double STRANGER_COST = 12;
-
     private final String mFailureDomain;
     private final long mOldestWeightsMillis;
     private final RandomGenerator mRandom;
@@ -319,19 +316,19 @@
     }
 
     private Rated rate(TargetState state, ForwardRequest request, long now) {
-        double domain = state.isIn(mFailureDomain) ? 0 : OTHER_DOMAIN_COST;
         double noise = mRandom.nextDouble() * 0.1;
         if (request.prompt().isEmpty()) {
+            double domain = state.isIn(mFailureDomain) ? 0 : OTHER_DOMAIN_COST;
             double cost = 10.0 * state.openRequests() / state.slots() + domain + noise;
             return new Rated(state, Choice.NO_WEIGHTS, "", 0, 0, "", cost, cost);
         }
-        return rateEngine(state, request, request.prompt().get(), domain + noise, now);
+        return rateEngine(state, request, request.prompt().get(), noise, now);
     }
 
     private Rated rateEngine(
-            TargetState state, ForwardRequest request, Prompt prompt, double extra, long now) {
+            TargetState state, ForwardRequest request, Prompt prompt, double noise, long now) {
         String salt = salt(state, request);
-        int cached = state.cache().cachedTokens(salt, prompt);
+        int cached = state.cache().cachedTokens(salt, prompt, now);
         Optional<Source> source = source(state, request, prompt, salt, cached);
         int held = source.map(Source::tokens).orElse(cached);
         double fetch = source.map(s -> s.millisPerToken() * (s.tokens() - cached)).orElse(0.0);
@@ -342,12 +339,14 @@
                                 missing, state.backlogTokens(), state.openRequests(), state.slots())
                         + state.excessMillis(now);
         boolean old = outdatedFor(state, prompt, now) > OLD_WEIGHTS_MILLIS;
+        double others = mCosts.costToOthers(missing, state.openRequests());
         double cost =
-                expected
-                        + mCosts.costToOthers(missing, state.openRequests())
-                        + (old ? OLD_WEIGHTS_COST : 0)
-                        + (isHome(state, request, now) ? 0 : STRANGER_COST)
-                        + extra;
+                PlacementCost.lateness(expected, request.route().objectiveMillis())
+                        + reading(state, request, prompt.sharedTokens(), cached, held, now)
+                        + others
+                        + (old ? PlacementCost.OLD_WEIGHTS_TOKENS : 0)
+                        + (state.isIn(mFailureDomain) ? 0 : PlacementCost.OTHER_DOMAIN_TOKENS)
+                        + noise;
         return new Rated(
                 state,
                 state.weights(prompt.model()),
@@ -366,7 +365,7 @@
         int most = cached + MIN_FETCHED_TOKENS - 1;
         Source best = null;
         if (mStore.isUsable() && cached < shared) {
-            int stored = Math.min(shared, mStore.cache().cachedTokens(salt, prompt));
+            int stored = Math.min(shared, mStore.cache().fetchableTokens(salt, prompt));
             if (stored > most) {
                 most = stored;
                 best = Source.store(mStore.address(), stored);
@@ -377,7 +376,7 @@
                     other != state
                             && other.service().equals(request.service())
                             && other.weights(prompt.model()) == state.weights(prompt.model());
-            int kept = same ? Math.min(shared, other.cache().cachedTokens(salt, prompt)) : 0;
+            int kept = same ? Math.min(shared, other.cache().fetchableTokens(salt, prompt)) : 0;
             // Of equal sources, an engine's link is faster than the store's.
             boolean better = kept > most || best != null && best.isStore() && kept == most;
             if (better) {
@@ -396,16 +395,30 @@
         Prompt prompt = request.prompt().get();
         boolean worth =
                 prompt.sharedTokens() >= MIN_SHARED_TOKENS
-                        && !mStore.cache().holdsShared(rated.salt(), prompt);
+                        && mStore.cache().fetchableTokens(rated.salt(), prompt)
+                                < prompt.sharedTokens();
         return worth ? mStore.address() : "";
     }
 
-    /** Returns whether all instances send requests for this subject to this target first. */
-    private boolean isHome(TargetState state, ForwardRequest request, long now) {
-        long key = request.prompt().map(CacheKeys::affinity).orElse(0L);
+    private double reading(
+            TargetState state, ForwardRequest request, int shared, int cached, int held, long now) {
+        boolean first = held < shared && isHome(state, request, held, now);
+        return PlacementCost.reading(shared, cached, first ? shared : held);
+    }
+
+    /**
+     * Returns whether an engine is where all instances have the first lacking part of a prompt
+     * read: what is read elsewhere is most likely read twice.
+     */
+    private boolean isHome(TargetState state, ForwardRequest request, int heldTokens, long now) {
+        Prompt prompt = request.prompt().orElseThrow();
+        long key = CacheKeys.affinity(request.cacheOwner(), prompt, heldTokens);
         long own = Rendezvous.rank(key, state.id());
         for (TargetState other : mTargets.values()) {
-            boolean rival = other != state && other.serves(request.service(), now);
+            boolean rival =
+                    other != state
+                            && other.serves(request.service(), now)
+                            && other.weights(prompt.model()) == state.weights(prompt.model());
             if (rival
                     && !other.isSuspect(now)
                     && Long.compareUnsigned(Rendezvous.rank(key, other.id()), own) > 0) {
--- a/quilldyke-core/src/main/java/org/quilldyke/routing/TargetState.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/routing/TargetState.java
@@ -160,7 +160,7 @@
         mRequests++;
         mTokens += choice.missingTokens();
         if (prompt != null) {
-            mCache.addAll(choice.cacheSalt(), prompt);
+            mCache.expect(choice.cacheSalt(), prompt, now);
         }
     }
 
--- a/quilldyke-core/src/test/java/org/quilldyke/routing/TargetBookTest.java
+++ b/quilldyke-core/src/test/java/org/quilldyke/routing/TargetBookTest.java
@@ -89,6 +89,43 @@
         assertThat(choose(2, Set.of(other)).cachedTokens()).isEqualTo(6300);
     }
 
+    /** Another engine was asked for parts that it was only about to read: both then read them. */
+    @Test
+    void partsThatWereOnlySentAreNotFetchedYet() {
+        Choice home = choose(0);
+        mBook.onChosen(home, request(false), 0);
+        assertThat(choose(1, Set.of(home.target())).cacheSource()).isEmpty();
+
+        tellKept(home.target(), home.cacheSalt(), 1, 2);
+        assertThat(choose(2, Set.of(home.target())).cacheSource()).isEqualTo(home.target() + ":1");
+    }
+
+    /** What an engine refused to read was taken for kept until the engine ended. */
+    @Test
+    void partsThatWereSentAndNeverKeptAreForgotten() {
+        Choice home = choose(0);
+        mBook.onChosen(home, request(false), 0);
+        mBook.onPromptRead(home);
+        mBook.onFinished(home);
+
+        assertThat(choose(2900).cachedTokens()).isEqualTo(9000);
+        assertThat(choose(3100).cachedTokens()).isEqualTo(0);
+    }
+
+    /** Prompts of one subject once spread over all engines, each with a copy of its parts. */
+    @Test
+    void copyIsMadeOnlyForABacklogThatCostsMore() {
+        Choice home = choose(0);
+        tellKept(home.target(), home.cacheSalt(), 1, 2);
+
+        mBook.onOthersLoad(home.target(), 2, 9000);
+        assertThat(choose(1).target()).isEqualTo(home.target());
+
+        mBook.onOthersLoad(home.target(), 2, 30_000);
+        assertThat(choose(2).target()).isNotEqualTo(home.target());
+        assertThat(choose(2).cacheSource()).isEqualTo(home.target() + ":1");
+    }
+
     @Test
     void storeThatDoesntAnswerIsNotAsked() {
         mBook.onServices(List.of(store()));
