After all processes were killed: quick reconnects, early pre-votes, requests that wait for the start

The log's lines of a request are in a class of their own and tell the subject, its shared tokens and the first event's time.

--- a/quilldyke-core/src/main/java/org/quilldyke/caller/KeyLease.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/caller/KeyLease.java
@@ -46,6 +46,11 @@
         mConfirmedAt = Math.max(mConfirmedAt, sentAt);
     }
 
+    /** Returns whether the lease was granted at any time. */
+    public boolean wasGranted() {
+        return mConfirmedAt != Long.MIN_VALUE;
+    }
+
     /** Returns whether keys may be taken for good at {@code now}. */
     public boolean isValid(long now) {
         return mConfirmedAt != Long.MIN_VALUE && now - mConfirmedAt < mMillis;
--- a/quilldyke-core/src/main/java/org/quilldyke/control/ElectionTimer.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/control/ElectionTimer.java
@@ -21,11 +21,16 @@
  * When a replica that hears no leader asks to be elected.
  *
  * <p>The time is drawn between one and two election timeouts. It doubles with each election that
- * fails, so that votes which slow disks hold up still arrive within one election.
+ * fails, so that votes which slow disks hold up still arrive within one election. Asking whether an
+ * election would be won binds nobody and writes nothing, so that is tried sooner: at the start,
+ * when all replicas may have been killed together, and again while no majority answers.
  */
 final class ElectionTimer {
     private static final int MAX_FACTOR = 8;
 
+    /** The part of an election timeout after which it is asked first, or again. */
+    private static final int SOON_DIVISOR = 4;
+
     private final long mElectionMillis;
     private final RandomGenerator mRandom;
     private long mFactor = 1;
@@ -34,7 +39,13 @@
     ElectionTimer(long electionMillis, RandomGenerator random, long now) {
         mElectionMillis = electionMillis;
         mRandom = random;
-        restart(now);
+        restartSoon(now);
+    }
+
+    /** Starts to wait for a short while: an election can't begin before others are asked anyway. */
+    void restartSoon(long now) {
+        long soon = Math.max(1, mElectionMillis / SOON_DIVISOR);
+        mDeadline = now + mFactor * (soon + mRandom.nextLong(soon));
     }
 
     /** Starts to wait anew. */
--- a/quilldyke-core/src/main/java/org/quilldyke/control/Replica.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/control/Replica.java
@@ -311,7 +311,7 @@
         if (mRole == Role.CANDIDATE) {
             mTimer.restartAfterFailure(now);
         } else {
-            mTimer.restart(now);
+            mTimer.restartSoon(now);
         }
         if (!mBallot.trusted()) {
             askForState(now);
--- /dev/null
+++ b/quilldyke-core/src/test/java/org/quilldyke/caller/StartUpWaitTest.java
@@ -0,0 +1,35 @@
+/*
+ * Copyright 2026 The quilldyke authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.quilldyke.caller;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import org.junit.jupiter.api.Test;
+
+/** After all processes were killed, a window of two seconds held refusals only. */
+final class StartUpWaitTest {
+    @Test
+    void waitsForAQuarterOfItsTime() {
+        assertThat(StartUpWait.mayWait(1000, 600, 1149)).isTrue();
+        assertThat(StartUpWait.mayWait(1000, 600, 1150)).isFalse();
+    }
+
+    @Test
+    void waitsNoLongerThanAStartTakes() {
+        assertThat(StartUpWait.mayWait(1000, 60_000, 1699)).isTrue();
+        assertThat(StartUpWait.mayWait(1000, 60_000, 1700)).isFalse();
+    }
+}
--- /dev/null
+++ b/quilldyke-core/src/test/java/org/quilldyke/control/ElectionTimerTest.java
@@ -0,0 +1,76 @@
+/*
+ * Copyright 2026 The quilldyke authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.quilldyke.control;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+
+/** After a power loss of all replicas, half a second passed before one asked to be elected. */
+final class ElectionTimerTest {
+    private static final long ELECTION_MILLIS = 400;
+
+    @Test
+    void asksSoonAfterTheStart() {
+        ElectionTimer timer = timer(0);
+        assertThat(timer.isDue(99)).isFalse();
+        assertThat(timer.isDue(200)).isTrue();
+    }
+
+    @Test
+    void waitsAWholeTimeoutOnceALeaderWasHeard() {
+        ElectionTimer timer = timer(0);
+        timer.restartWithLeader(50);
+        assertThat(timer.isDue(50 + ELECTION_MILLIS - 1)).isFalse();
+        assertThat(timer.isDue(50 + 2 * ELECTION_MILLIS)).isTrue();
+    }
+
+    @Test
+    void waitsLongerAfterEachElectionThatFailed() {
+        ElectionTimer timer = timer(0);
+        timer.restartAfterFailure(0);
+        assertThat(timer.isDue(2 * ELECTION_MILLIS - 1)).isFalse();
+        timer.restartAfterFailure(0);
+        assertThat(timer.isDue(4 * ELECTION_MILLIS - 1)).isFalse();
+        assertThat(timer.isDue(8 * ELECTION_MILLIS)).isTrue();
+    }
+
+    @Test
+    void asksAgainSoonButNotAtTheSameTimeAsOthers() {
+        ElectionTimer first = timer(1);
+        ElectionTimer second = timer(2);
+        first.restartSoon(0);
+        second.restartSoon(0);
+        long firstDue = due(first);
+        long secondDue = due(second);
+        assertThat(firstDue).isAtMost(ELECTION_MILLIS / 2);
+        assertThat(secondDue).isAtMost(ELECTION_MILLIS / 2);
+        assertThat(firstDue).isNotEqualTo(secondDue);
+    }
+
+    private static long due(ElectionTimer timer) {
+        long now = 0;
+        while (!timer.isDue(now)) {
+            now++;
+        }
+        return now;
+    }
+
+    private static ElectionTimer timer(long seed) {
+        return new ElectionTimer(ELECTION_MILLIS, new SplittableRandom(seed), 0);
+    }
+}
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Exchange.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Exchange.java
@@ -35,8 +35,8 @@
 import org.quilldyke.caller.ForwardRequest;
 import org.quilldyke.caller.Forwarding;
 import org.quilldyke.caller.Prompt;
+import org.quilldyke.caller.StartUpWait;
 import org.quilldyke.caller.Step;
-import org.quilldyke.daemon.log.Event;
 import org.quilldyke.gateway.dialect.AnswerFacts;
 import org.quilldyke.gateway.dialect.AttemptFacts;
 import org.quilldyke.gateway.dialect.CallerFacts;
@@ -54,6 +54,12 @@
 
     private static final int MAX_EVENT_BYTES = 1 << 20;
 
+    /** How often a request that waits for the first configuration looks for it. */
+    private static final long START_UP_STEP_MILLIS = 20;
+
+    /** Unrun requests that a later moment may serve come back after this, if not told otherwise. */
+    private static final long UNCONFIRMED_RETRY_MILLIS = 800;
+
     /** How often it is looked whether a silent target is still alive. */
     private static final long SILENCE_STEP_MILLIS = 200;
 
@@ -61,6 +67,7 @@
     private final CallerConnection mCaller;
     private final HttpRequest mHead;
     private final ByteBuf mBody;
+    private final ExchangeLog mLog;
     private final long mArrivedAt;
     private ForwardRequest mRequest;
     private Forwarding mForwarding;
@@ -76,6 +83,7 @@
     private ScheduledFuture<?> mWait;
     private long mHeardAt;
     private long mSentAt;
+    private long mFirstEventMillis = -1;
     private boolean mStreamBegun;
     private boolean mEnded;
 
@@ -84,12 +92,19 @@
         mCaller = caller;
         mHead = head;
         mBody = body;
+        mLog = new ExchangeLog(entry.log());
         mArrivedAt = entry.now();
     }
 
     /** Reads what the request says and takes the first step. */
     void start() {
         try {
+            if (waitsForStartUp()) {
+                mWait =
+                        mEntry.loop()
+                                .schedule(this::start, START_UP_STEP_MILLIS, TimeUnit.MILLISECONDS);
+                return;
+            }
             mRequest = admit();
         } catch (QuilldykeException e) {
             refuse(e.code(), e.retryAfterMillis(), e.getMessage());
@@ -106,9 +121,11 @@
         if (mEnded) {
             return;
         }
-        mEntry.log().write(Event.CALLER_GONE, "request", id(), "after", now() - mArrivedAt);
+        mLog.callerGone(id(), now() - mArrivedAt);
         mEntry.metrics().onCallerGone();
-        mForwarding.abandon();
+        if (mForwarding != null) {
+            mForwarding.abandon();
+        }
         cancelAttempt();
         end();
     }
@@ -221,17 +238,29 @@
         perform(mForwarding.onBroken(code, now()));
     }
 
+    /** Returns whether the instance has just started and the request can wait until it is ready. */
+    private boolean waitsForStartUp() throws QuilldykeException {
+        if (mEntry.routes() != null && mEntry.lease().wasGranted()) {
+            return false;
+        }
+        long millisLeft =
+                mEntry.dialect().callers().read(mHead).millisLeft().orElse(Long.MAX_VALUE);
+        return StartUpWait.mayWait(mArrivedAt, millisLeft, now());
+    }
+
     private ForwardRequest admit() throws QuilldykeException {
         RouteTable routes = mEntry.routes();
         if (routes == null) {
-            throw QuilldykeException.notRunRetryAfter(ResultCode.NO_CONFIGURATION, "", 500);
+            throw QuilldykeException.notRunRetryAfter(
+                    ResultCode.NO_CONFIGURATION, "", UNCONFIRMED_RETRY_MILLIS);
         }
         CallerFacts facts = mEntry.dialect().callers().read(mHead);
         String path = mHead.uri().split("[?#]", 2)[0];
         Optional<Route> found = routes.route(mHead.headers().get(HttpHeaderNames.HOST), path);
         boolean open = found.isPresent() && (found.get().open() || !routes.needsKeys());
         if (!open && !mEntry.isConfirmed()) {
-            throw QuilldykeException.notRunRetryAfter(ResultCode.KEYS_UNCONFIRMED, "", 500);
+            throw QuilldykeException.notRunRetryAfter(
+                    ResultCode.KEYS_UNCONFIRMED, "", UNCONFIRMED_RETRY_MILLIS);
         }
         if (found.isEmpty()) {
             throw QuilldykeException.notRun(ResultCode.UNKNOWN_PATH, path);
@@ -241,7 +270,6 @@
         if (!open && owner.isEmpty()) {
             throw QuilldykeException.notRun(ResultCode.UNKNOWN_TOKEN, "");
         }
-        long now = now();
         long left = Math.min(route.timeoutMillis(), facts.millisLeft().orElse(Long.MAX_VALUE));
         return new ForwardRequest(
                 facts.id(),
@@ -250,8 +278,8 @@
                 owner,
                 routes.commonCache(),
                 route.usesModel() ? facts.prompt() : Optional.empty(),
-                now,
-                now + left,
+                mArrivedAt,
+                mArrivedAt + left,
                 facts.lastEvent().orElse(-1));
     }
 
@@ -285,34 +313,11 @@
         boolean keyed = !mRequest.route().open() && mEntry.routes().needsKeys();
         if (keyed && !mEntry.isConfirmed()) {
             mForwarding.abandon();
-            refuse(ResultCode.KEYS_UNCONFIRMED, 500, "age " + mEntry.lease().age(now()));
+            String age = "age " + mEntry.lease().age(now());
+            refuse(ResultCode.KEYS_UNCONFIRMED, UNCONFIRMED_RETRY_MILLIS, age);
             return;
         }
-        mEntry.log()
-                .write(
-                        Event.ROUTED,
-                        "request",
-                        id(),
-                        "route",
-                        mRequest.route().name(),
-                        "target",
-                        mChoice.target(),
-                        "weights",
-                        mChoice.weights(),
-                        "cached",
-                        mChoice.cachedTokens(),
-                        "missing",
-                        mChoice.missingTokens(),
-                        "fetched_from",
-                        mChoice.cacheSource(),
-                        "predicted_ms",
-                        mChoice.expectedMillis(),
-                        "runner_up",
-                        mChoice.runnerUp(),
-                        "runner_up_ms",
-                        mChoice.runnerUpMillis(),
-                        "left_ms",
-                        send.millisLeft());
+        mLog.routed(mRequest, mChoice, send.millisLeft());
         mEntry.metrics().onAttempt();
         mEntry.onOpened(mChoice.target(), this);
         mAttempt =
@@ -405,9 +410,9 @@
         }
         mStreamBegun = true;
         mFirstHeaders = passedOn(mAnswerHead.headers());
-        long millis = now() - mSentAt;
-        mEntry.book().onFirstEvent(mChoice, millis, now());
-        mEntry.metrics().onFirstEvent(millis, mChoice.expectedMillis());
+        mFirstEventMillis = now() - mSentAt;
+        mEntry.book().onFirstEvent(mChoice, mFirstEventMillis, now());
+        mEntry.metrics().onFirstEvent(mFirstEventMillis, mChoice.expectedMillis());
         mCaller.beginStream(mAnswerHead.status(), mFirstHeaders);
     }
 
@@ -514,48 +519,17 @@
     }
 
     private void logAttempt(String outcome, String why) {
-        mEntry.log()
-                .write(
-                        Event.ATTEMPT_FAILED,
-                        "request",
-                        id(),
-                        "target",
-                        mChoice.target(),
-                        "outcome",
-                        outcome,
-                        "why",
-                        why);
+        mLog.attemptFailed(id(), mChoice, outcome, why);
     }
 
     private void logAnswered() {
-        mEntry.metrics().onAnswered(now() - mArrivedAt);
-        mEntry.log()
-                .write(
-                        Event.ANSWERED,
-                        "request",
-                        id(),
-                        "status",
-                        mAnswer.head().status(),
-                        "target",
-                        mChoice.target(),
-                        "ms",
-                        now() - mArrivedAt);
+        long millis = now() - mArrivedAt;
+        mEntry.metrics().onAnswered(millis);
+        mLog.answered(id(), mAnswer.head().status(), mChoice, mFirstEventMillis, millis);
     }
 
     private void logEnd(ResultCode code, String why) {
-        mEntry.log()
-                .write(
-                        Event.REFUSED,
-                        "request",
-                        id(),
-                        "code",
-                        code.label(),
-                        "why",
-                        why,
-                        "target",
-                        mChoice == null ? "" : mChoice.target(),
-                        "ms",
-                        now() - mArrivedAt);
+        mLog.ended(id(), code, why, mChoice, now() - mArrivedAt);
     }
 
     private String id() {
--- /dev/null
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/ExchangeLog.java
@@ -0,0 +1,118 @@
+/*
+ * Copyright 2026 The quilldyke authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.quilldyke.gateway.caller;
+
+import org.quilldyke.ResultCode;
+import org.quilldyke.caller.ForwardRequest;
+import org.quilldyke.caller.Prompt;
+import org.quilldyke.daemon.log.Event;
+import org.quilldyke.daemon.log.EventLog;
+import org.quilldyke.routing.CacheKeys;
+import org.quilldyke.routing.Choice;
+
+/** The log lines of one request: where it was sent and why, and what became of it. */
+final class ExchangeLog {
+    private final EventLog mLog;
+
+    ExchangeLog(EventLog log) {
+        mLog = log;
+    }
+
+    /** A target was chosen: what the choice rests on. */
+    void routed(ForwardRequest request, Choice choice, long millisLeft) {
+        mLog.write(
+                Event.ROUTED,
+                "request",
+                request.id(),
+                "route",
+                request.route().name(),
+                "target",
+                choice.target(),
+                "weights",
+                choice.weights(),
+                "subject",
+                request.prompt()
+                        .map(prompt -> Long.toHexString(CacheKeys.subject(prompt)))
+                        .orElse(""),
+                "shared",
+                request.prompt().map(Prompt::sharedTokens).orElse(0),
+                "cached",
+                choice.cachedTokens(),
+                "missing",
+                choice.missingTokens(),
+                "fetched_from",
+                choice.cacheSource(),
+                "predicted_ms",
+                choice.expectedMillis(),
+                "runner_up",
+                choice.runnerUp(),
+                "runner_up_ms",
+                choice.runnerUpMillis(),
+                "left_ms",
+                millisLeft);
+    }
+
+    void attemptFailed(String request, Choice choice, String outcome, String why) {
+        mLog.write(
+                Event.ATTEMPT_FAILED,
+                "request",
+                request,
+                "target",
+                choice.target(),
+                "outcome",
+                outcome,
+                "why",
+                why);
+    }
+
+    /** An answer was passed on whole; {@code firstEventMillis} is -1 if it isn't a stream. */
+    void answered(String request, int status, Choice choice, long firstEventMillis, long millis) {
+        mLog.write(
+                Event.ANSWERED,
+                "request",
+                request,
+                "status",
+                status,
+                "target",
+                choice.target(),
+                "first_event_ms",
+                firstEventMillis,
+                "predicted_ms",
+                choice.expectedMillis(),
+                "ms",
+                millis);
+    }
+
+    /** The request was refused or failed; {@code choice} is null if nothing was chosen. */
+    void ended(String request, ResultCode code, String why, Choice choice, long millis) {
+        mLog.write(
+                Event.REFUSED,
+                "request",
+                request,
+                "code",
+                code.label(),
+                "why",
+                why,
+                "target",
+                choice == null ? "" : choice.target(),
+                "ms",
+                millis);
+    }
+
+    void callerGone(String request, long millis) {
+        mLog.write(Event.CALLER_GONE, "request", request, "after", millis);
+    }
+}
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/instance/StreamLink.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/instance/StreamLink.java
@@ -40,8 +40,13 @@
     /** A stream is dropped after this silence: several beats and a pause of the other process. */
     static final long SILENT_MILLIS = 1200;
 
-    private static final long RECONNECT_MILLIS = 150;
-    private static final int MAX_DOUBLINGS = 2;
+    /**
+     * The first pause before another try, doubled with each that fails: processes that were killed
+     * together come back within some 100 ms of each other.
+     */
+    private static final long RECONNECT_MILLIS = 40;
+
+    private static final int MAX_DOUBLINGS = 4;
     private static final int CONNECT_MILLIS = 500;
     private static final int MAX_FRAME_BYTES = 64 << 20;
 
@@ -160,8 +165,9 @@
         if (wasUp) {
             onDown(why);
         }
-        mFailures = wasUp ? 0 : Math.min(MAX_DOUBLINGS, mFailures + 1);
+        mFailures = wasUp ? 0 : mFailures;
         mLoop.schedule(RECONNECT_MILLIS << mFailures, this::connect);
+        mFailures = Math.min(MAX_DOUBLINGS, mFailures + 1);
     }
 
     private void drop() {
