--- a/quilldyke-core/src/main/java/org/quilldyke/caller/Forwarding.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/caller/Forwarding.java
@@ -37,9 +37,6 @@
 
     private static final long WAIT_STEP_MILLIS = 20;
 
-    /** A prompt that would wait for more than this part of its objective is refused at once. */
-    private static final double HOPELESS_FACTOR = 1.0;
-
     /** How often a request may fail to reach a target before its caller is told. */
     private static final int MAX_UNSENT = 5;
 
@@ -234,7 +231,10 @@
             return giveUp(ResultCode.DEADLINE_PASSED, "no target in time", now);
         }
         Optional<Choice> choice = mBook.choose(mRequest, mExcluded, now);
-        if (choice.isPresent() && isHopeless(choice.get())) {
+        boolean fresh = mMayHaveRun == 0;
+        if (choice.isPresent()
+                && fresh
+                && !Admission.admits(mRequest, choice.get().expectedMillis())) {
             Choice best = choice.get();
             String why =
                     "best "
@@ -261,13 +261,6 @@
         return giveUp(ResultCode.NO_TARGET, "none but " + mExcluded, now);
     }
 
-    /** Returns whether even the best target would answer a prompt far too late. */
-    private boolean isHopeless(Choice choice) {
-        return mRequest.prompt().isPresent()
-                && mMayHaveRun == 0
-                && choice.expectedMillis() > HOPELESS_FACTOR * mRequest.route().objectiveMillis();
-    }
-
     private Step giveUp(ResultCode code, String why, long now) {
         if (mHeadPassed) {
             return new Step.Break(code);
--- a/quilldyke-core/src/main/java/org/quilldyke/routing/KvStoreView.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/routing/KvStoreView.java
@@ -18,6 +18,7 @@
 /** The store of kept cache as an instance sees it. */
 final class KvStoreView {
     private final CacheView mCache = new CacheView();
+    private final DelayTracker mDelay = new DelayTracker();
     private String mAddress = "";
     private boolean mUp = true;
 
@@ -37,6 +38,18 @@
         return mCache;
     }
 
+    /**
+     * Takes when the first event came of an answer whose prompt was partly fetched, and expected.
+     */
+    void onFetched(long seenMillis, long expectedMillis, long now) {
+        mDelay.onSeen(seenMillis, expectedMillis, now);
+    }
+
+    /** Returns how much longer than expected answers take whose prompts are partly fetched. */
+    double excessMillis(long now) {
+        return mDelay.excessMillis(now);
+    }
+
     /** Returns whether there is a store that answers. */
     boolean isUsable() {
         return mUp && !mAddress.isEmpty();
--- a/quilldyke-core/src/main/java/org/quilldyke/routing/PlacementCost.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/routing/PlacementCost.java
@@ -40,12 +40,18 @@
      */
     static final double COPY_TOKENS_PER_TOKEN = 0.15;
 
+    /** The same at the engine to which all instances bring a subject back: no further copy. */
+    static final double RETURN_TOKENS_PER_TOKEN = 0.05;
+
     /** A prompt and its answer, 20 KB, through the links between failure domains. */
     static final double OTHER_DOMAIN_TOKENS = 30;
 
     /** Replaced weights cost a fifth of an answer's worth. */
     static final double OLD_WEIGHTS_TOKENS = 700;
 
+    /** Long work keeps an engine from loading: some 2 s in which it serves nothing. */
+    static final double DELAYED_LOAD_TOKENS = 1500;
+
     private PlacementCost() {}
 
     /** Returns what it costs that the first token is expected after so many milliseconds. */
@@ -62,12 +68,13 @@
      *
      * @param sharedTokens how many tokens others may share
      * @param cachedTokens how many of the prompt's tokens the engine keeps
-     * @param heldTokens how many it has once it has fetched what others keep; all, if the rest is
-     *     read for the first time there
+     * @param heldTokens how many it has once it has fetched what others keep
+     * @param home whether all instances send there what lacks the same part: what is read then, is
+     *     read for the first time
      */
-    static double reading(int sharedTokens, int cachedTokens, int heldTokens) {
+    static double reading(int sharedTokens, int cachedTokens, int heldTokens, boolean home) {
         int brought = Math.max(0, sharedTokens - cachedTokens);
         int read = Math.max(0, sharedTokens - heldTokens);
-        return read + COPY_TOKENS_PER_TOKEN * brought;
+        return home ? RETURN_TOKENS_PER_TOKEN * brought : read + COPY_TOKENS_PER_TOKEN * brought;
     }
 }
--- a/quilldyke-core/src/main/java/org/quilldyke/routing/TargetBook.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/routing/TargetBook.java
@@ -24,10 +24,12 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.random.RandomGenerator;
+import org.quilldyke.caller.Admission;
 import org.quilldyke.caller.ForwardRequest;
 import org.quilldyke.caller.Prompt;
 import org.quilldyke.engine.TargetReport;
 import org.quilldyke.manifest.Service;
+import org.quilldyke.weights.LoadStage;
 
 /**
  * The targets as one instance sees them, and the choice among them.
@@ -130,11 +132,11 @@
         mNamed.onNamed(model, version, namedAt);
     }
 
-    /** Notes that a target is about to load weights, or has done so. */
-    public void onLoading(String id, boolean loading, long now) {
+    /** Notes how far a target is on its way to new weights. */
+    public void onLoadStage(String id, LoadStage stage, long now) {
         TargetState state = mTargets.get(id);
         if (state != null) {
-            state.onLoading(loading, now);
+            state.onLoadStage(stage, now);
         }
     }
 
@@ -213,6 +215,11 @@
 
     /** Notes the first event of an answer, so many milliseconds after the request was sent. */
     public void onFirstEvent(Choice choice, long millis, long now) {
+        if (!choice.cacheSource().isEmpty() && choice.cacheSource().equals(mStore.address())) {
+            // The store's link is shared by all engines: a wait says little of this one.
+            mStore.onFetched(millis, choice.expectedMillis(), now);
+            return;
+        }
         TargetState state = mTargets.get(choice.target());
         if (state != null) {
             state.onFirstEvent(millis, choice.expectedMillis(), now);
@@ -269,12 +276,9 @@
         }
     }
 
-    /**
-     * Returns when a caller that is refused may try again: spread, so that not all come at once.
-     */
+    /** Returns when a caller that is refused may try again. */
     public long retryAfterMillis(ForwardRequest request, long now) {
-        long objective = request.route().objectiveMillis();
-        return objective + mRandom.nextLong(Math.max(1, objective));
+        return Admission.retryAfterMillis(request, mRandom, now);
     }
 
     /** Returns the targets, to be read. */
@@ -329,9 +333,9 @@
             TargetState state, ForwardRequest request, Prompt prompt, double noise, long now) {
         String salt = salt(state, request);
         int cached = state.cache().cachedTokens(salt, prompt, now);
-        Optional<Source> source = source(state, request, prompt, salt, cached);
+        Optional<Source> source = source(state, request, prompt, salt, cached, now);
         int held = source.map(Source::tokens).orElse(cached);
-        double fetch = source.map(s -> s.millisPerToken() * (s.tokens() - cached)).orElse(0.0);
+        double fetch = source.map(s -> s.fetchMillis(s.tokens() - cached)).orElse(0.0);
         int missing = Math.max(1, prompt.tokens() - held);
         double expected =
                 fetch
@@ -344,6 +348,9 @@
                 PlacementCost.lateness(expected, request.route().objectiveMillis())
                         + reading(state, request, prompt.sharedTokens(), cached, held, now)
                         + others
+                        + (state.takesShortWorkOnly(now) && prompt.hasLongAnswer()
+                                ? PlacementCost.DELAYED_LOAD_TOKENS
+                                : 0)
                         + (old ? PlacementCost.OLD_WEIGHTS_TOKENS : 0)
                         + (state.isIn(mFailureDomain) ? 0 : PlacementCost.OTHER_DOMAIN_TOKENS)
                         + noise;
@@ -360,7 +367,12 @@
 
     /** Returns who else keeps most of the shared parts, if that is a good deal more than here. */
     private Optional<Source> source(
-            TargetState state, ForwardRequest request, Prompt prompt, String salt, int cached) {
+            TargetState state,
+            ForwardRequest request,
+            Prompt prompt,
+            String salt,
+            int cached,
+            long now) {
         int shared = prompt.sharedTokens();
         int most = cached + MIN_FETCHED_TOKENS - 1;
         Source best = null;
@@ -368,7 +380,7 @@
             int stored = Math.min(shared, mStore.cache().fetchableTokens(salt, prompt));
             if (stored > most) {
                 most = stored;
-                best = Source.store(mStore.address(), stored);
+                best = Source.store(mStore.address(), stored, mStore.excessMillis(now));
             }
         }
         for (TargetState other : mTargets.values()) {
@@ -402,8 +414,10 @@
 
     private double reading(
             TargetState state, ForwardRequest request, int shared, int cached, int held, long now) {
-        boolean first = held < shared && isHome(state, request, held, now);
-        return PlacementCost.reading(shared, cached, first ? shared : held);
+        // A part that nobody keeps has one home, and so has a subject that is brought back.
+        int lacksFrom = held < shared ? held : cached;
+        boolean home = cached < shared && isHome(state, request, lacksFrom, now);
+        return PlacementCost.reading(shared, cached, held, home);
     }
 
     /**
@@ -435,14 +449,19 @@
         return model + "." + state.weights(model) + (owner.isEmpty() ? "" : "." + owner);
     }
 
-    /** Who keeps parts of a prompt, how many tokens, and how long a token takes from there. */
-    private record Source(String address, int tokens, boolean isStore, double millisPerToken) {
-        static Source store(String address, int tokens) {
-            return new Source(address, tokens, true, CostModel.STORE_FETCH_MILLIS_PER_TOKEN);
+    /** Who keeps parts of a prompt, how many tokens, and how long they take from there. */
+    private record Source(
+            String address, int tokens, boolean isStore, double millisPerToken, double waitMillis) {
+        static Source store(String address, int tokens, double wait) {
+            return new Source(address, tokens, true, CostModel.STORE_FETCH_MILLIS_PER_TOKEN, wait);
         }
 
         static Source engine(String address, int tokens) {
-            return new Source(address, tokens, false, CostModel.ENGINE_FETCH_MILLIS_PER_TOKEN);
+            return new Source(address, tokens, false, CostModel.ENGINE_FETCH_MILLIS_PER_TOKEN, 0);
+        }
+
+        double fetchMillis(int fetchedTokens) {
+            return waitMillis + millisPerToken * fetchedTokens;
         }
     }
 
--- a/quilldyke-core/src/main/java/org/quilldyke/weights/LoadPlanner.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/weights/LoadPlanner.java
@@ -22,6 +22,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.Stream;
 import org.quilldyke.engine.TargetReport;
 
 /**
@@ -33,9 +34,18 @@
  * revision: an order whose answer was lost, and which strikes later, can't undo a newer one.
  */
 public final class LoadPlanner {
-    /** More engines than this share of all slow each other's loading down: 2 of 6, 18 of 63. */
+    /**
+     * More engines than this share of all slow each other's loading down: 2 of 6, 18 of 63. Engines
+     * that are down don't count, since those that live are then needed the more.
+     */
     static final double AT_ONCE_SHARE = 2.0 / 7;
 
+    /**
+     * For how long an engine gets short work only before it gets none: most of its long runs end
+     * meanwhile. Without it an engine was away for 3 to 5 s for a load of 0.76 s.
+     */
+    static final long EASE_MILLIS = 1000;
+
     /** From the announcement to the order: the news has reached all instances by then. */
     static final long ANNOUNCED_MILLIS = 40;
 
@@ -77,8 +87,7 @@
      * Returns what is due.
      *
      * @param engines the live engines
-     * @param silent those of them that don't answer just now: they are left alone, and since they
-     *     serve nothing either, fewer others load at once
+     * @param silent those of them that don't answer just now: they are left alone
      * @param wanted the version of each model's weights that all shall hold
      * @param now the present time
      */
@@ -88,8 +97,9 @@
         Set<String> alive = new HashSet<>();
         engines.forEach(engine -> alive.add(engine.id()));
         mJobs.values().removeIf(job -> !alive.contains(job.mTarget));
+        engines.forEach(engine -> endIfLoaded(engine, actions));
         for (Job job : List.copyOf(mJobs.values())) {
-            advance(job, actions, now);
+            advance(job, silent, actions, now);
         }
         wanted.forEach((model, version) -> start(engines, silent, model, version, actions, now));
         return actions;
@@ -160,6 +170,19 @@
         return List.of();
     }
 
+    /** An engine's own report may be quicker than the next question. */
+    private void endIfLoaded(TargetReport engine, List<LoadAction> actions) {
+        Job job = mJobs.get(engine.id());
+        if (job == null || !job.mAnnounced) {
+            return;
+        }
+        long held = engine.weights().getOrDefault(job.mModel, 0L);
+        if (held >= job.mVersion) {
+            mJobs.remove(engine.id());
+            actions.add(new LoadAction.Release(engine.id(), job.mModel, held));
+        }
+    }
+
     private void start(
             List<TargetReport> engines,
             Set<String> silent,
@@ -172,12 +195,10 @@
                         .filter(engine -> engine.weights().containsKey(model))
                         .sorted(Comparator.comparing(engine -> engine.weights().get(model)))
                         .toList();
-        long running = mJobs.values().stream().filter(job -> job.mModel.equals(model)).count();
-        long away =
-                holders.stream()
-                        .filter(e -> silent.contains(e.id()) && !mJobs.containsKey(e.id()))
-                        .count();
-        long atOnce = Math.max(1, (long) Math.ceil(holders.size() * AT_ONCE_SHARE) - away);
+        long live = holders.stream().filter(engine -> !silent.contains(engine.id())).count();
+        long atOnce = Math.max(1, Math.round(live * AT_ONCE_SHARE));
+        announce(model, version, atOnce, actions, now);
+        long easing = jobs(model).filter(job -> !job.mAnnounced).count();
         // The oldest weights go first, so that no engine is passed over by version after version.
         for (TargetReport engine : holders) {
             boolean due =
@@ -186,16 +207,42 @@
                             && !silent.contains(engine.id())
                             && !mJobs.containsKey(engine.id())
                             && now >= mRestUntil.getOrDefault(engine.id(), Long.MIN_VALUE);
-            if (due && running < atOnce) {
-                running++;
+            if (due && easing < atOnce) {
+                easing++;
                 mJobs.put(engine.id(), new Job(engine.id(), model, version, now));
-                actions.add(new LoadAction.Announce(engine.id()));
+                actions.add(new LoadAction.Ease(engine.id()));
             }
         }
     }
 
-    private void advance(Job job, List<LoadAction> actions, long now) {
-        if (now - job.mStartedAt > GIVE_UP_MILLIS) {
+    /**
+     * Lets as many engines load as may at once, of those that have had little to do for a while.
+     */
+    private void announce(
+            String model, long version, long atOnce, List<LoadAction> actions, long now) {
+        long loading = jobs(model).filter(job -> job.mAnnounced).count();
+        List<Job> eased =
+                jobs(model)
+                        .filter(job -> !job.mAnnounced && now - job.mStartedAt >= EASE_MILLIS)
+                        .sorted(Comparator.comparing(job -> job.mStartedAt))
+                        .limit(Math.max(0, atOnce - loading))
+                        .toList();
+        for (Job job : eased) {
+            job.announce(version, now);
+            actions.add(new LoadAction.Announce(job.mTarget));
+        }
+    }
+
+    private Stream<Job> jobs(String model) {
+        return mJobs.values().stream().filter(job -> job.mModel.equals(model));
+    }
+
+    private void advance(Job job, Set<String> silent, List<LoadAction> actions, long now) {
+        if (!job.mAnnounced) {
+            if (silent.contains(job.mTarget)) {
+                actions.add(letGo(job, now));
+            }
+        } else if (now - job.mAnnouncedAt > GIVE_UP_MILLIS) {
             actions.add(letGo(job, now));
         } else if (!job.mAsking && now >= job.mDueAt) {
             job.mAsking = true;
@@ -213,8 +260,10 @@
     private static final class Job {
         final String mTarget;
         final String mModel;
-        final long mVersion;
         final long mStartedAt;
+        long mVersion;
+        boolean mAnnounced;
+        long mAnnouncedAt;
         long mDueAt;
         boolean mAsking;
         boolean mOrdered;
@@ -227,6 +276,13 @@
             mModel = model;
             mVersion = version;
             mStartedAt = now;
+        }
+
+        /** From now on the engine gets no work; it loads what is wanted by now. */
+        void announce(long version, long now) {
+            mVersion = version;
+            mAnnounced = true;
+            mAnnouncedAt = now;
             mDueAt = now + ANNOUNCED_MILLIS;
         }
     }
--- a/quilldyke-core/src/test/java/org/quilldyke/routing/TargetBookTest.java
+++ b/quilldyke-core/src/test/java/org/quilldyke/routing/TargetBookTest.java
@@ -33,6 +33,7 @@
 import org.quilldyke.manifest.RequestKind;
 import org.quilldyke.manifest.Route;
 import org.quilldyke.manifest.Service;
+import org.quilldyke.weights.LoadStage;
 
 class TargetBookTest {
     private static final Prompt PROMPT =
@@ -126,6 +127,32 @@
         assertThat(choose(2).cacheSource()).isEqualTo(home.target() + ":1");
     }
 
+    /** Each engine in turn fetched a subject from the store, and kept a copy. */
+    @Test
+    void subjectIsBroughtBackToOneEngine() {
+        String home = choose(0).target();
+        mBook.onServices(List.of(store()));
+        tellKept("store:1", choose(0).cacheSalt(), 1, 2);
+        String back = choose(0).target();
+        for (int i = 1; i < 20; i++) {
+            mBook.onOthersLoad(home, i % 3, 1000 * (i % 3));
+            assertThat(choose(i).target()).isEqualTo(back);
+        }
+    }
+
+    @Test
+    void waitForTheStoresLinkIsLearnt() {
+        mBook.onServices(List.of(store()));
+        tellKept("store:1", choose(0).cacheSalt(), 1, 2);
+        Choice quick = choose(0);
+        for (int i = 0; i < 5; i++) {
+            mBook.onFirstEvent(quick, quick.expectedMillis() + 400, 10);
+        }
+
+        assertThat(choose(10).expectedMillis()).isAtLeast(quick.expectedMillis() + 300);
+        assertThat(choose(20_000).expectedMillis()).isAtMost(quick.expectedMillis() + 1);
+    }
+
     @Test
     void storeThatDoesntAnswerIsNotAsked() {
         mBook.onServices(List.of(store()));
@@ -190,7 +217,7 @@
 
     @Test
     void loadingAndLeavingEnginesGetNothing() {
-        mBook.onLoading("a", true, 0);
+        mBook.onLoadStage("a", LoadStage.LOADING, 0);
         mBook.onReport(
                 new TargetReport("b", "s", "b:1", "z", "v", 64, true, 0, Map.of("m", 1L), 2));
 
@@ -200,10 +227,24 @@
         assertThat(choose(0, Set.of("c")).target()).isEqualTo("a");
     }
 
+    /** An engine that waited for a long run to end was away for seconds. */
+    @Test
+    void engineThatLoadsSoonGetsShortWorkOnly() {
+        Choice home = choose(0);
+        mBook.onLoadStage(home.target(), LoadStage.SHORT_WORK_ONLY, 0);
+        assertThat(choose(0).target()).isEqualTo(home.target());
+
+        Prompt note = new Prompt("m", 700, 400, List.of(new Prompt.Part(7, 500)));
+        String usual = mBook.choose(request(note, false), Set.of(), 0).get().target();
+        mBook.onLoadStage(usual, LoadStage.SHORT_WORK_ONLY, 0);
+        assertThat(mBook.choose(request(note, false), Set.of(), 0).get().target())
+                .isNotEqualTo(usual);
+    }
+
     /** A leader that dies between its announcement and its order once left the engine unused. */
     @Test
     void announcementOfALoadEndsByItself() {
-        mBook.onLoading("a", true, 0);
+        mBook.onLoadStage("a", LoadStage.LOADING, 0);
         mBook.onGone("b");
         mBook.onGone("c");
         assertThat(mBook.choose(request(false), Set.of(), 5000)).isEqualTo(Optional.empty());
@@ -250,6 +291,10 @@
     }
 
     private static ForwardRequest request(boolean isolated) {
+        return request(PROMPT, isolated);
+    }
+
+    private static ForwardRequest request(Prompt prompt, boolean isolated) {
         Route route =
                 new Route(
                         "r",
@@ -271,7 +316,7 @@
                 "s",
                 Optional.of(new Organisation("o", Set.of("k"), OptionalInt.empty(), isolated)),
                 "",
-                Optional.of(PROMPT),
+                Optional.of(prompt),
                 0,
                 4000,
                 -1);
--- a/quilldyke-core/src/test/java/org/quilldyke/weights/LoadPlannerTest.java
+++ b/quilldyke-core/src/test/java/org/quilldyke/weights/LoadPlannerTest.java
@@ -33,6 +33,9 @@
     void announcesThenAsksThenOrdersAtTheRevision() {
         List<TargetReport> engines = engines(1);
 
+        assertThat(mPlanner.tick(engines, Set.of(), WANTED, -LoadPlanner.EASE_MILLIS))
+                .containsExactly(new LoadAction.Ease("e0"));
+        assertThat(mPlanner.tick(engines, Set.of(), WANTED, -1)).isEmpty();
         assertThat(mPlanner.tick(engines, Set.of(), WANTED, 0))
                 .containsExactly(new LoadAction.Announce("e0"));
         assertThat(mPlanner.tick(engines, Set.of(), WANTED, 20)).isEmpty();
@@ -50,8 +53,57 @@
 
     @Test
     void fewEnginesAreAwayAtOnce() {
-        assertThat(mPlanner.tick(engines(6), Set.of(), WANTED, 0)).hasSize(2);
-        assertThat(LoadPlanner.create().tick(engines(63), Set.of(), WANTED, 0)).hasSize(18);
+        assertThat(atOnce(6, Set.of())).isEqualTo(2);
+        assertThat(atOnce(63, Set.of())).isEqualTo(18);
+    }
+
+    /** While two of six were dark, and again when their leases had ended, two more went away. */
+    @Test
+    void enginesThatAreDownLeaveFewerToLoadAtOnce() {
+        assertThat(atOnce(6, Set.of("e4", "e5"))).isEqualTo(1);
+        assertThat(atOnce(4, Set.of())).isEqualTo(1);
+    }
+
+    /** While one loads, the next gets short work only, so that its long runs end. */
+    @Test
+    void nextEngineIsEasedWhileTheOneBeforeLoads() {
+        List<TargetReport> engines = engines(3);
+        mPlanner.tick(engines, Set.of(), WANTED, 0);
+
+        assertThat(mPlanner.tick(engines, Set.of(), WANTED, LoadPlanner.EASE_MILLIS))
+                .containsExactly(new LoadAction.Announce("e0"), new LoadAction.Ease("e1"));
+        assertThat(mPlanner.tick(engines, Set.of(), WANTED, 2 * LoadPlanner.EASE_MILLIS))
+                .containsExactly(new LoadAction.Ask("e0"));
+    }
+
+    @Test
+    void easedEngineLoadsWhatIsNewestWhenItsTurnComes() {
+        List<TargetReport> engines = engines(1);
+        mPlanner.tick(engines, Set.of(), WANTED, 0);
+        mPlanner.tick(engines, Set.of(), Map.of("m", 3L), LoadPlanner.EASE_MILLIS);
+        mPlanner.tick(engines, Set.of(), Map.of("m", 3L), LoadPlanner.EASE_MILLIS + 50);
+
+        assertThat(mPlanner.onStatus("e0", status(false, 0, 1), LoadPlanner.EASE_MILLIS + 55))
+                .containsExactly(new LoadAction.Order("e0", "m", 3, 0));
+    }
+
+    @Test
+    void engineThatReportsItsNewWeightsIsDone() {
+        List<TargetReport> engines = engines(1);
+        startLoading(engines);
+        mPlanner.onStatus("e0", status(false, 0, 1), 55);
+
+        assertThat(mPlanner.tick(List.of(engine("e0", 2)), Set.of(), WANTED, 700))
+                .containsExactly(new LoadAction.Release("e0", "m", 2));
+    }
+
+    @Test
+    void easedEngineThatFallsSilentIsLetGo() {
+        List<TargetReport> engines = engines(1);
+        mPlanner.tick(engines, Set.of(), WANTED, 0);
+
+        assertThat(mPlanner.tick(engines, Set.of("e0"), WANTED, 100))
+                .containsExactly(new LoadAction.Release("e0", "m", 0));
     }
 
     /** In the registry's order the first engines got each version and the last got none. */
@@ -69,8 +121,7 @@
     @Test
     void orderWithoutAnAnswerIsRepeatedOnlyWhileTheRevisionStands() {
         List<TargetReport> engines = engines(1);
-        mPlanner.tick(engines, Set.of(), WANTED, 0);
-        mPlanner.tick(engines, Set.of(), WANTED, 50);
+        startLoading(engines);
         mPlanner.onStatus("e0", status(false, 7, 1), 55);
         mPlanner.onOrdered("e0", OrderOutcome.UNKNOWN, 700);
         mPlanner.tick(engines, Set.of(), WANTED, 1300);
@@ -84,8 +135,7 @@
     @Test
     void engineThatNeverLoadsIsLetGo() {
         List<TargetReport> engines = engines(1);
-        mPlanner.tick(engines, Set.of(), WANTED, 0);
-        mPlanner.tick(engines, Set.of(), WANTED, 50);
+        startLoading(engines);
         mPlanner.onNoStatus("e0", 60);
 
         assertThat(mPlanner.tick(engines, Set.of(), WANTED, LoadPlanner.GIVE_UP_MILLIS + 10))
@@ -97,14 +147,13 @@
     void silentEnginesAreLeftAloneAndCountAsAway() {
         List<LoadAction> actions = mPlanner.tick(engines(7), Set.of("e0", "e1"), WANTED, 0);
 
-        assertThat(actions).containsExactly(new LoadAction.Announce("e2"));
+        assertThat(actions).containsExactly(new LoadAction.Ease("e2"));
     }
 
     @Test
     void engineThatFallsSilentMakesRoom() {
         List<TargetReport> engines = engines(1);
-        mPlanner.tick(engines, Set.of(), WANTED, 0);
-        mPlanner.tick(engines, Set.of(), WANTED, 50);
+        startLoading(engines);
 
         assertThat(mPlanner.onNoStatus("e0", 60)).isEmpty();
         mPlanner.tick(engines, Set.of(), WANTED, 600);
@@ -112,6 +161,21 @@
                 .containsExactly(new LoadAction.Release("e0", "m", 0));
     }
 
+    /** Has the first engine announced at 0 and asked at 50. */
+    private void startLoading(List<TargetReport> engines) {
+        mPlanner.tick(engines, Set.of(), WANTED, -LoadPlanner.EASE_MILLIS);
+        mPlanner.tick(engines, Set.of(), WANTED, 0);
+        mPlanner.tick(engines, Set.of(), WANTED, 50);
+    }
+
+    private static long atOnce(int count, Set<String> silent) {
+        LoadPlanner planner = LoadPlanner.create();
+        planner.tick(engines(count), silent, WANTED, 0);
+        return planner.tick(engines(count), silent, WANTED, LoadPlanner.EASE_MILLIS).stream()
+                .filter(action -> action instanceof LoadAction.Announce)
+                .count();
+    }
+
     private static EngineStatus status(boolean busy, long revision, long version) {
         return new EngineStatus(busy, revision, Map.of("m", version));
     }
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/EntrySubscriber.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/EntrySubscriber.java
@@ -41,6 +41,7 @@
 import org.quilldyke.manifest.RouteTable;
 import org.quilldyke.routing.CacheNews;
 import org.quilldyke.routing.TargetState;
+import org.quilldyke.weights.LoadStage;
 
 /**
  * Takes what control processes tell, puts it in order, and hands it to the traffic thread.
@@ -55,7 +56,7 @@
     private final ControlDialect mDialect;
     private final LongSupplier mClock;
     private final EventLog mLog;
-    private final TargetRegistry mRegistry = TargetRegistry.create();
+    private final TargetRegistry mRegistry = TargetRegistry.following();
     private volatile List<TargetLoad> mLoads = List.of();
     private long mHeldIndex;
 
@@ -110,6 +111,11 @@
         return Question.newBuilder().setNumber(number).addAllLoads(mLoads).build();
     }
 
+    @Override
+    public List<TargetLoad> loads() {
+        return mLoads;
+    }
+
     @Override
     public void onAnswer(Answer answer, long askedAt) {
         mEntry.loop()
@@ -118,7 +124,6 @@
                             boolean before = mEntry.isConfirmed();
                             mEntry.lease().onConfirmed(askedAt);
                             mEntry.retries().onInstances(answer.getEntries());
-                            takeLoads(answer.getLoadsList());
                             if (!before && mEntry.isConfirmed()) {
                                 mLog.write(Event.CONFIRMED, "age", mEntry.now() - askedAt);
                             }
@@ -132,6 +137,10 @@
             case TARGETS -> onTargets(frame.getTargets());
             case LOADING -> onLoading(frame.getLoading());
             case CACHE -> onCache(frame.getCache());
+            case LOADS -> {
+                List<TargetLoad> loads = frame.getLoads().getTargetsList();
+                mEntry.loop().execute(() -> takeLoads(loads));
+            }
             default -> {
                 // A frame of a newer version.
             }
@@ -230,6 +239,13 @@
         mEntry.loop().execute(() -> mEntry.book().onCacheNews(decoded));
     }
 
+    private static LoadStage stage(Loading loading) {
+        if (loading.getLoading()) {
+            return LoadStage.LOADING;
+        }
+        return loading.getShortWorkOnly() ? LoadStage.SHORT_WORK_ONLY : LoadStage.NONE;
+    }
+
     private void onLoading(Loading loading) {
         mEntry.loop()
                 .execute(
@@ -241,11 +257,7 @@
                                                 loading.getWeights().getModel(),
                                                 loading.getWeights().getVersion());
                             }
-                            mEntry.book()
-                                    .onLoading(
-                                            loading.getTarget(),
-                                            loading.getLoading(),
-                                            mEntry.now());
+                            mEntry.onLoadStage(loading.getTarget(), stage(loading));
                         });
     }
 }
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Entry.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Entry.java
@@ -34,6 +34,7 @@
 import org.quilldyke.manifest.Limits;
 import org.quilldyke.manifest.RouteTable;
 import org.quilldyke.routing.TargetBook;
+import org.quilldyke.weights.LoadStage;
 
 /** What all requests at an entry instance share. Lives on the traffic thread. */
 public final class Entry {
@@ -100,6 +101,11 @@
         mBook.onReport(report);
     }
 
+    /** Takes how far a target is on its way to new weights. */
+    public void onLoadStage(String target, LoadStage stage) {
+        mBook.onLoadStage(target, stage, now());
+    }
+
     private void checkLapsing(String target) {
         if (mLapsing.contains(target)) {
             onTargetLost(target, true);
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/ExchangeLog.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/ExchangeLog.java
@@ -55,6 +55,8 @@
                 choice.missingTokens(),
                 "fetched_from",
                 choice.cacheSource(),
+                "kept_at",
+                choice.cacheTarget(),
                 "predicted_ms",
                 choice.expectedMillis(),
                 "runner_up",
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/EntryLoads.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/EntryLoads.java
@@ -66,23 +66,45 @@
         return mEntries.size();
     }
 
-    /** Returns what all entries but one have open, by target. */
-    List<TargetLoad> allBut(String entry, long now) {
+    /** Returns what all entries have open together, as of {@code now}. */
+    Totals totals(long now) {
         Map<String, TargetLoad.Builder> sums = new TreeMap<>();
-        mEntries.forEach(
-                (id, known) -> {
-                    if (!id.equals(entry) && now - known.at() < STALE_MILLIS) {
-                        known.targets().forEach(load -> add(sums, load));
-                    }
-                });
-        return sums.values().stream().map(TargetLoad.Builder::build).toList();
+        mEntries.values().stream()
+                .filter(known -> now - known.at() < STALE_MILLIS)
+                .forEach(known -> known.targets().forEach(load -> add(sums, load, 1)));
+        return new Totals(sums, now);
     }
 
-    private static void add(Map<String, TargetLoad.Builder> sums, TargetLoad load) {
+    private static void add(Map<String, TargetLoad.Builder> sums, TargetLoad load, int sign) {
         TargetLoad.Builder sum =
                 sums.computeIfAbsent(load.getTarget(), id -> TargetLoad.newBuilder().setTarget(id));
-        sum.setRequests(sum.getRequests() + load.getRequests());
-        sum.setTokens(sum.getTokens() + load.getTokens());
+        sum.setRequests(sum.getRequests() + sign * load.getRequests());
+        sum.setTokens(sum.getTokens() + sign * load.getTokens());
+    }
+
+    /** The sums over all entries, made once for all who ask. */
+    final class Totals {
+        private final Map<String, TargetLoad.Builder> mSums;
+        private final long mNow;
+
+        private Totals(Map<String, TargetLoad.Builder> sums, long now) {
+            mSums = sums;
+            mNow = now;
+        }
+
+        /** Returns what all entries but one have open, by target. */
+        List<TargetLoad> allBut(String entry) {
+            Map<String, TargetLoad.Builder> others = new TreeMap<>();
+            mSums.forEach((id, sum) -> others.put(id, sum.clone()));
+            Known own = mEntries.get(entry);
+            if (own != null && mNow - own.at() < STALE_MILLIS) {
+                own.targets().forEach(load -> add(others, load, -1));
+            }
+            return others.values().stream()
+                    .filter(load -> load.getRequests() > 0)
+                    .map(TargetLoad.Builder::build)
+                    .toList();
+        }
     }
 
     private record Known(List<TargetLoad> targets, long at, boolean here) {}
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/EntrySessions.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/EntrySessions.java
@@ -33,18 +33,27 @@
 import org.quilldyke.gateway.instance.proto.Configuration;
 import org.quilldyke.gateway.instance.proto.ControlFrame;
 import org.quilldyke.gateway.instance.proto.EntryFrame;
+import org.quilldyke.gateway.instance.proto.EntryLoad;
 import org.quilldyke.gateway.instance.proto.Hello;
 import org.quilldyke.gateway.instance.proto.Loading;
 import org.quilldyke.gateway.instance.proto.Loads;
 import org.quilldyke.gateway.instance.proto.ModelWeights;
 import org.quilldyke.gateway.instance.proto.PeerFrame;
 import org.quilldyke.gateway.instance.proto.Question;
+import org.quilldyke.gateway.instance.proto.TargetLoad;
+import org.quilldyke.gateway.instance.proto.TargetLoads;
 import org.quilldyke.gateway.instance.proto.Targets;
 import org.quilldyke.manifest.FleetState;
 
 /** The entry processes that listen here: they get all news at once, and answers when confirmed. */
 final class EntrySessions {
-    private static final long LOADS_MILLIS = 300;
+    /**
+     * How often loads are told: within this, an engine of today's sites reads two thirds of a long
+     * prompt. With many entries it is done less often, since all tell all.
+     */
+    private static final long LOADS_MILLIS = 100;
+
+    private static final long LOADS_MILLIS_PER_ENTRY = 8;
     private static final long SILENT_MILLIS = 3000;
 
     /** A load that takes longer than this has been forgotten by whoever told of it. */
@@ -56,7 +65,7 @@
     private final EntryLoads mLoads = new EntryLoads();
     private final Set<Session> mSessions = new LinkedHashSet<>();
     private final Map<String, Long> mNamedAt = new HashMap<>();
-    private final Map<String, Long> mLoading = new HashMap<>();
+    private final Map<String, LoadingSince> mLoading = new HashMap<>();
     private Confirmations mConfirmations;
     private TargetSpread mTargets;
     private FleetState mState = FleetState.create();
@@ -97,8 +106,8 @@
 
     /** Tells all that an engine is about to load weights, or has done so. */
     void onLoading(Loading loading) {
-        if (loading.getLoading()) {
-            mLoading.put(loading.getTarget(), mClock.getAsLong());
+        if (loading.getLoading() || loading.getShortWorkOnly()) {
+            mLoading.put(loading.getTarget(), new LoadingSince(loading, mClock.getAsLong()));
         } else {
             mLoading.remove(loading.getTarget());
         }
@@ -117,14 +126,13 @@
         mLoads.onOthers(loads.getEntriesList(), mClock.getAsLong());
     }
 
-    /** Tells the other control processes what entries have open; ends sessions that are silent. */
+    /** Tells all processes what entries have open; ends sessions that are silent. */
     void tick() {
         long now = mClock.getAsLong();
-        if (now - mLoadsToldAt >= LOADS_MILLIS) {
+        long every = Math.max(LOADS_MILLIS, LOADS_MILLIS_PER_ENTRY * mLoads.entries());
+        if (now - mLoadsToldAt >= every) {
             mLoadsToldAt = now;
-            mPeers.sendToAll(
-                    PeerFrame.newBuilder()
-                            .setLoads(Loads.newBuilder().addAllEntries(mLoads.here(now))));
+            tellLoads(now);
         }
         for (Session session : List.copyOf(mSessions)) {
             if (now - session.mHeardAt > SILENT_MILLIS) {
@@ -134,6 +142,18 @@
         }
     }
 
+    private void tellLoads(long now) {
+        List<EntryLoad> here = mLoads.here(now);
+        if (!here.isEmpty()) {
+            mPeers.sendToAll(
+                    PeerFrame.newBuilder().setLoads(Loads.newBuilder().addAllEntries(here)));
+        }
+        EntryLoads.Totals totals = mLoads.totals(now);
+        for (Session session : mSessions) {
+            session.tellLoads(totals.allBut(session.mEntry));
+        }
+    }
+
     /** Takes a new stream. */
     SessionServer.EntrySession open(StreamObserver<ControlFrame> out) {
         return new Session(out);
@@ -160,10 +180,14 @@
         return now - mNamedAt.getOrDefault(model + " " + version, now);
     }
 
+    /** What was told last about an engine that loads, and when. */
+    private record LoadingSince(Loading news, long at) {}
+
     private final class Session implements SessionServer.EntrySession {
         private final StreamObserver<ControlFrame> mOut;
         private String mEntry = "";
         private long mHeardAt = mClock.getAsLong();
+        private List<TargetLoad> mLoadsTold = List.of();
 
         Session(StreamObserver<ControlFrame> out) {
             mOut = out;
@@ -176,6 +200,8 @@
                 onHello(frame.getHello());
             } else if (frame.getKindCase() == EntryFrame.KindCase.QUESTION) {
                 onQuestion(frame.getQuestion());
+            } else if (frame.getKindCase() == EntryFrame.KindCase.LOADS) {
+                mLoads.onLoad(mEntry, frame.getLoads().getTargetsList(), mHeardAt);
             }
         }
 
@@ -190,6 +216,14 @@
             mOut.onNext(frame);
         }
 
+        void tellLoads(List<TargetLoad> loads) {
+            if (!loads.equals(mLoadsTold)) {
+                mLoadsTold = loads;
+                TargetLoads news = TargetLoads.newBuilder().addAllTargets(loads).build();
+                send(ControlFrame.newBuilder().setLoads(news).build());
+            }
+        }
+
         private void onHello(Hello hello) {
             mEntry = hello.getEntry();
             mLog.write(Event.SUBSCRIBER_GAINED, "entry", mEntry, "index", hello.getHeldIndex());
@@ -199,10 +233,10 @@
                 send(configuration(true));
             }
             send(ControlFrame.newBuilder().setTargets(mTargets.all()).build());
-            mLoading.values().removeIf(at -> mClock.getAsLong() - at > MAX_LOADING_MILLIS);
-            for (String target : mLoading.keySet()) {
-                Loading loading = Loading.newBuilder().setTarget(target).setLoading(true).build();
-                send(ControlFrame.newBuilder().setLoading(loading).build());
+            long now = mClock.getAsLong();
+            mLoading.values().removeIf(known -> now - known.at() > MAX_LOADING_MILLIS);
+            for (LoadingSince known : mLoading.values()) {
+                send(ControlFrame.newBuilder().setLoading(known.news()).build());
             }
         }
 
@@ -222,8 +256,7 @@
                             Answer.newBuilder()
                                     .setNumber(number)
                                     .setEntries(mLoads.entries())
-                                    .addAllControlAddresses(mPeers.known())
-                                    .addAllLoads(mLoads.allBut(mEntry, mClock.getAsLong())))
+                                    .addAllControlAddresses(mPeers.known()))
                     .build();
         }
     }
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/instance/ControlLinks.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/instance/ControlLinks.java
@@ -18,14 +18,18 @@
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.LongSupplier;
 import org.quilldyke.daemon.log.Event;
 import org.quilldyke.daemon.log.EventLog;
 import org.quilldyke.gateway.instance.proto.Answer;
 import org.quilldyke.gateway.instance.proto.ControlFrame;
+import org.quilldyke.gateway.instance.proto.EntryFrame;
 import org.quilldyke.gateway.instance.proto.Hello;
 import org.quilldyke.gateway.instance.proto.Question;
+import org.quilldyke.gateway.instance.proto.TargetLoad;
+import org.quilldyke.gateway.instance.proto.TargetLoads;
 
 /**
  * Keeps an entry process in touch with two control processes, and with others when these fail.
@@ -42,12 +46,16 @@
 
     private static final long CHECK_MILLIS = 250;
 
+    /** How often it is looked whether what is open at targets has changed. */
+    private static final long LOADS_MILLIS = 100;
+
     private final NettyLoop mLoop;
     private final LongSupplier mClock;
     private final EventLog mLog;
     private final Subscriber mSubscriber;
     private final Set<String> mAddresses = new LinkedHashSet<>();
     private final List<ControlLink> mLinks = new ArrayList<>();
+    private List<TargetLoad> mLoadsTold = List.of();
     private int mNext;
     private boolean mClosed;
 
@@ -79,6 +87,7 @@
         links.mAddresses.addAll(addresses);
         links.mNext = first;
         links.check();
+        links.tellLoads();
         return links;
     }
 
@@ -143,6 +152,20 @@
         }
     }
 
+    private void tellLoads() {
+        if (mClosed) {
+            return;
+        }
+        mLoop.schedule(LOADS_MILLIS, this::tellLoads);
+        List<TargetLoad> loads = mSubscriber.loads();
+        Optional<ControlLink> link = mLinks.stream().filter(ControlLink::isUp).findFirst();
+        if (link.isPresent() && !loads.equals(mLoadsTold)) {
+            mLoadsTold = loads;
+            TargetLoads news = TargetLoads.newBuilder().addAllTargets(loads).build();
+            link.get().send(EntryFrame.newBuilder().setLoads(news).build());
+        }
+    }
+
     private String nextAddress() {
         List<String> all = new ArrayList<>(mAddresses);
         for (int i = 0; i < all.size(); i++) {
@@ -162,6 +185,9 @@
         /** Returns a question with the given number. */
         Question question(long number);
 
+        /** Returns what this entry has open at targets. */
+        List<TargetLoad> loads();
+
         /** Takes the answer to a question that was sent at the given time. */
         void onAnswer(Answer answer, long askedAt);
 
