A late report of an ended incarnation doesn't displace its successor

Now who lost its address, or had lapsed there, is heard again only with its second report while the other one is silent. TargetRegistryTest fails without (three of its new tests).

--- a/quilldyke-core/src/main/java/org/quilldyke/engine/TargetRegistry.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/engine/TargetRegistry.java
@@ -35,12 +35,22 @@
 
     private final Map<String, Entry> mEntries = new HashMap<>();
     private final Map<String, Long> mGone = new HashMap<>();
+    private final Map<String, Displaced> mDisplaced = new HashMap<>();
+    private final Map<String, Lapsed> mLapsed = new HashMap<>();
+    private final boolean mJudges;
 
-    private TargetRegistry() {}
+    private TargetRegistry(boolean judges) {
+        mJudges = judges;
+    }
 
-    /** Returns a registry that knows no target. */
+    /** Returns a registry that knows no target and hears targets themselves. */
     public static TargetRegistry create() {
-        return new TargetRegistry();
+        return new TargetRegistry(true);
+    }
+
+    /** Returns a registry that knows no target and takes what other registries have judged. */
+    public static TargetRegistry following() {
+        return new TargetRegistry(false);
     }
 
     /**
@@ -58,13 +68,10 @@
             known.mHeardAt = Math.max(known.mHeardAt, heardAt);
             return false;
         }
-        // An address belongs to one target at a time: whoever had it before has ended.
-        mEntries.values()
-                .removeIf(
-                        other ->
-                                other.mReport.address().equals(report.address())
-                                        && !other.mReport.id().equals(report.id())
-                                        && other.mHeardAt < heardAt);
+        if (mJudges && isOfAnEndedTarget(report.id(), heardAt)) {
+            return false;
+        }
+        displaceOthers(report, heardAt);
         if (known == null) {
             mEntries.put(report.id(), new Entry(report, heardAt));
             return true;
@@ -75,6 +82,47 @@
         return news;
     }
 
+    /**
+     * Returns whether the sender's address has passed to another target since: a report may have
+     * been held up on its way until long after its sender's end. Who reports twice while the other
+     * one is silent lives, however.
+     */
+    private boolean isOfAnEndedTarget(String id, long heardAt) {
+        Displaced displaced = mDisplaced.get(id);
+        if (displaced == null) {
+            return false;
+        }
+        Entry holder = mEntries.get(displaced.mBy);
+        boolean holderLives = holder != null && holder.mHeardAt >= displaced.mHeardAgainAt;
+        if (holderLives) {
+            displaced.mHeardAgainAt = heardAt;
+            return true;
+        }
+        mDisplaced.remove(id);
+        return false;
+    }
+
+    /** An address belongs to one target at a time: whoever had it before has ended. */
+    private void displaceOthers(TargetReport report, long heardAt) {
+        List<Entry> ended =
+                mEntries.values().stream()
+                        .filter(other -> other.mReport.address().equals(report.address()))
+                        .filter(other -> !other.mReport.id().equals(report.id()))
+                        .filter(other -> other.mHeardAt < heardAt)
+                        .toList();
+        for (Entry other : ended) {
+            mEntries.remove(other.mReport.id());
+            mDisplaced.put(other.mReport.id(), new Displaced(report.id(), heardAt));
+        }
+        mLapsed.remove(report.id());
+        for (Map.Entry<String, Lapsed> lapsed : List.copyOf(mLapsed.entrySet())) {
+            if (lapsed.getValue().address().equals(report.address())) {
+                mLapsed.remove(lapsed.getKey());
+                mDisplaced.put(lapsed.getKey(), new Displaced(report.id(), heardAt));
+            }
+        }
+    }
+
     /** Notes that a target lives, as of a report that was told before. */
     public void onAlive(String id, long heardAt) {
         Entry known = mEntries.get(id);
@@ -109,13 +157,18 @@
     /** Returns the targets that were not heard for {@code silentMillis}, and forgets them. */
     public List<TargetReport> lapse(long silentMillis, long now) {
         mGone.values().removeIf(at -> now - at > GONE_KEPT_MILLIS);
+        mDisplaced.values().removeIf(known -> now - known.mAt > GONE_KEPT_MILLIS);
         List<TargetReport> lapsed = new ArrayList<>();
         for (Entry entry : mEntries.values()) {
             if (now - entry.mHeardAt > silentMillis) {
                 lapsed.add(entry.mReport);
             }
         }
-        lapsed.forEach(report -> mEntries.remove(report.id()));
+        mLapsed.values().removeIf(known -> now - known.at() > GONE_KEPT_MILLIS);
+        for (TargetReport report : lapsed) {
+            mEntries.remove(report.id());
+            mLapsed.put(report.id(), new Lapsed(report.address(), now));
+        }
         return lapsed;
     }
 
@@ -140,6 +193,21 @@
         return List.copyOf(mGone.keySet());
     }
 
+    /** Where a target was that fell silent. */
+    private record Lapsed(String address, long at) {}
+
+    /** A target whose address another one has. */
+    private static final class Displaced {
+        final String mBy;
+        final long mAt;
+        long mHeardAgainAt = Long.MIN_VALUE;
+
+        Displaced(String by, long at) {
+            mBy = by;
+            mAt = at;
+        }
+    }
+
     private static final class Entry {
         TargetReport mReport;
         long mHeardAt;
--- a/quilldyke-core/src/test/java/org/quilldyke/engine/TargetRegistryTest.java
+++ b/quilldyke-core/src/test/java/org/quilldyke/engine/TargetRegistryTest.java
@@ -73,6 +73,55 @@
         assertThat(ids(mRegistry.reports())).containsExactly("b");
     }
 
+    /** A report was held up by a cut until its sender had crashed and started again. */
+    @Test
+    void reportOfAnEarlierIncarnationThatComesLateIsIgnored() {
+        mRegistry.onReport(report("a", "1:1", 50, false), 0);
+        mRegistry.onReport(report("b", "1:1", 1, false), 10);
+
+        assertThat(mRegistry.onReport(report("a", "1:1", 51, false), 20)).isFalse();
+        assertThat(ids(mRegistry.reports())).containsExactly("b");
+
+        mRegistry.onAlive("b", 1200);
+        assertThat(mRegistry.onReport(report("a", "1:1", 52, false), 1300)).isFalse();
+        assertThat(ids(mRegistry.reports())).containsExactly("b");
+    }
+
+    @Test
+    void reportOfATargetThatHadLapsedIsIgnoredToo() {
+        mRegistry.onReport(report("a", "1:1", 50, false), 0);
+        mRegistry.lapse(500, 1000);
+        mRegistry.onReport(report("b", "1:1", 1, false), 1100);
+
+        assertThat(mRegistry.onReport(report("a", "1:1", 51, false), 1200)).isFalse();
+        assertThat(ids(mRegistry.reports())).containsExactly("b");
+    }
+
+    /**
+     * What seems a new incarnation may be the late report of one that this instance didn't know.
+     */
+    @Test
+    void targetThatReportsOnWhileItsRivalIsSilentIsBack() {
+        mRegistry.onReport(report("b", "1:1", 7, false), 0);
+        mRegistry.onReport(report("a", "1:1", 50, false), 10);
+        assertThat(ids(mRegistry.reports())).containsExactly("a");
+
+        assertThat(mRegistry.onReport(report("b", "1:1", 8, false), 1200)).isFalse();
+        assertThat(mRegistry.onReport(report("b", "1:1", 9, false), 2400)).isTrue();
+        assertThat(ids(mRegistry.reports())).containsExactly("b");
+    }
+
+    /** An entry hears of a target only once what the control processes make of its reports. */
+    @Test
+    void followerTakesWhatWasJudged() {
+        TargetRegistry follower = TargetRegistry.following();
+        follower.onReport(report("b", "1:1", 7, false), 0);
+        follower.onReport(report("a", "1:1", 50, false), 10);
+
+        assertThat(follower.onReport(report("b", "1:1", 8, false), 20)).isTrue();
+        assertThat(ids(follower.reports())).containsExactly("b");
+    }
+
     @Test
     void weightsThatWereSeenGoBeforeThoseReported() {
         mRegistry.onReport(report("a", "1:1", 1, false), 0);
