The demo's caller sends its request anew when its stream is no longer held

Cause of the known red DemoTest.everyPromiseHolds, by its log: an engine and the entry that relayed from it were lost within a second; the caller resumed at others with an id of the lost engine and got QR2013 until it gave up. The red test itself was not caught failing again, so its line stays for now, with this text.

--- a/quilldyke-tools/src/main/java/org/quilldyke/tools/client/ReceivedStream.java
+++ b/quilldyke-tools/src/main/java/org/quilldyke/tools/client/ReceivedStream.java
@@ -15,6 +15,8 @@
  */
 package org.quilldyke.tools.client;
 
+import org.quilldyke.ResultCode;
+
 /** What a caller has of a streamed answer, over all its connections. Safe for several threads. */
 public final class ReceivedStream {
     private final StringBuilder mText = new StringBuilder();
@@ -80,6 +82,19 @@
         return mFirstAt == 0 ? 0 : (mFirstAt - mStartedAt) / 1e6;
     }
 
+    /** Returns whether the stream can't be resumed any more. */
+    public synchronized boolean isGone() {
+        return mRefusal != null && mRefusal.code().equals(ResultCode.STREAM_GONE.label());
+    }
+
+    /** Forgets what came, since the request is sent anew. */
+    public synchronized void startAnew() {
+        mText.setLength(0);
+        mChunks = 0;
+        mLastEventId = "";
+        mRefusal = null;
+    }
+
     synchronized boolean isCancelWanted() {
         return mCancelWanted;
     }
--- a/quilldyke-tools/src/main/java/org/quilldyke/tools/demo/DemoCaller.java
+++ b/quilldyke-tools/src/main/java/org/quilldyke/tools/demo/DemoCaller.java
@@ -31,7 +31,8 @@
  * A caller behind the platform's balancer, which hands each connection to a ready instance.
  *
  * <p>After a broken connection it resumes with {@code Last-Event-ID}; a request that was refused as
- * not run, or broke off before its first event, is sent again.
+ * not run, or broke off before its first event, is sent again. So is one whose stream is no longer
+ * held anywhere, since its engine and the instance that relayed from it were lost together.
  */
 final class DemoCaller {
     private static final int MAX_CONNECTIONS = 50;
@@ -77,6 +78,9 @@
                 String url = "http://" + instance + "/v1/streams";
                 mClient.stream(HttpMethod.GET, url, headers, new byte[0], stream).join();
             }
+            if (stream.isGone()) {
+                stream.startAnew();
+            }
             if (!stream.error().isEmpty()) {
                 break;
             }
