Nothing is confirmed before it is applied; a start tells the last state only

A question of an entry instance that came between was answered as confirmed; the entry then walked through the configurations of the whole log and took a withdrawn key under an old one. Quicker elections and requests that wait for the start made the moment likelier; it was there before. Reads of the manifest had the same gap.

--- a/quilldyke-core/src/main/java/org/quilldyke/caller/Admission.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/caller/Admission.java
@@ -24,11 +24,11 @@
  * earlier, so that urgent ones come in time and those that run aren't held up by reading.
  */
 public final class Admission {
-    /** The most urgent prompts are taken while they are expected within their objective. */
+    /** The most urgent prompts may wait for their whole objective. */
     private static final double URGENT_PART = 1.0;
 
     /** All others leave a part of the line free, so that urgent ones come in time. */
-    private static final double OTHERS_PART = 0.5;
+    private static final double OTHERS_PART = 0.28;
 
     /** Callers come back within this part of the time that they have left, or not at all. */
     private static final double RETRY_TIME_PART = 1.0 / 3;
@@ -40,13 +40,16 @@
 
     private Admission() {}
 
-    /** Returns whether a request without its prompt read anywhere yet is sent on. */
-    static boolean admits(ForwardRequest request, long expectedMillis) {
+    /**
+     * Returns whether a request is sent on whose prompt waits that long for those before it. Its
+     * own reading doesn't count: else large prompts would never be taken.
+     */
+    public static boolean admits(ForwardRequest request, long waitMillis) {
         if (request.prompt().isEmpty()) {
             return true;
         }
         long objective = request.route().objectiveMillis();
-        return expectedMillis <= objective * (request.priority() == 0 ? URGENT_PART : OTHERS_PART);
+        return waitMillis <= objective * (request.priority() == 0 ? URGENT_PART : OTHERS_PART);
     }
 
     /**
--- a/quilldyke-core/src/main/java/org/quilldyke/caller/Forwarding.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/caller/Forwarding.java
@@ -155,6 +155,29 @@
         return sendAgainOr(end, now);
     }
 
+    /**
+     * Returns the step by which a stream under way goes on elsewhere because its target waits for
+     * its end to load weights; nothing if it stays. The present attempt is over then.
+     */
+    public Optional<Step> onTargetWaits(long now) {
+        boolean underWay = mOpen && mHeadPassed && mRequest.route().resumable();
+        if (!underWay) {
+            return Optional.empty();
+        }
+        Set<String> others = new HashSet<>(mExcluded);
+        others.add(mChoice.target());
+        boolean may =
+                mMayHaveRun < mRequest.route().maxAttempts()
+                        && now + MIN_MILLIS_LEFT < mRequest.answerBy()
+                        && mBook.hasOther(mRequest, others, now);
+        if (!may || !takeRetry(now)) {
+            return Optional.empty();
+        }
+        finishAttempt();
+        mExcluded.add(mChoice.target());
+        return Optional.of(choose(now));
+    }
+
     /** Returns the step when the request's time is over. */
     public Step onTimeOver(long now) {
         boolean sent = mSent;
@@ -232,16 +255,16 @@
         }
         Optional<Choice> choice = mBook.choose(mRequest, mExcluded, now);
         boolean fresh = mMayHaveRun == 0;
-        if (choice.isPresent()
-                && fresh
-                && !Admission.admits(mRequest, choice.get().expectedMillis())) {
+        if (choice.isPresent() && fresh && !Admission.admits(mRequest, choice.get().waitMillis())) {
             Choice best = choice.get();
             String why =
                     "best "
                             + best.target()
                             + " in "
                             + best.expectedMillis()
-                            + " ms, objective "
+                            + " ms, of these a line of "
+                            + best.waitMillis()
+                            + ", objective "
                             + mRequest.route().objectiveMillis();
             return giveUp(ResultCode.OVERLOADED, why, now);
         }
--- a/quilldyke-core/src/main/java/org/quilldyke/control/ElectionTimer.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/control/ElectionTimer.java
@@ -29,7 +29,7 @@
     private static final int MAX_FACTOR = 8;
 
     /** The part of an election timeout after which it is asked first, or again. */
-    private static final int SOON_DIVISOR = 4;
+    private static final int SOON_DIVISOR = 8;
 
     private final long mElectionMillis;
     private final RandomGenerator mRandom;
--- a/quilldyke-core/src/main/java/org/quilldyke/routing/CostModel.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/routing/CostModel.java
@@ -45,12 +45,19 @@
         return new CostModel(50, 15, 3.5, 0.1);
     }
 
-    /** Returns the expected time to the first token. */
-    public double firstTokenMillis(long missingTokens, long backlogTokens, int running, int slots) {
-        double reading = (missingTokens + backlogTokens) / tokensPerMilli;
-        double step = stepMillis + stepMillisPerRequest * running;
-        double line = Math.max(0, running + 1 - slots) * step * 10;
-        return firstMillis + step + reading + line;
+    /** Returns the expected time to the first token of a prompt that needn't wait. */
+    public double firstTokenMillis(long missingTokens, int running) {
+        return firstMillis + stepMillis(running) + missingTokens / tokensPerMilli;
+    }
+
+    /** Returns how long a prompt waits for those before it. */
+    public double waitMillis(long backlogTokens, int running, int slots) {
+        double line = Math.max(0, running + 1 - slots) * stepMillis(running) * 10;
+        return backlogTokens / tokensPerMilli + line;
+    }
+
+    private double stepMillis(int running) {
+        return stepMillis + stepMillisPerRequest * running;
     }
 
     /** Returns what the request costs those that run already, in shared tokens read again. */
--- a/quilldyke-core/src/main/java/org/quilldyke/routing/TargetBook.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/routing/TargetBook.java
@@ -140,6 +140,12 @@
         }
     }
 
+    /** Returns whether a target takes nothing since it is to load weights. */
+    public boolean isLoading(String id, long now) {
+        TargetState state = mTargets.get(id);
+        return state != null && state.isLoading(now);
+    }
+
     /** Takes how much other instances have open at a target. */
     public void onOthersLoad(String id, int requests, long tokens) {
         TargetState state = mTargets.get(id);
@@ -157,7 +163,10 @@
         }
     }
 
-    /** Returns the best target for a request, if there is one. */
+    /**
+     * Returns the best target for a request, if there is one: of those whose line is short enough
+     * for it, or else of all.
+     */
     public Optional<Choice> choose(ForwardRequest request, Set<String> excluded, long now) {
         List<Rated> rated = new ArrayList<>();
         for (TargetState state : candidates(request, excluded, now)) {
@@ -167,8 +176,12 @@
         if (rated.isEmpty()) {
             return Optional.empty();
         }
-        Rated best = rated.get(0);
-        Rated next = rated.size() > 1 ? rated.get(1) : null;
+        Rated best =
+                rated.stream()
+                        .filter(r -> Admission.admits(request, Math.round(r.line())))
+                        .findFirst()
+                        .orElse(rated.get(0));
+        Rated next = rated.stream().filter(r -> r != best).findFirst().orElse(null);
         return Optional.of(
                 new Choice(
                         best.state().id(),
@@ -179,6 +192,7 @@
                         best.missing(),
                         best.source(),
                         cacheTarget(best, request),
+                        Math.round(best.line()),
                         Math.round(best.expected()),
                         next == null ? "" : next.state().id(),
                         next == null ? 0 : Math.round(next.expected())));
@@ -324,7 +338,7 @@
         if (request.prompt().isEmpty()) {
             double domain = state.isIn(mFailureDomain) ? 0 : OTHER_DOMAIN_COST;
             double cost = 10.0 * state.openRequests() / state.slots() + domain + noise;
-            return new Rated(state, Choice.NO_WEIGHTS, "", 0, 0, "", cost, cost);
+            return new Rated(state, Choice.NO_WEIGHTS, "", 0, 0, "", 0, cost, cost);
         }
         return rateEngine(state, request, request.prompt().get(), noise, now);
     }
@@ -337,11 +351,11 @@
         int held = source.map(Source::tokens).orElse(cached);
         double fetch = source.map(s -> s.fetchMillis(s.tokens() - cached)).orElse(0.0);
         int missing = Math.max(1, prompt.tokens() - held);
-        double expected =
-                fetch
-                        + mCosts.firstTokenMillis(
-                                missing, state.backlogTokens(), state.openRequests(), state.slots())
-                        + state.excessMillis(now);
+        double wait =
+                mCosts.waitMillis(state.backlogTokens(), state.openRequests(), state.slots())
+                        + state.excessMillis(now)
+                        + source.map(Source::waitMillis).orElse(0.0);
+        double expected = wait + fetch + mCosts.firstTokenMillis(missing, state.openRequests());
         boolean old = outdatedFor(state, prompt, now) > OLD_WEIGHTS_MILLIS;
         double others = mCosts.costToOthers(missing, state.openRequests());
         double cost =
@@ -361,6 +375,7 @@
                 held,
                 missing,
                 source.map(Source::address).orElse(""),
+                wait,
                 expected,
                 cost);
     }
@@ -461,7 +476,7 @@
         }
 
         double fetchMillis(int fetchedTokens) {
-            return waitMillis + millisPerToken * fetchedTokens;
+            return millisPerToken * fetchedTokens;
         }
     }
 
@@ -473,6 +488,7 @@
             int cached,
             int missing,
             String source,
+            double line,
             double expected,
             double cost) {}
 }
--- a/quilldyke-core/src/main/java/org/quilldyke/routing/TargetState.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/routing/TargetState.java
@@ -99,14 +99,18 @@
         mLoadStageUntil = now + MAX_LOADING_MILLIS;
     }
 
+    /** Returns whether the target takes nothing since it is to load weights. */
+    boolean isLoading(long now) {
+        return mLoadStage == LoadStage.LOADING && now < mLoadStageUntil;
+    }
+
     /** Returns whether long work would keep the target from loading weights. */
     boolean takesShortWorkOnly(long now) {
         return mLoadStage == LoadStage.SHORT_WORK_ONLY && now < mLoadStageUntil;
     }
 
     boolean serves(String service, long now) {
-        boolean loading = mLoadStage == LoadStage.LOADING && now < mLoadStageUntil;
-        return mReport.service().equals(service) && !mReport.leaving() && !loading;
+        return mReport.service().equals(service) && !mReport.leaving() && !isLoading(now);
     }
 
     boolean isIn(String failureDomain) {
--- a/quilldyke-core/src/main/java/org/quilldyke/weights/LoadPlanner.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/weights/LoadPlanner.java
@@ -44,7 +44,7 @@
      * For how long an engine gets short work only before it gets none: most of its long runs end
      * meanwhile. Without it an engine was away for 3 to 5 s for a load of 0.76 s.
      */
-    static final long EASE_MILLIS = 1000;
+    static final long EASE_MILLIS = 300;
 
     /** From the announcement to the order: the news has reached all instances by then. */
     static final long ANNOUNCED_MILLIS = 40;
@@ -162,7 +162,7 @@
                 job.mOrdered = false;
                 job.mDueAt = now + POLL_MILLIS;
             }
-            case UNKNOWN -> job.mDueAt = now + RETRY_MILLIS;
+            case UNKNOWN -> job.mDueAt = now + ANNOUNCED_MILLIS;
             default -> {
                 // Accepted: its status tells when it is done.
             }
--- a/quilldyke-core/src/test/java/org/quilldyke/caller/ForwardingTest.java
+++ b/quilldyke-core/src/test/java/org/quilldyke/caller/ForwardingTest.java
@@ -200,6 +200,55 @@
         assertThat(forwarding.isSilenceTelling(2000)).isFalse();
     }
 
+    /** An engine waited for its longest stream for 3 to 5 s before it loaded for 0.8 s. */
+    @Test
+    void resumableStreamGoesOnElsewhereWhenItsTargetWaitsToLoad() {
+        Forwarding forwarding = forwarding(RequestKind.STREAMING, 2);
+        String first = sent(forwarding.start(0), forwarding);
+        forwarding.onAnswer(STREAM, 10);
+        forwarding.onEventPassed(4);
+
+        Step.Send second = (Step.Send) forwarding.onTargetWaits(20).get();
+
+        assertThat(second.choice().target()).isNotEqualTo(first);
+        assertThat(second.lastEvent()).isEqualTo(4);
+        forwarding.onSending();
+        forwarding.onAnswer(STREAM, 30);
+        forwarding.onEventPassed(5);
+        assertThat(forwarding.onTargetWaits(40)).isEqualTo(Optional.empty());
+    }
+
+    @Test
+    void otherRequestsStayWhenTheirTargetWaitsToLoad() {
+        Forwarding waiting = forwarding(RequestKind.STREAMING, 2);
+        sent(waiting.start(0), waiting);
+        assertThat(waiting.onTargetWaits(20)).isEqualTo(Optional.empty());
+
+        Forwarding unsafe = forwarding(RequestKind.NON_IDEMPOTENT, 2);
+        sent(unsafe.start(0), unsafe);
+        unsafe.onAnswer(OK, 10);
+        unsafe.onEventPassed(1);
+        assertThat(unsafe.onTargetWaits(20)).isEqualTo(Optional.empty());
+    }
+
+    @Test
+    void streamStaysWhenNoOtherTargetIsLeftOrTheAllowanceIsUsedUp() {
+        mRetries = RetryAllowance.create(0, 0, 10_000, 1);
+        Forwarding poor = forwarding(RequestKind.STREAMING, 2);
+        sent(poor.start(0), poor);
+        poor.onAnswer(STREAM, 10);
+        poor.onEventPassed(4);
+        assertThat(poor.onTargetWaits(20)).isEqualTo(Optional.empty());
+
+        mRetries = RetryAllowance.create(0.2, 100, 10_000, 1);
+        Forwarding alone = forwarding(RequestKind.STREAMING, 2);
+        String only = sent(alone.start(0), alone);
+        alone.onAnswer(STREAM, 10);
+        alone.onEventPassed(4);
+        List.of("a", "b", "c").stream().filter(id -> !id.equals(only)).forEach(mBook::onGone);
+        assertThat(alone.onTargetWaits(20)).isEqualTo(Optional.empty());
+    }
+
     private static String sent(Step step, Forwarding forwarding) {
         assertThat(step).isInstanceOf(Step.Send.class);
         forwarding.onSending();
--- a/quilldyke-daemon/src/main/java/org/quilldyke/daemon/control/ReplicaNode.java
+++ b/quilldyke-daemon/src/main/java/org/quilldyke/daemon/control/ReplicaNode.java
@@ -68,6 +68,7 @@
     private boolean mDrainPosted;
     private boolean mStopped;
     private long mBytesSinceSnapshot;
+    private long mAppliedIndex;
     private long mWonAt;
 
     private ReplicaNode(
@@ -85,6 +86,7 @@
         mSend = send;
         mListener = listener;
         mWasTrusted = replica.isTrusted();
+        mAppliedIndex = replica.appliedIndex();
     }
 
     /**
@@ -223,6 +225,24 @@
         return mReplica.leaderSeenAt(now());
     }
 
+    /**
+     * Returns the index of the last entry that the machine has taken. The replica itself may be
+     * ahead: it gives out entries a moment before they are applied.
+     */
+    public long appliedIndex() {
+        return mAppliedIndex;
+    }
+
+    /**
+     * Returns the time up to which surely no other replica led, see {@link Replica#confirmedAt};
+     * and the machine has taken all that was committed. {@link Long#MIN_VALUE} if that isn't so.
+     */
+    public long confirmedAt() {
+        return mAppliedIndex < mReplica.commitIndex()
+                ? Long.MIN_VALUE
+                : mReplica.confirmedAt(now());
+    }
+
     /** Returns the replica, to be read. */
     public Replica replica() {
         return mReplica;
@@ -268,8 +288,10 @@
                 send(send);
             } else if (action instanceof ReplicaAction.Apply apply) {
                 apply(apply.index(), apply.entry());
+                mAppliedIndex = apply.index();
             } else if (action instanceof ReplicaAction.InstallSnapshot install) {
                 restore(install.state());
+                mAppliedIndex = install.index();
             } else if (action instanceof ReplicaAction.LeadershipWon won) {
                 mWonAt = now();
                 mEnvironment.log().write(Event.LEADER_WON, "term", won.term());
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Entry.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Entry.java
@@ -41,6 +41,12 @@
     /** How often it is looked whether a target whose reports have ended still answers. */
     private static final long HEARD_CHECK_MILLIS = 500;
 
+    /**
+     * For how long a target that is to load weights waits for its runs: most end meanwhile, and one
+     * that is moved pauses for a while.
+     */
+    private static final long MOVE_MILLIS = 500;
+
     private final EventLoop mLoop;
     private final LongSupplier mClock;
     private final Dialect mDialect;
@@ -104,6 +110,17 @@
     /** Takes how far a target is on its way to new weights. */
     public void onLoadStage(String target, LoadStage stage) {
         mBook.onLoadStage(target, stage, now());
+        if (stage == LoadStage.LOADING) {
+            mLoop.schedule(() -> moveStreams(target), MOVE_MILLIS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /** Streams that still hold up a target that is to load weights go on elsewhere. */
+    private void moveStreams(String target) {
+        if (mBook.isLoading(target, now())) {
+            List<Exchange> open = new ArrayList<>(mExchanges.getOrDefault(target, Set.of()));
+            open.forEach(Exchange::onTargetWaits);
+        }
     }
 
     private void checkLapsing(String target) {
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Exchange.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Exchange.java
@@ -143,6 +143,20 @@
         }
     }
 
+    /** The target waits for its runs to end, to load weights. */
+    void onTargetWaits() {
+        if (mAttempt == null || mEnded) {
+            return;
+        }
+        Optional<Step> step = mForwarding.onTargetWaits(now());
+        if (step.isPresent()) {
+            logAttempt("moved", "the target waits to load weights");
+            cancelAttempt();
+            releaseAnswer();
+            perform(step.get());
+        }
+    }
+
     @Override
     public void onUnsent(String why) {
         closeAttempt();
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/Confirmations.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/Confirmations.java
@@ -97,14 +97,14 @@
     /** Answers what can be answered; call it after each message and often. */
     void advance() {
         long now = mClock.getAsLong();
-        advanceLeader(now);
+        advanceLeader();
         sendQuestion(now);
         advanceApplying();
         expire(now);
     }
 
-    private void advanceLeader(long now) {
-        long confirmedAt = mGroup.node().replica().confirmedAt(now);
+    private void advanceLeader() {
+        long confirmedAt = mGroup.node().confirmedAt();
         List<Waiting> done = take(mAtLeader, waiting -> waiting.since() < confirmedAt);
         done.forEach(waiting -> waiting.done().accept(true));
     }
@@ -130,7 +130,7 @@
     }
 
     private void advanceApplying() {
-        long applied = mGroup.node().replica().appliedIndex();
+        long applied = mGroup.node().appliedIndex();
         Iterator<Applying> all = List.copyOf(mApplying).iterator();
         mApplying.removeIf(a -> a.index() <= applied);
         while (all.hasNext()) {
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/ControlNode.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/ControlNode.java
@@ -77,6 +77,7 @@
     private final CacheWatch mCaches;
     private final ControlDialect mDialect;
     private volatile Set<String> mSeeds;
+    private boolean mTellPosted;
     private boolean mStopped;
 
     private ControlNode(
@@ -354,7 +355,18 @@
 
     private void onState(FleetState state) {
         mEntries.onState(state);
-        if (mCaches == null || !state.hasManifest()) {
+        if (!mTellPosted) {
+            mTellPosted = true;
+            mLoop.execute(this::tellState);
+        }
+    }
+
+    /** Once for all changes that the log makes in one go. */
+    private void tellState() {
+        mTellPosted = false;
+        mEntries.tellState();
+        FleetState state = mMachine.state();
+        if (!state.hasManifest()) {
             return;
         }
         try {
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/EntrySessions.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/EntrySessions.java
@@ -69,6 +69,7 @@
     private Confirmations mConfirmations;
     private TargetSpread mTargets;
     private FleetState mState = FleetState.create();
+    private boolean mStateTold;
     private long mToldVersion = -1;
     private long mLoadsToldAt;
 
@@ -83,19 +84,29 @@
         mTargets = targets;
     }
 
-    /** Takes the state after a change and tells it to all. */
+    /** Takes the state after a change; {@link #tellState} tells it to all. */
     void onState(FleetState state) {
-        boolean newDocument = state.version() != mToldVersion;
-        mToldVersion = state.version();
         mState = state;
+        mStateTold = false;
         state.weights()
                 .forEach(
                         (model, version) ->
                                 mNamedAt.putIfAbsent(model + " " + version, mClock.getAsLong()));
-        if (state.hasManifest()) {
-            ControlFrame frame = configuration(newDocument);
-            mSessions.forEach(session -> session.send(frame));
+    }
+
+    /**
+     * Tells all the present state if that hasn't been done. Of many changes at once, as after a
+     * start, only the last is told.
+     */
+    void tellState() {
+        if (mStateTold || !mState.hasManifest()) {
+            return;
         }
+        mStateTold = true;
+        boolean newDocument = mState.version() != mToldVersion;
+        mToldVersion = mState.version();
+        ControlFrame frame = configuration(newDocument);
+        mSessions.forEach(session -> session.send(frame));
     }
 
     /** Tells targets to all. */
@@ -245,6 +256,8 @@
             mConfirmations.ask(
                     confirmed -> {
                         if (confirmed && mSessions.contains(this)) {
+                            // All that was accepted goes before the answer.
+                            tellState();
                             send(answer(question.getNumber()));
                         }
                     });
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/engine/EngineOrders.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/engine/EngineOrders.java
@@ -39,7 +39,12 @@
 
 /** Asks engines for their status and gives them orders. Safe for use by several threads. */
 public final class EngineOrders {
-    private static final long TIMEOUT_MILLIS = 700;
+    /**
+     * An engine in reach answers within some 10 ms. An order without an answer may be carried out
+     * seconds later, and the engine serves nothing until it is given again; the revision that it
+     * expects keeps it from being carried out twice.
+     */
+    private static final long TIMEOUT_MILLIS = 300;
 
     /** Calls for cache events wait for less than half a second; the rest is for the way. */
     private static final long CACHE_TIMEOUT_MILLIS = 800;
