--- a/quilldyke-core/src/main/java/org/quilldyke/caller/Admission.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/caller/Admission.java
@@ -28,7 +28,7 @@
     private static final double URGENT_PART = 1.0;
 
     /** All others leave a part of the line free, so that urgent ones come in time. */
-    private static final double OTHERS_PART = 0.28;
+    private static final double OTHERS_PART = 0.38;
 
     /** Callers come back within this part of the time that they have left, or not at all. */
     private static final double RETRY_TIME_PART = 1.0 / 3;
@@ -41,8 +41,9 @@
     private Admission() {}
 
     /**
-     * Returns whether a request is sent on whose prompt waits that long for those before it. Its
-     * own reading doesn't count: else large prompts would never be taken.
+     * Returns whether a request is sent on whose prompt waits that long for those before it and for
+     * shared parts. The reading of its own part doesn't count: else large prompts would never be
+     * taken. That of shared parts does: under load they are better read where they are kept.
      */
     public static boolean admits(ForwardRequest request, long waitMillis) {
         if (request.prompt().isEmpty()) {
--- a/quilldyke-core/src/main/java/org/quilldyke/caller/Forwarding.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/caller/Forwarding.java
@@ -262,9 +262,9 @@
                             + best.target()
                             + " in "
                             + best.expectedMillis()
-                            + " ms, of these a line of "
+                            + " ms, of these "
                             + best.waitMillis()
-                            + ", objective "
+                            + " before its own part is read, objective "
                             + mRequest.route().objectiveMillis();
             return giveUp(ResultCode.OVERLOADED, why, now);
         }
--- a/quilldyke-core/src/main/java/org/quilldyke/routing/CostModel.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/routing/CostModel.java
@@ -47,13 +47,18 @@
 
     /** Returns the expected time to the first token of a prompt that needn't wait. */
     public double firstTokenMillis(long missingTokens, int running) {
-        return firstMillis + stepMillis(running) + missingTokens / tokensPerMilli;
+        return firstMillis + stepMillis(running) + readingMillis(missingTokens);
+    }
+
+    /** Returns how long an engine reads. */
+    public double readingMillis(long tokens) {
+        return tokens / tokensPerMilli;
     }
 
     /** Returns how long a prompt waits for those before it. */
     public double waitMillis(long backlogTokens, int running, int slots) {
         double line = Math.max(0, running + 1 - slots) * stepMillis(running) * 10;
-        return backlogTokens / tokensPerMilli + line;
+        return readingMillis(backlogTokens) + line;
     }
 
     private double stepMillis(int running) {
--- a/quilldyke-core/src/main/java/org/quilldyke/routing/TargetBook.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/routing/TargetBook.java
@@ -356,6 +356,7 @@
                         + state.excessMillis(now)
                         + source.map(Source::waitMillis).orElse(0.0);
         double expected = wait + fetch + mCosts.firstTokenMillis(missing, state.openRequests());
+        double ownReading = mCosts.readingMillis(prompt.tokens() - prompt.sharedTokens());
         boolean old = outdatedFor(state, prompt, now) > OLD_WEIGHTS_MILLIS;
         double others = mCosts.costToOthers(missing, state.openRequests());
         double cost =
@@ -375,7 +376,7 @@
                 held,
                 missing,
                 source.map(Source::address).orElse(""),
-                wait,
+                Math.max(0, expected - ownReading),
                 expected,
                 cost);
     }
--- a/quilldyke-daemon/src/test/java/org/quilldyke/daemon/settings/SettingsReaderTest.java
+++ b/quilldyke-daemon/src/test/java/org/quilldyke/daemon/settings/SettingsReaderTest.java
@@ -56,6 +56,7 @@
                 "127.0.1.2:8080|127.0.1.1:8080|SETTINGS_IMPOSSIBLE|instances[1].traffic",
                 "127.0.1.2:8080|localhost:8080|SETTINGS_IMPOSSIBLE|instances[1].traffic",
                 "127.0.1.2:8080|127.0.1.2:99999|SETTINGS_IMPOSSIBLE|instances[1].traffic",
+                "127.0.1.2:8080|300.0.1.1:8080|SETTINGS_IMPOSSIBLE|instances[1].traffic",
                 "data/brazos/entry-2||SETTINGS_IMPOSSIBLE|instances[1].dataFolder",
                 "data/brazos/entry-2|data/brazos/entry-1|SETTINGS_IMPOSSIBLE|instances[1]",
                 "brazos-entry-2|brazos-entry-1|SETTINGS_IMPOSSIBLE|instances[1].id",
