Admission by the whole expectation again, but for the reading of a very large own part

So the whole expectation counts, all but 0.2 of the objective of a large own part is pardoned, and another engine is taken before a refusal only if it costs less than the refusal.

--- a/quilldyke-core/src/main/java/org/quilldyke/caller/Admission.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/caller/Admission.java
@@ -28,7 +28,13 @@
     private static final double URGENT_PART = 1.0;
 
     /** All others leave a part of the line free, so that urgent ones come in time. */
-    private static final double OTHERS_PART = 0.38;
+    private static final double OTHERS_PART = 0.5;
+
+    /**
+     * The reading of a prompt's own part counts up to this part of its objective: else the largest
+     * would never be taken.
+     */
+    private static final double OWN_READING_PART = 0.2;
 
     /** Callers come back within this part of the time that they have left, or not at all. */
     private static final double RETRY_TIME_PART = 1.0 / 3;
@@ -41,16 +47,21 @@
     private Admission() {}
 
     /**
-     * Returns whether a request is sent on whose prompt waits that long for those before it and for
-     * shared parts. The reading of its own part doesn't count: else large prompts would never be
-     * taken. That of shared parts does: under load they are better read where they are kept.
+     * Returns whether a request is sent on whose first event is expected after so many
+     * milliseconds, less what is pardoned of its own reading.
      */
-    public static boolean admits(ForwardRequest request, long waitMillis) {
+    public static boolean admits(ForwardRequest request, long admissionMillis) {
         if (request.prompt().isEmpty()) {
             return true;
         }
         long objective = request.route().objectiveMillis();
-        return waitMillis <= objective * (request.priority() == 0 ? URGENT_PART : OTHERS_PART);
+        return admissionMillis <= objective * (request.priority() == 0 ? URGENT_PART : OTHERS_PART);
+    }
+
+    /** Returns how much of the reading of a prompt's own part doesn't count. */
+    public static double pardonedMillis(ForwardRequest request, double ownReadingMillis) {
+        double counted = OWN_READING_PART * request.route().objectiveMillis();
+        return Math.max(0, ownReadingMillis - counted);
     }
 
     /**
--- a/quilldyke-core/src/main/java/org/quilldyke/caller/Forwarding.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/caller/Forwarding.java
@@ -255,16 +255,18 @@
         }
         Optional<Choice> choice = mBook.choose(mRequest, mExcluded, now);
         boolean fresh = mMayHaveRun == 0;
-        if (choice.isPresent() && fresh && !Admission.admits(mRequest, choice.get().waitMillis())) {
+        if (choice.isPresent()
+                && fresh
+                && !Admission.admits(mRequest, choice.get().admissionMillis())) {
             Choice best = choice.get();
             String why =
                     "best "
                             + best.target()
                             + " in "
                             + best.expectedMillis()
-                            + " ms, of these "
-                            + best.waitMillis()
-                            + " before its own part is read, objective "
+                            + " ms, counted as "
+                            + best.admissionMillis()
+                            + ", objective "
                             + mRequest.route().objectiveMillis();
             return giveUp(ResultCode.OVERLOADED, why, now);
         }
--- a/quilldyke-core/src/main/java/org/quilldyke/routing/Choice.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/routing/Choice.java
@@ -26,8 +26,8 @@
  * @param missingTokens how much of the prompt it is expected to read
  * @param cacheSource where it fetches what it lacks of the prompt, empty for nowhere
  * @param cacheTarget where it sends the parts that it has read, empty for nowhere
- * @param waitMillis the expected time to the first event but for the reading of its own part: what
- *     it waits for those before it, and for shared parts that aren't there
+ * @param admissionMillis the expected time to the first event, less what {@code Admission} pardons
+ *     of the reading of a large prompt's own part
  * @param expectedMillis the expected time to the first event
  * @param runnerUp the next best target, empty if there was none
  * @param runnerUpMillis the expected time there
@@ -41,7 +41,7 @@
         int missingTokens,
         String cacheSource,
         String cacheTarget,
-        long waitMillis,
+        long admissionMillis,
         long expectedMillis,
         String runnerUp,
         long runnerUpMillis) {
--- a/quilldyke-core/src/main/java/org/quilldyke/routing/PlacementCost.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/routing/PlacementCost.java
@@ -52,6 +52,9 @@
     /** Long work keeps an engine from loading: some 2 s in which it serves nothing. */
     static final double DELAYED_LOAD_TOKENS = 1500;
 
+    /** A prompt that is refused comes back, mostly too late for its objective. */
+    static final double REFUSAL_TOKENS = 1500;
+
     private PlacementCost() {}
 
     /** Returns what it costs that the first token is expected after so many milliseconds. */
--- a/quilldyke-core/src/main/java/org/quilldyke/routing/TargetBook.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/routing/TargetBook.java
@@ -165,7 +165,7 @@
 
     /**
      * Returns the best target for a request, if there is one: of those whose line is short enough
-     * for it, or else of all.
+     * for it and that cost less than a refusal would, or else of all.
      */
     public Optional<Choice> choose(ForwardRequest request, Set<String> excluded, long now) {
         List<Rated> rated = new ArrayList<>();
@@ -176,9 +176,11 @@
         if (rated.isEmpty()) {
             return Optional.empty();
         }
+        double dearest = rated.get(0).cost() + PlacementCost.REFUSAL_TOKENS;
         Rated best =
                 rated.stream()
-                        .filter(r -> Admission.admits(request, Math.round(r.line())))
+                        .filter(r -> Admission.admits(request, Math.round(r.admission())))
+                        .filter(r -> r.cost() <= dearest)
                         .findFirst()
                         .orElse(rated.get(0));
         Rated next = rated.stream().filter(r -> r != best).findFirst().orElse(null);
@@ -192,7 +194,7 @@
                         best.missing(),
                         best.source(),
                         cacheTarget(best, request),
-                        Math.round(best.line()),
+                        Math.round(best.admission()),
                         Math.round(best.expected()),
                         next == null ? "" : next.state().id(),
                         next == null ? 0 : Math.round(next.expected())));
@@ -357,6 +359,7 @@
                         + source.map(Source::waitMillis).orElse(0.0);
         double expected = wait + fetch + mCosts.firstTokenMillis(missing, state.openRequests());
         double ownReading = mCosts.readingMillis(prompt.tokens() - prompt.sharedTokens());
+        double pardoned = Admission.pardonedMillis(request, ownReading);
         boolean old = outdatedFor(state, prompt, now) > OLD_WEIGHTS_MILLIS;
         double others = mCosts.costToOthers(missing, state.openRequests());
         double cost =
@@ -376,7 +379,7 @@
                 held,
                 missing,
                 source.map(Source::address).orElse(""),
-                Math.max(0, expected - ownReading),
+                expected - pardoned,
                 expected,
                 cost);
     }
@@ -489,7 +492,7 @@
             int cached,
             int missing,
             String source,
-            double line,
+            double admission,
             double expected,
             double cost) {}
 }
