A silent target is given up only if another one could answer; an instance that shuts down moves no stream

So: silence counts only while another attempt is possible (before, the last attempt was cut by it as well), and a draining entry leaves its streams where they are. ForwardingTest.silenceTellsNothingWhenNobodyElseCouldAnswer fails without.

--- a/quilldyke-core/src/main/java/org/quilldyke/caller/Forwarding.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/caller/Forwarding.java
@@ -207,10 +207,16 @@
 
     /**
      * Returns whether a target that has been silent on this request may be given up: not while it
-     * answers others, since then it is only busy and would read the prompt once more elsewhere.
+     * answers others, since then it is only busy and would read the prompt once more elsewhere; and
+     * not if nobody else could answer, since then waiting is all that is left.
      */
     public boolean isSilenceTelling(long now) {
-        return !mBook.isAlive(mChoice.target(), now);
+        int runs = mMayHaveRun + (mRunCounted ? 0 : 1);
+        Set<String> others = new HashSet<>(mExcluded);
+        others.add(mChoice.target());
+        return runs < mRequest.route().maxAttempts()
+                && mBook.hasOther(mRequest, others, now)
+                && !mBook.isAlive(mChoice.target(), now);
     }
 
     private Step onRefusedUnrun(AnswerHead head, long now) {
--- a/quilldyke-core/src/test/java/org/quilldyke/caller/ForwardingTest.java
+++ b/quilldyke-core/src/test/java/org/quilldyke/caller/ForwardingTest.java
@@ -249,6 +249,21 @@
         assertThat(alone.onTargetWaits(20)).isEqualTo(Optional.empty());
     }
 
+    /** A stream was cut on its second target after a second of silence, with nowhere left to go. */
+    @Test
+    void silenceTellsNothingWhenNobodyElseCouldAnswer() {
+        Forwarding last = forwarding(RequestKind.STREAMING, 2);
+        sent(last.start(0), last);
+        assertThat(last.isSilenceTelling(2000)).isTrue();
+        sent(last.onBroken(ResultCode.TARGET_LOST, 10), last);
+        assertThat(last.isSilenceTelling(2000)).isFalse();
+
+        Forwarding alone = forwarding(RequestKind.STREAMING, 2);
+        String only = sent(alone.start(0), alone);
+        List.of("a", "b", "c").stream().filter(id -> !id.equals(only)).forEach(mBook::onGone);
+        assertThat(alone.isSilenceTelling(2000)).isFalse();
+    }
+
     private static String sent(Step step, Forwarding forwarding) {
         assertThat(step).isInstanceOf(Step.Send.class);
         forwarding.onSending();
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Entry.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Entry.java
@@ -115,9 +115,12 @@
         }
     }
 
-    /** Streams that still hold up a target that is to load weights go on elsewhere. */
+    /**
+     * Streams that still hold up a target that is to load weights go on elsewhere; but not from an
+     * instance that shuts down, which has to bring them to their end.
+     */
     private void moveStreams(String target) {
-        if (mBook.isLoading(target, now())) {
+        if (!mDraining && mBook.isLoading(target, now())) {
             List<Exchange> open = new ArrayList<>(mExchanges.getOrDefault(target, Set.of()));
             open.forEach(Exchange::onTargetWaits);
         }
