--- /dev/null
+++ b/quilldyke-core/src/main/java/org/quilldyke/routing/KvSource.java
@@ -0,0 +1,40 @@
+/*
+ * Copyright 2026 The quilldyke authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.quilldyke.routing;
+
+/**
+ * Who keeps parts of a prompt that an engine lacks.
+ *
+ * @param address where they are fetched
+ * @param tokens how many of the prompt's tokens are kept there, from the first on
+ * @param isStore whether it is the store, not an engine
+ * @param millisPerToken how long a token takes from there
+ * @param waitMillis how long a transfer waits for others
+ */
+record KvSource(
+        String address, int tokens, boolean isStore, double millisPerToken, double waitMillis) {
+    static KvSource store(String address, int tokens, double wait) {
+        return new KvSource(address, tokens, true, CostModel.STORE_FETCH_MILLIS_PER_TOKEN, wait);
+    }
+
+    static KvSource engine(String address, int tokens) {
+        return new KvSource(address, tokens, false, CostModel.ENGINE_FETCH_MILLIS_PER_TOKEN, 0);
+    }
+
+    double fetchMillis(int fetchedTokens) {
+        return millisPerToken * fetchedTokens;
+    }
+}
