--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Exchange.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Exchange.java
@@ -16,29 +16,21 @@
 package org.quilldyke.gateway.caller;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.DefaultHttpHeaders;
-import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.ScheduledFuture;
-import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.quilldyke.QuilldykeException;
 import org.quilldyke.ResultCode;
 import org.quilldyke.caller.AnswerHead;
 import org.quilldyke.caller.ForwardRequest;
 import org.quilldyke.caller.Forwarding;
-import org.quilldyke.caller.Prompt;
 import org.quilldyke.caller.StartUpWait;
 import org.quilldyke.caller.Step;
 import org.quilldyke.gateway.dialect.AnswerFacts;
-import org.quilldyke.gateway.dialect.AttemptFacts;
 import org.quilldyke.gateway.dialect.CallerFacts;
 import org.quilldyke.gateway.engine.Attempt;
 import org.quilldyke.gateway.engine.AttemptListener;
@@ -336,42 +328,12 @@
         mEntry.onOpened(mChoice.target(), this);
         mAttempt =
                 mEntry.pool()
-                        .send(mChoice.target(), mChoice.address(), requestFor(send), id(), this);
-    }
-
-    private FullHttpRequest requestFor(Step.Send send) {
-        FullHttpRequest request =
-                new DefaultFullHttpRequest(
-                        HttpVersion.HTTP_1_1,
-                        mHead.method(),
-                        mHead.uri(),
-                        mBody.retainedDuplicate());
-        Set<String> skipped = HopByHop.namesIn(mHead.headers());
-        for (Map.Entry<String, String> header : mHead.headers()) {
-            if (!HopByHop.contains(skipped, header.getKey())
-                    && !mEntry.dialect().callers().isReserved(header.getKey())) {
-                request.headers().add(header.getKey(), header.getValue());
-            }
-        }
-        boolean hasBody =
-                mBody.isReadable()
-                        || mHead.headers().contains(HttpHeaderNames.CONTENT_LENGTH)
-                        || mHead.headers().contains(HttpHeaderNames.TRANSFER_ENCODING);
-        if (hasBody) {
-            request.headers().set(HttpHeaderNames.CONTENT_LENGTH, mBody.readableBytes());
-        }
-        mEntry.dialect()
-                .targets()
-                .write(
-                        request.headers(),
-                        new AttemptFacts(
-                                send.choice(),
-                                send.millisLeft(),
-                                mRequest.organisation().map(Organisation::name),
-                                mRequest.prompt().map(Prompt::model).orElse(""),
-                                mRequest.priority(),
-                                send.lastEvent()));
-        return request;
+                        .send(
+                                mChoice.target(),
+                                mChoice.address(),
+                                TargetRequests.of(mEntry.dialect(), mHead, mBody, mRequest, send),
+                                id(),
+                                this);
     }
 
     private void onHeard() {
@@ -423,7 +385,7 @@
             return;
         }
         mStreamBegun = true;
-        mFirstHeaders = passedOn(mAnswerHead.headers());
+        mFirstHeaders = HopByHop.passedOn(mAnswerHead.headers(), name -> false);
         mFirstEventMillis = now() - mSentAt;
         mEntry.book().onFirstEvent(mChoice, mFirstEventMillis, now());
         mEntry.metrics().onFirstEvent(mFirstEventMillis, mChoice.expectedMillis());
@@ -433,23 +395,12 @@
     private void passAnswer() {
         ByteBuf body = mAnswerBody;
         mAnswerBody = null;
-        HttpHeaders headers = passedOn(mAnswerHead.headers());
+        HttpHeaders headers = HopByHop.passedOn(mAnswerHead.headers(), name -> false);
         logAnswered();
         end();
         mCaller.answer(mAnswerHead.status(), headers, body);
     }
 
-    private static HttpHeaders passedOn(HttpHeaders headers) {
-        HttpHeaders passed = new DefaultHttpHeaders();
-        Set<String> skipped = HopByHop.namesIn(headers);
-        for (Map.Entry<String, String> header : headers) {
-            if (!HopByHop.contains(skipped, header.getKey())) {
-                passed.add(header.getKey(), header.getValue());
-            }
-        }
-        return passed;
-    }
-
     private void refuse(ResultCode code, long retryAfterMillis, String why) {
         logEnd(code, why);
         mEntry.metrics().onRefused(code);
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/HopByHop.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/HopByHop.java
@@ -15,13 +15,15 @@
  */
 package org.quilldyke.gateway.caller;
 
+import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.util.AsciiString;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 import java.util.Set;
+import java.util.function.Predicate;
 
 /** The headers that concern one connection only and are never passed on (RFC 9110, 7.6.1). */
 final class HopByHop {
@@ -41,8 +43,26 @@
 
     private HopByHop() {}
 
+    /**
+     * Returns the headers that are passed on.
+     *
+     * @param headers those of the message that came
+     * @param alsoDropped names of others that aren't passed on
+     */
+    static HttpHeaders passedOn(HttpHeaders headers, Predicate<String> alsoDropped) {
+        HttpHeaders passed = new DefaultHttpHeaders();
+        Set<String> skipped = namesIn(headers);
+        for (Map.Entry<String, String> header : headers) {
+            String name = header.getKey();
+            if (!skipped.contains(name.toLowerCase(Locale.ROOT)) && !alsoDropped.test(name)) {
+                passed.add(name, header.getValue());
+            }
+        }
+        return passed;
+    }
+
     /** Returns the names, in lower case, that a message's headers make hop-by-hop. */
-    static Set<String> namesIn(HttpHeaders headers) {
+    private static Set<String> namesIn(HttpHeaders headers) {
         List<String> listed = headers.getAll(HttpHeaderNames.CONNECTION);
         if (listed.isEmpty()) {
             return NAMES;
@@ -55,8 +75,4 @@
         }
         return names;
     }
-
-    static boolean contains(Set<String> names, CharSequence header) {
-        return names.contains(AsciiString.of(header).toLowerCase().toString());
-    }
 }
