Engines are no longer eased before they load

Easing gains nothing and goes, with its stage, its message field, the planner's second step and the output hint in the adapter.

--- a/quilldyke-core/src/main/java/org/quilldyke/caller/Prompt.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/caller/Prompt.java
@@ -22,25 +22,15 @@
  *
  * @param model the model that it is for
  * @param tokens the size of the whole prompt
- * @param outputTokens how many tokens are expected to be generated
+ * @param maxOutputTokens how many tokens are generated at most
  * @param parts the parts in order; others may share them, but for the last
  */
-public record Prompt(String model, int tokens, int outputTokens, List<Part> parts) {
-    /**
-     * An answer of more tokens than this takes a second or more at the engines of today's sites.
-     */
-    private static final int LONG_ANSWER_TOKENS = 150;
-
+public record Prompt(String model, int tokens, int maxOutputTokens, List<Part> parts) {
     /** Copies the parts. */
     public Prompt {
         parts = List.copyOf(parts);
     }
 
-    /** Returns whether the answer is expected to take long. */
-    public boolean hasLongAnswer() {
-        return outputTokens > LONG_ANSWER_TOKENS;
-    }
-
     /** Returns the parts that other requests may share. */
     public List<Part> sharedParts() {
         return parts.isEmpty() ? parts : parts.subList(0, parts.size() - 1);
--- a/quilldyke-core/src/main/java/org/quilldyke/routing/PlacementCost.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/routing/PlacementCost.java
@@ -49,9 +49,6 @@
     /** Replaced weights cost a fifth of an answer's worth. */
     static final double OLD_WEIGHTS_TOKENS = 700;
 
-    /** Long work keeps an engine from loading: some 2 s in which it serves nothing. */
-    static final double DELAYED_LOAD_TOKENS = 1500;
-
     /** A prompt that is refused comes back, mostly too late for its objective. */
     static final double REFUSAL_TOKENS = 1500;
 
--- a/quilldyke-core/src/main/java/org/quilldyke/routing/TargetBook.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/routing/TargetBook.java
@@ -28,7 +28,6 @@
 import org.quilldyke.caller.ForwardRequest;
 import org.quilldyke.engine.TargetReport;
 import org.quilldyke.manifest.Service;
-import org.quilldyke.weights.LoadStage;
 
 /**
  * The targets as one instance sees them, and the choice among them.
@@ -116,11 +115,11 @@
         mNamed.onNamed(model, version, namedAt);
     }
 
-    /** Notes how far a target is on its way to new weights. */
-    public void onLoadStage(String id, LoadStage stage, long now) {
+    /** Notes that a target is about to load weights, or has done so. */
+    public void onLoading(String id, boolean loading, long now) {
         TargetState state = mTargets.get(id);
         if (state != null) {
-            state.onLoadStage(stage, now);
+            state.onLoading(loading, now);
         }
     }
 
--- a/quilldyke-core/src/main/java/org/quilldyke/routing/TargetRatings.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/routing/TargetRatings.java
@@ -99,9 +99,6 @@
                 PlacementCost.lateness(expected, request.route().objectiveMillis())
                         + reading(state, request, prompt.sharedTokens(), cached, held, now)
                         + others
-                        + (state.takesShortWorkOnly(now) && prompt.hasLongAnswer()
-                                ? PlacementCost.DELAYED_LOAD_TOKENS
-                                : 0)
                         + (old ? PlacementCost.OLD_WEIGHTS_TOKENS : 0)
                         + (state.isIn(mFailureDomain) ? 0 : PlacementCost.OTHER_DOMAIN_TOKENS)
                         + noise;
--- a/quilldyke-core/src/main/java/org/quilldyke/routing/TargetState.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/routing/TargetState.java
@@ -19,7 +19,6 @@
 import java.util.Map;
 import org.quilldyke.caller.Prompt;
 import org.quilldyke.engine.TargetReport;
-import org.quilldyke.weights.LoadStage;
 
 /** One target as an instance sees it: its reports, what is open there, and how it has behaved. */
 public final class TargetState {
@@ -45,8 +44,7 @@
     private long mSuspectUntil = Long.MIN_VALUE;
     private long mHeardAt = Long.MIN_VALUE;
     private long mWaitingSince;
-    private LoadStage mLoadStage = LoadStage.NONE;
-    private long mLoadStageUntil = Long.MIN_VALUE;
+    private long mLoadingUntil = Long.MIN_VALUE;
     private boolean mAnswersWatch = true;
 
     TargetState(TargetReport report) {
@@ -89,24 +87,18 @@
         if (known == null || version > known) {
             mWeights.put(model, version);
             mCache.clear();
-            mLoadStage = LoadStage.NONE;
+            mLoadingUntil = Long.MIN_VALUE;
         }
     }
 
-    /** Notes how far the target is on its way to new weights; who said so may be gone. */
-    void onLoadStage(LoadStage stage, long now) {
-        mLoadStage = stage;
-        mLoadStageUntil = now + MAX_LOADING_MILLIS;
+    /** Notes that the target is about to load weights, or has done so; who said so may be gone. */
+    void onLoading(boolean loading, long now) {
+        mLoadingUntil = loading ? now + MAX_LOADING_MILLIS : Long.MIN_VALUE;
     }
 
     /** Returns whether the target takes nothing since it is to load weights. */
     boolean isLoading(long now) {
-        return mLoadStage == LoadStage.LOADING && now < mLoadStageUntil;
-    }
-
-    /** Returns whether long work would keep the target from loading weights. */
-    boolean takesShortWorkOnly(long now) {
-        return mLoadStage == LoadStage.SHORT_WORK_ONLY && now < mLoadStageUntil;
+        return now < mLoadingUntil;
     }
 
     boolean serves(String service, long now) {
--- a/quilldyke-core/src/main/java/org/quilldyke/weights/LoadAction.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/weights/LoadAction.java
@@ -20,12 +20,6 @@
     /** Returns the engine that it concerns. */
     String target();
 
-    /**
-     * Tell all instances that the engine loads weights soon, so that none sends it long work: its
-     * runs must end before it can load.
-     */
-    record Ease(String target) implements LoadAction {}
-
     /** Tell all instances that the engine is about to load weights, so that none sends it work. */
     record Announce(String target) implements LoadAction {}
 
--- a/quilldyke-core/src/main/java/org/quilldyke/weights/LoadPlanner.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/weights/LoadPlanner.java
@@ -22,7 +22,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.stream.Stream;
 import org.quilldyke.engine.TargetReport;
 
 /**
@@ -40,12 +39,6 @@
      */
     static final double AT_ONCE_SHARE = 2.0 / 7;
 
-    /**
-     * For how long an engine gets short work only before it gets none: most of its long runs end
-     * meanwhile. Without it an engine was away for 3 to 5 s for a load of 0.76 s.
-     */
-    static final long EASE_MILLIS = 300;
-
     /** From the announcement to the order: the news has reached all instances by then. */
     static final long ANNOUNCED_MILLIS = 40;
 
@@ -99,7 +92,7 @@
         mJobs.values().removeIf(job -> !alive.contains(job.mTarget));
         engines.forEach(engine -> endIfLoaded(engine, actions));
         for (Job job : List.copyOf(mJobs.values())) {
-            advance(job, silent, actions, now);
+            advance(job, actions, now);
         }
         wanted.forEach((model, version) -> start(engines, silent, model, version, actions, now));
         return actions;
@@ -173,7 +166,7 @@
     /** An engine's own report may be quicker than the next question. */
     private void endIfLoaded(TargetReport engine, List<LoadAction> actions) {
         Job job = mJobs.get(engine.id());
-        if (job == null || !job.mAnnounced) {
+        if (job == null) {
             return;
         }
         long held = engine.weights().getOrDefault(job.mModel, 0L);
@@ -197,8 +190,7 @@
                         .toList();
         long live = holders.stream().filter(engine -> !silent.contains(engine.id())).count();
         long atOnce = Math.max(1, Math.round(live * AT_ONCE_SHARE));
-        announce(model, version, atOnce, actions, now);
-        long easing = jobs(model).filter(job -> !job.mAnnounced).count();
+        long loading = mJobs.values().stream().filter(job -> job.mModel.equals(model)).count();
         // The oldest weights go first, so that no engine is passed over by version after version.
         for (TargetReport engine : holders) {
             boolean due =
@@ -207,42 +199,16 @@
                             && !silent.contains(engine.id())
                             && !mJobs.containsKey(engine.id())
                             && now >= mRestUntil.getOrDefault(engine.id(), Long.MIN_VALUE);
-            if (due && easing < atOnce) {
-                easing++;
+            if (due && loading < atOnce) {
+                loading++;
                 mJobs.put(engine.id(), new Job(engine.id(), model, version, now));
-                actions.add(new LoadAction.Ease(engine.id()));
+                actions.add(new LoadAction.Announce(engine.id()));
             }
         }
     }
 
-    /**
-     * Lets as many engines load as may at once, of those that have had little to do for a while.
-     */
-    private void announce(
-            String model, long version, long atOnce, List<LoadAction> actions, long now) {
-        long loading = jobs(model).filter(job -> job.mAnnounced).count();
-        List<Job> eased =
-                jobs(model)
-                        .filter(job -> !job.mAnnounced && now - job.mStartedAt >= EASE_MILLIS)
-                        .sorted(Comparator.comparing(job -> job.mStartedAt))
-                        .limit(Math.max(0, atOnce - loading))
-                        .toList();
-        for (Job job : eased) {
-            job.announce(version, now);
-            actions.add(new LoadAction.Announce(job.mTarget));
-        }
-    }
-
-    private Stream<Job> jobs(String model) {
-        return mJobs.values().stream().filter(job -> job.mModel.equals(model));
-    }
-
-    private void advance(Job job, Set<String> silent, List<LoadAction> actions, long now) {
-        if (!job.mAnnounced) {
-            if (silent.contains(job.mTarget)) {
-                actions.add(letGo(job, now));
-            }
-        } else if (now - job.mAnnouncedAt > GIVE_UP_MILLIS) {
+    private void advance(Job job, List<LoadAction> actions, long now) {
+        if (now - job.mStartedAt > GIVE_UP_MILLIS) {
             actions.add(letGo(job, now));
         } else if (!job.mAsking && now >= job.mDueAt) {
             job.mAsking = true;
@@ -260,10 +226,8 @@
     private static final class Job {
         final String mTarget;
         final String mModel;
+        final long mVersion;
         final long mStartedAt;
-        long mVersion;
-        boolean mAnnounced;
-        long mAnnouncedAt;
         long mDueAt;
         boolean mAsking;
         boolean mOrdered;
@@ -276,13 +240,6 @@
             mModel = model;
             mVersion = version;
             mStartedAt = now;
-        }
-
-        /** From now on the engine gets no work; it loads what is wanted by now. */
-        void announce(long version, long now) {
-            mVersion = version;
-            mAnnounced = true;
-            mAnnouncedAt = now;
             mDueAt = now + ANNOUNCED_MILLIS;
         }
     }
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/EntrySubscriber.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/EntrySubscriber.java
@@ -41,7 +41,6 @@
 import org.quilldyke.manifest.RouteTable;
 import org.quilldyke.routing.CacheNews;
 import org.quilldyke.routing.TargetState;
-import org.quilldyke.weights.LoadStage;
 
 /**
  * Takes what control processes tell, puts it in order, and hands it to the traffic thread.
@@ -239,13 +238,6 @@
         mEntry.loop().execute(() -> mEntry.book().onCacheNews(decoded));
     }
 
-    private static LoadStage stage(Loading loading) {
-        if (loading.getLoading()) {
-            return LoadStage.LOADING;
-        }
-        return loading.getShortWorkOnly() ? LoadStage.SHORT_WORK_ONLY : LoadStage.NONE;
-    }
-
     private void onLoading(Loading loading) {
         mEntry.loop()
                 .execute(
@@ -257,7 +249,7 @@
                                                 loading.getWeights().getModel(),
                                                 loading.getWeights().getVersion());
                             }
-                            mEntry.onLoadStage(loading.getTarget(), stage(loading));
+                            mEntry.onLoading(loading.getTarget(), loading.getLoading());
                         });
     }
 }
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Entry.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Entry.java
@@ -34,7 +34,6 @@
 import org.quilldyke.manifest.Limits;
 import org.quilldyke.manifest.RouteTable;
 import org.quilldyke.routing.TargetBook;
-import org.quilldyke.weights.LoadStage;
 
 /** What all requests at an entry instance share. Lives on the traffic thread. */
 public final class Entry {
@@ -107,10 +106,10 @@
         mBook.onReport(report);
     }
 
-    /** Takes how far a target is on its way to new weights. */
-    public void onLoadStage(String target, LoadStage stage) {
-        mBook.onLoadStage(target, stage, now());
-        if (stage == LoadStage.LOADING) {
+    /** Notes that a target is about to load weights, or has done so. */
+    public void onLoading(String target, boolean loading) {
+        mBook.onLoading(target, loading, now());
+        if (loading) {
             mLoop.schedule(() -> moveStreams(target), MOVE_MILLIS, TimeUnit.MILLISECONDS);
         }
     }
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/EntrySessions.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/EntrySessions.java
@@ -117,7 +117,7 @@
 
     /** Tells all that an engine is about to load weights, or has done so. */
     void onLoading(Loading loading) {
-        if (loading.getLoading() || loading.getShortWorkOnly()) {
+        if (loading.getLoading()) {
             mLoading.put(loading.getTarget(), new LoadingSince(loading, mClock.getAsLong()));
         } else {
             mLoading.remove(loading.getTarget());
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/WeightsKeeper.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/WeightsKeeper.java
@@ -121,10 +121,7 @@
     }
 
     private void perform(LoadAction action) {
-        if (action instanceof LoadAction.Ease ease) {
-            mTell.accept(
-                    Loading.newBuilder().setTarget(ease.target()).setShortWorkOnly(true).build());
-        } else if (action instanceof LoadAction.Announce announce) {
+        if (action instanceof LoadAction.Announce announce) {
             tell(announce.target(), true, "", 0);
         } else if (action instanceof LoadAction.Release release) {
             onRelease(release);
