One place says whether a request may run again; the target that failed doesn't count as another one

Found while the three copies of this question were joined: a failure of the only target was not passed on, since that target itself was taken for one that might do better (the caller got a wait and then a failure of ours); and an answer under way on an idempotent route that may not be resumed was continued with a second run. Both tests of ForwardingTest fail without.

--- a/quilldyke-core/src/main/java/org/quilldyke/caller/Forwarding.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/caller/Forwarding.java
@@ -160,17 +160,8 @@
      * its end to load weights; nothing if it stays. The present attempt is over then.
      */
     public Optional<Step> onTargetWaits(long now) {
-        boolean underWay = mOpen && mHeadPassed && mRequest.route().resumable();
-        if (!underWay) {
-            return Optional.empty();
-        }
-        Set<String> others = new HashSet<>(mExcluded);
-        others.add(mChoice.target());
-        boolean may =
-                mMayHaveRun < mRequest.route().maxAttempts()
-                        && now + MIN_MILLIS_LEFT < mRequest.answerBy()
-                        && mBook.hasOther(mRequest, others, now);
-        if (!may || !takeRetry(now)) {
+        boolean underWay = mOpen && mHeadPassed;
+        if (!underWay || !mayRunAgain(now) || !takeRetry(now)) {
             return Optional.empty();
         }
         finishAttempt();
@@ -212,10 +203,8 @@
      */
     public boolean isSilenceTelling(long now) {
         int runs = mMayHaveRun + (mRunCounted ? 0 : 1);
-        Set<String> others = new HashSet<>(mExcluded);
-        others.add(mChoice.target());
         return runs < mRequest.route().maxAttempts()
-                && mBook.hasOther(mRequest, others, now)
+                && hasOtherTarget(now)
                 && !mBook.isAlive(mChoice.target(), now);
     }
 
@@ -227,8 +216,8 @@
         }
         finishAttempt();
         mExcluded.add(mChoice.target());
-        boolean timeLeft = now + MIN_MILLIS_LEFT < mRequest.answerBy();
-        if (timeLeft && mBook.hasOther(mRequest, mExcluded, now) && takeRetry(now)) {
+
+        if (hasTimeLeft(now) && hasOtherTarget(now) && takeRetry(now)) {
             return choose(now);
         }
         return giveUp(ResultCode.OVERLOADED, "refused by " + mExcluded, now);
@@ -244,10 +233,23 @@
     }
 
     private boolean mayRunAgain(long now) {
+        boolean mayGoOn = !mHeadPassed || mRequest.route().resumable();
         return mRequest.route().mayRunAgain()
+                && mayGoOn
                 && mMayHaveRun < mRequest.route().maxAttempts()
-                && now + MIN_MILLIS_LEFT < mRequest.answerBy()
-                && mBook.hasOther(mRequest, mExcluded, now);
+                && hasTimeLeft(now)
+                && hasOtherTarget(now);
+    }
+
+    private boolean hasTimeLeft(long now) {
+        return now + MIN_MILLIS_LEFT < mRequest.answerBy();
+    }
+
+    /** Returns whether a target other than the present one and those tried before could answer. */
+    private boolean hasOtherTarget(long now) {
+        Set<String> tried = new HashSet<>(mExcluded);
+        tried.add(mChoice.target());
+        return mBook.hasOther(mRequest, tried, now);
     }
 
     private boolean takeRetry(long now) {
--- a/quilldyke-core/src/test/java/org/quilldyke/caller/ForwardingTest.java
+++ b/quilldyke-core/src/test/java/org/quilldyke/caller/ForwardingTest.java
@@ -264,6 +264,29 @@
         assertThat(alone.isSilenceTelling(2000)).isFalse();
     }
 
+    /** The target that failed was counted as one that might do better, and its answer was lost. */
+    @Test
+    void failureOfTheOnlyTargetIsPassedOn() {
+        List.of("b", "c").forEach(mBook::onGone);
+        Forwarding forwarding = forwarding(RequestKind.IDEMPOTENT, 3);
+        sent(forwarding.start(0), forwarding);
+
+        assertThat(forwarding.onAnswer(FAILED, 10)).isEqualTo(new Step.PassOn());
+    }
+
+    /** Nothing says that a second run of such a request makes the same events. */
+    @Test
+    void answerUnderWayIsNotContinuedUnlessItMayBeResumed() {
+        Forwarding forwarding = forwarding(RequestKind.IDEMPOTENT, 3);
+        sent(forwarding.start(0), forwarding);
+        forwarding.onAnswer(STREAM, 10);
+        forwarding.onEventPassed(1);
+
+        assertThat(forwarding.onTargetWaits(15)).isEqualTo(Optional.empty());
+        assertThat(forwarding.onBroken(ResultCode.TARGET_LOST, 20))
+                .isEqualTo(new Step.Break(ResultCode.TARGET_LOST));
+    }
+
     private static String sent(Step step, Forwarding forwarding) {
         assertThat(step).isInstanceOf(Step.Send.class);
         forwarding.onSending();
