--- a/quilldyke-core/src/main/java/org/quilldyke/routing/TargetState.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/routing/TargetState.java
@@ -22,13 +22,13 @@
 
 /** One target as an instance sees it: its reports, what is open there, and how it has behaved. */
 public final class TargetState {
+    /** A load that takes longer than this has been forgotten by whoever told of it. */
+    public static final long MAX_LOADING_MILLIS = 6000;
+
     private static final long FIRST_SUSPICION_MILLIS = 250;
     private static final int MAX_DOUBLINGS = 4;
     private static final long OVERLOADED_MILLIS = 60;
 
-    /** A load that takes longer than this has been forgotten by whoever told of it. */
-    private static final long MAX_LOADING_MILLIS = 6000;
-
     /** A target that owes answers and sends nothing for this long is avoided. */
     private static final long MUTE_MILLIS = 900;
 
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/EntrySessions.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/EntrySessions.java
@@ -44,6 +44,7 @@
 import org.quilldyke.gateway.instance.proto.TargetLoads;
 import org.quilldyke.gateway.instance.proto.Targets;
 import org.quilldyke.manifest.FleetState;
+import org.quilldyke.routing.TargetState;
 
 /** The entry processes that listen here: they get all news at once, and answers when confirmed. */
 final class EntrySessions {
@@ -56,16 +57,13 @@
     private static final long LOADS_MILLIS_PER_ENTRY = 8;
     private static final long SILENT_MILLIS = 3000;
 
-    /** A load that takes longer than this has been forgotten by whoever told of it. */
-    private static final long MAX_LOADING_MILLIS = 6000;
-
     private final LongSupplier mClock;
     private final EventLog mLog;
     private final Peers mPeers;
     private final EntryLoads mLoads = new EntryLoads();
     private final Set<Session> mSessions = new LinkedHashSet<>();
     private final Map<String, Long> mNamedAt = new HashMap<>();
-    private final Map<String, LoadingSince> mLoading = new HashMap<>();
+    private final Map<String, Long> mLoadingSince = new HashMap<>();
     private Confirmations mConfirmations;
     private TargetSpread mTargets;
     private FleetState mState = FleetState.create();
@@ -105,31 +103,27 @@
         mStateTold = true;
         boolean newDocument = mState.version() != mToldVersion;
         mToldVersion = mState.version();
-        ControlFrame frame = configuration(newDocument);
-        mSessions.forEach(session -> session.send(frame));
+        tellAll(configuration(newDocument));
     }
 
     /** Tells targets to all. */
     void onTargets(Targets targets) {
-        ControlFrame frame = ControlFrame.newBuilder().setTargets(targets).build();
-        mSessions.forEach(session -> session.send(frame));
+        tellAll(ControlFrame.newBuilder().setTargets(targets).build());
     }
 
     /** Tells all that an engine is about to load weights, or has done so. */
     void onLoading(Loading loading) {
         if (loading.getLoading()) {
-            mLoading.put(loading.getTarget(), new LoadingSince(loading, mClock.getAsLong()));
+            mLoadingSince.put(loading.getTarget(), mClock.getAsLong());
         } else {
-            mLoading.remove(loading.getTarget());
+            mLoadingSince.remove(loading.getTarget());
         }
-        ControlFrame frame = ControlFrame.newBuilder().setLoading(loading).build();
-        mSessions.forEach(session -> session.send(frame));
+        tellAll(ControlFrame.newBuilder().setLoading(loading).build());
     }
 
     /** Tells all what has changed in a cache. */
     void onCache(CacheNews news) {
-        ControlFrame frame = ControlFrame.newBuilder().setCache(news).build();
-        mSessions.forEach(session -> session.send(frame));
+        tellAll(ControlFrame.newBuilder().setCache(news).build());
     }
 
     /** Takes what entries told at another control process. */
@@ -165,6 +159,10 @@
         }
     }
 
+    private void tellAll(ControlFrame frame) {
+        mSessions.forEach(session -> session.send(frame));
+    }
+
     /** Takes a new stream. */
     SessionServer.EntrySession open(StreamObserver<ControlFrame> out) {
         return new Session(out);
@@ -191,9 +189,6 @@
         return now - mNamedAt.getOrDefault(model + " " + version, now);
     }
 
-    /** What was told last about an engine that loads, and when. */
-    private record LoadingSince(Loading news, long at) {}
-
     private final class Session implements SessionServer.EntrySession {
         private final StreamObserver<ControlFrame> mOut;
         private String mEntry = "";
@@ -245,9 +240,10 @@
             }
             send(ControlFrame.newBuilder().setTargets(mTargets.all()).build());
             long now = mClock.getAsLong();
-            mLoading.values().removeIf(known -> now - known.at() > MAX_LOADING_MILLIS);
-            for (LoadingSince known : mLoading.values()) {
-                send(ControlFrame.newBuilder().setLoading(known.news()).build());
+            mLoadingSince.values().removeIf(since -> now - since > TargetState.MAX_LOADING_MILLIS);
+            for (String target : mLoadingSince.keySet()) {
+                Loading loading = Loading.newBuilder().setTarget(target).setLoading(true).build();
+                send(ControlFrame.newBuilder().setLoading(loading).build());
             }
         }
 
