--- a/quilldyke-core/src/main/java/org/quilldyke/caller/Admission.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/caller/Admission.java
@@ -28,7 +28,7 @@
     private static final double URGENT_PART = 1.0;
 
     /** All others leave a part of the line free, so that urgent ones come in time. */
-    private static final double OTHERS_PART = 0.5;
+    private static final double OTHERS_PART = 0.65;
 
     /**
      * The reading of a prompt's own part counts up to this part of its objective: else the largest
