--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/GatewayProcess.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/GatewayProcess.java
@@ -73,6 +73,10 @@
     private static final long POLL_MILLIS = 50;
     private static final long SWEEP_MILLIS = 1000;
     private static final long HALT_MILLIS = 200;
+
+    /** A loop that is stuck is left behind after this long. */
+    private static final long HALT_LIMIT_MILLIS = 2000;
+
     private static final long DISK_RETRY_MILLIS = 300;
 
     private final GatewaySettings mSettings;
@@ -176,8 +180,14 @@
                     stopped.complete(null);
                 });
         stopped.completeOnTimeout(null, 2, TimeUnit.SECONDS).join();
-        mTraffic.shutdownGracefully(0, HALT_MILLIS, TimeUnit.MILLISECONDS);
-        mControl.loop().shutdownGracefully(0, HALT_MILLIS, TimeUnit.MILLISECONDS);
+        halt(mTraffic);
+        halt(mControl.loop());
+    }
+
+    /** Returns when the loop's sockets are closed: a successor may take their addresses at once. */
+    private static void halt(EventLoop loop) {
+        loop.shutdownGracefully(0, HALT_MILLIS, TimeUnit.MILLISECONDS)
+                .awaitUninterruptibly(HALT_LIMIT_MILLIS);
     }
 
     private int busyConnections() {
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/http/HttpListener.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/http/HttpListener.java
@@ -17,6 +17,7 @@
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
@@ -60,14 +61,14 @@
                                         initializer.accept(channel);
                                     }
                                 });
-        try {
-            return bootstrap.bind(Addresses.parse(address)).sync().channel();
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-            throw QuilldykeException.of(ResultCode.INTERNAL, Outcome.NOT_RUN, "interrupted", e);
-        } catch (RuntimeException e) {
+        ChannelFuture bound = bootstrap.bind(Addresses.parse(address)).awaitUninterruptibly();
+        if (!bound.isSuccess()) {
             throw QuilldykeException.of(
-                    ResultCode.ADDRESS_IN_USE, Outcome.NOT_RUN, address + ": " + e, e);
+                    ResultCode.ADDRESS_IN_USE,
+                    Outcome.NOT_RUN,
+                    address + ": " + bound.cause(),
+                    bound.cause());
         }
+        return bound.channel();
     }
 }
