--- a/quilldyke-core/src/main/java/org/quilldyke/routing/TargetState.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/routing/TargetState.java
@@ -33,10 +33,10 @@
      * as one alone: a step of 4 ms grows by 0.1 ms for each. The last few keep it from loading for
      * seconds and use little of it.
      */
-    private static final int LAST_RUNS = 8;
+    private static final int LAST_RUNS = 16;
 
     /** After this long, whatever still runs keeps the engine for too long. */
-    private static final long LONGEST_DRAIN_MILLIS = 2500;
+    private static final long LONGEST_DRAIN_MILLIS = 1500;
 
     private static final long FIRST_SUSPICION_MILLIS = 250;
     private static final int MAX_DOUBLINGS = 4;
