--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Exchange.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Exchange.java
@@ -76,6 +76,8 @@
     private long mHeardAt;
     private long mSentAt;
     private long mFirstEventMillis = -1;
+    private long mEventAt;
+    private long mLongestPauseMillis;
     private boolean mStreamBegun;
     private boolean mEnded;
 
@@ -354,6 +356,7 @@
                 return;
             }
             beginStream();
+            notePause();
             mForwarding.onEventPassed(numbered ? event.number() : mForwarding.lastEvent());
             mCaller.write(event.bytes());
         }
@@ -362,6 +365,11 @@
         }
     }
 
+    private void notePause() {
+        mLongestPauseMillis = Math.max(mLongestPauseMillis, now() - mEventAt);
+        mEventAt = now();
+    }
+
     private void breakStream(String why) {
         cancelAttempt();
         onBroken(ResultCode.ANSWER_SPOILED, why);
@@ -387,6 +395,7 @@
         mStreamBegun = true;
         mFirstHeaders = HopByHop.passedOn(mAnswerHead.headers(), name -> false);
         mFirstEventMillis = now() - mSentAt;
+        mEventAt = now();
         mEntry.book().onFirstEvent(mChoice, mFirstEventMillis, now());
         mEntry.metrics().onFirstEvent(mFirstEventMillis, mChoice.expectedMillis());
         mCaller.beginStream(mAnswerHead.status(), mFirstHeaders);
@@ -490,7 +499,13 @@
     private void logAnswered() {
         long millis = now() - mArrivedAt;
         mEntry.metrics().onAnswered(millis);
-        mLog.answered(id(), mAnswer.head().status(), mChoice, mFirstEventMillis, millis);
+        mLog.answered(
+                id(),
+                mAnswer.head().status(),
+                mChoice,
+                mFirstEventMillis,
+                mLongestPauseMillis,
+                millis);
     }
 
     private void logEnd(ResultCode code, String why) {
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/ExchangeLog.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/ExchangeLog.java
@@ -53,8 +53,6 @@
                 choice.cachedTokens(),
                 "missing",
                 choice.missingTokens(),
-                "output",
-                request.prompt().map(Prompt::maxOutputTokens).orElse(0),
                 "fetched_from",
                 choice.cacheSource(),
                 "kept_at",
@@ -82,8 +80,23 @@
                 why);
     }
 
-    /** An answer was passed on whole; {@code firstEventMillis} is -1 if it isn't a stream. */
-    void answered(String request, int status, Choice choice, long firstEventMillis, long millis) {
+    /**
+     * An answer was passed on whole.
+     *
+     * @param request its id
+     * @param status as the target gave it
+     * @param choice whose answer it is
+     * @param firstEventMillis from the last sending to the first event, -1 if it isn't a stream
+     * @param pauseMillis the longest time between two events
+     * @param millis from the request's arrival to the end
+     */
+    void answered(
+            String request,
+            int status,
+            Choice choice,
+            long firstEventMillis,
+            long pauseMillis,
+            long millis) {
         mLog.write(
                 Event.ANSWERED,
                 "request",
@@ -96,6 +109,8 @@
                 firstEventMillis,
                 "predicted_ms",
                 choice.expectedMillis(),
+                "pause_ms",
+                pauseMillis,
                 "ms",
                 millis);
     }
