The store is named for shared parts that an engine should keep; nothing is fetched from suspect engines

An engine adds some 10,000 tokens of prompts' own parts a second to 60,000 free ones, so it drops what isn't asked for within some six seconds, and that is known 0.1 to 0.5 s later. Change: the store is named as a source whenever it keeps what the engine should keep (asking costs a millisecond). Engines that are suspect are no sources. Choice tells how much is expected to be fetched, so that the store's wait isn't learnt from others.

--- a/quilldyke-core/src/main/java/org/quilldyke/routing/Choice.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/routing/Choice.java
@@ -24,7 +24,9 @@
  * @param cacheSalt the name under which it shares cached prompts, empty for a request without one
  * @param cachedTokens how much of the prompt it is expected to hold
  * @param missingTokens how much of the prompt it is expected to read
- * @param cacheSource where it fetches what it lacks of the prompt, empty for nowhere
+ * @param fetchedTokens how much of it the target is expected to fetch first
+ * @param cacheSource where it fetches what it lacks of the prompt, empty for nowhere; named also if
+ *     it is expected to lack nothing, since it may have dropped something meanwhile
  * @param cacheTarget where it sends the parts that it has read, empty for nowhere
  * @param admissionMillis the expected time to the first event, less what {@code Admission} pardons
  *     of the reading of a large prompt's own part
@@ -39,6 +41,7 @@
         String cacheSalt,
         int cachedTokens,
         int missingTokens,
+        int fetchedTokens,
         String cacheSource,
         String cacheTarget,
         long admissionMillis,
--- a/quilldyke-core/src/main/java/org/quilldyke/routing/RatedTarget.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/routing/RatedTarget.java
@@ -23,6 +23,7 @@
  * @param salt the name under which it shares cached prompts
  * @param cached how many of the prompt's tokens it has once it has fetched what others keep
  * @param missing how many it must read
+ * @param fetched how many of them it fetches first
  * @param source where it fetches, empty for nowhere
  * @param admission the expected milliseconds, less what {@code Admission} pardons
  * @param expected the expected milliseconds to the first event
@@ -35,6 +36,7 @@
         String salt,
         int cached,
         int missing,
+        int fetched,
         String source,
         double admission,
         double expected,
--- a/quilldyke-core/src/main/java/org/quilldyke/routing/TargetBook.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/routing/TargetBook.java
@@ -181,7 +181,10 @@
                         best.salt(),
                         best.cached(),
                         best.missing(),
-                        best.source(),
+                        best.fetched(),
+                        best.source().isEmpty()
+                                ? mRatings.spareSource(best, request)
+                                : best.source(),
                         mRatings.storeFor(best, request),
                         Math.round(best.admission()),
                         Math.round(best.expected()),
@@ -220,7 +223,7 @@
 
     /** Notes the first event of an answer, so many milliseconds after the request was sent. */
     public void onFirstEvent(Choice choice, long millis, long now) {
-        if (!choice.cacheSource().isEmpty() && choice.cacheSource().equals(mStore.address())) {
+        if (choice.fetchedTokens() > 0 && choice.cacheSource().equals(mStore.address())) {
             // The store's link is shared by all engines: a wait says little of this one.
             mStore.onFetched(millis, choice.expectedMillis(), now);
             return;
--- a/quilldyke-core/src/main/java/org/quilldyke/routing/TargetRatings.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/routing/TargetRatings.java
@@ -73,7 +73,7 @@
         if (request.prompt().isEmpty()) {
             double domain = state.isIn(mFailureDomain) ? 0 : OTHER_DOMAIN_COST;
             double cost = 10.0 * state.openRequests() / state.slots() + domain + noise;
-            return new RatedTarget(state, Choice.NO_WEIGHTS, "", 0, 0, "", 0, cost, cost);
+            return new RatedTarget(state, Choice.NO_WEIGHTS, "", 0, 0, 0, "", 0, cost, cost);
         }
         return rateEngine(state, request, request.prompt().get(), noise, now);
     }
@@ -108,6 +108,7 @@
                 salt,
                 held,
                 missing,
+                held - cached,
                 source.map(KvSource::address).orElse(""),
                 expected - pardoned,
                 expected,
@@ -126,7 +127,7 @@
         int most = cached + MIN_FETCHED_TOKENS - 1;
         KvSource best = null;
         if (mStore.isUsable() && cached < shared) {
-            int stored = Math.min(shared, mStore.cache().fetchableTokens(salt, prompt));
+            int stored = fetchable(mStore.cache(), salt, prompt);
             if (stored > most) {
                 most = stored;
                 best = KvSource.store(mStore.address(), stored, mStore.excessMillis(now));
@@ -136,8 +137,9 @@
             boolean same =
                     other != state
                             && other.service().equals(request.service())
-                            && other.weights(prompt.model()) == state.weights(prompt.model());
-            int kept = same ? Math.min(shared, other.cache().fetchableTokens(salt, prompt)) : 0;
+                            && other.weights(prompt.model()) == state.weights(prompt.model())
+                            && !other.isSuspect(now);
+            int kept = same ? fetchable(other.cache(), salt, prompt) : 0;
             // Of equal sources, an engine's link is faster than the store's.
             boolean better = kept > most || best != null && best.isStore() && kept == most;
             if (better) {
@@ -148,6 +150,27 @@
         return Optional.ofNullable(best);
     }
 
+    /**
+     * Returns the store if it keeps shared parts that the target is expected to keep as well. An
+     * engine drops within seconds what isn't asked for, and that is known only some hundred
+     * milliseconds later: to ask the store then costs it a millisecond, to read the parts again
+     * some seventy. Other engines aren't named: one that has just died costs some hundred.
+     */
+    String spareSource(RatedTarget rated, ForwardRequest request) {
+        Prompt prompt = request.prompt().orElse(null);
+        if (prompt == null || prompt.sharedTokens() < MIN_SHARED_TOKENS) {
+            return "";
+        }
+        boolean stored =
+                mStore.isUsable()
+                        && fetchable(mStore.cache(), rated.salt(), prompt) >= MIN_SHARED_TOKENS;
+        return stored ? mStore.address() : "";
+    }
+
+    private static int fetchable(CacheView cache, String salt, Prompt prompt) {
+        return Math.min(prompt.sharedTokens(), cache.fetchableTokens(salt, prompt));
+    }
+
     /** Returns the store's address if shared parts are read that it lacks, so that it gets them. */
     String storeFor(RatedTarget rated, ForwardRequest request) {
         if (request.prompt().isEmpty() || !mStore.isUsable()) {
--- a/quilldyke-core/src/test/java/org/quilldyke/routing/TargetBookTest.java
+++ b/quilldyke-core/src/test/java/org/quilldyke/routing/TargetBookTest.java
@@ -181,6 +181,33 @@
         assertThat(Admission.admits(request(false), choice.admissionMillis())).isFalse();
     }
 
+    /** What an engine had dropped just before was read again, with a copy of it in the store. */
+    @Test
+    void storeIsNamedForWhatTheEngineShouldKeep() {
+        Choice home = choose(0);
+        tellKept(home.target(), home.cacheSalt(), 1, 2);
+        assertThat(choose(1).cacheSource()).isEmpty();
+
+        mBook.onServices(List.of(store()));
+        tellKept("store:1", home.cacheSalt(), 1, 2);
+
+        assertThat(choose(2).cacheSource()).isEqualTo("store:1");
+        assertThat(choose(2).fetchedTokens()).isEqualTo(0);
+        assertThat(choose(2).expectedMillis()).isEqualTo(choose(1).expectedMillis());
+    }
+
+    /** An engine that has died holds up whoever wants to fetch from it. */
+    @Test
+    void nothingIsFetchedFromASuspectEngine() {
+        Choice home = choose(0);
+        tellKept(home.target(), home.cacheSalt(), 1, 2);
+        assertThat(choose(1, Set.of(home.target())).cacheSource()).isEqualTo(home.address());
+
+        mBook.onUnreachable(home.target(), 1);
+
+        assertThat(choose(2, Set.of(home.target())).cacheSource()).isEmpty();
+    }
+
     @Test
     void storeThatDoesntAnswerIsNotAsked() {
         mBook.onServices(List.of(store()));
