explain: what became of a request, from the logs of several processes, in plain words

One call joins the lines of a request with what its targets, entries and the control processes did meanwhile, and names what is missing. Not in what the platform runs.

--- a/quilldyke-tools/src/main/java/org/quilldyke/tools/Quilldyke.java
+++ b/quilldyke-tools/src/main/java/org/quilldyke/tools/Quilldyke.java
@@ -28,6 +28,7 @@
 import org.quilldyke.tools.command.ConfirmCommand;
 import org.quilldyke.tools.command.DemoCommand;
 import org.quilldyke.tools.command.ExitCode;
+import org.quilldyke.tools.command.ExplainCommand;
 import org.quilldyke.tools.command.PlanCommand;
 import org.quilldyke.tools.command.RunCommand;
 import org.quilldyke.tools.command.StandInCommand;
@@ -83,6 +84,7 @@
         commands.put("confirm", new ConfirmCommand());
         commands.put("status", new StatusCommand());
         commands.put("targets", new TargetsCommand());
+        commands.put("explain", new ExplainCommand());
         commands.put("demo", new DemoCommand());
         commands.put("check", new CheckCommand());
         commands.put("bench", new BenchCommand());
