An instance is current only once its leader has committed in its own term, and vouches for others only then

Three ways led there: a new leader's first heartbeat carries a commit index from before its term, and the follower took it for all that is committed; the instance asked the replica, which gives entries out a moment before they are applied; and an instance that wasn't current itself told a fresh leader and its own old version, which made others current. All three are closed. ReplicaCurrentTest fails without the first change.

--- a/quilldyke-core/src/main/java/org/quilldyke/control/Replica.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/control/Replica.java
@@ -266,10 +266,11 @@
 
     /**
      * Returns whether this replica has applied all that was committed when it last heard its
-     * leader; false after a start until then.
+     * leader, which knows that only once an entry of its own term is; false till then.
      */
     public boolean isCurrent() {
-        return mStored.appliedIndex() >= mHeardCommit;
+        return mStored.appliedIndex() >= mHeardCommit
+                && mLog.termAt(mHeardCommit) == mBallot.term();
     }
 
     /** Returns the present term. */
--- /dev/null
+++ b/quilldyke-core/src/test/java/org/quilldyke/control/ReplicaCurrentTest.java
@@ -0,0 +1,58 @@
+/*
+ * Copyright 2026 The quilldyke authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.quilldyke.control;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+
+/**
+ * After all processes had been lost, an instance with nine committed changes in its log was ready
+ * with the first: its leader, new itself, didn't know yet that the others were committed.
+ */
+class ReplicaCurrentTest {
+    @Test
+    void newLeadersFirstHeartbeatDoesNotMakeAFollowerCurrent() throws Exception {
+        LogEntry old = LogEntry.opening(1);
+        DurableState disk =
+                new DurableState(
+                        new Ballot(1, "b", true),
+                        0,
+                        0,
+                        new byte[0],
+                        Membership.empty(),
+                        List.of(old, old, old));
+        Replica replica =
+                Replica.restore(
+                        ReplicaSettings.of("a", List.of("b", "c")),
+                        disk,
+                        new SplittableRandom(1),
+                        0);
+        assertThat(replica.isCurrent()).isFalse();
+
+        replica.receive("b", new PeerMessage.AppendRequest(2, 3, 1, List.of(), 0, 4, 0), 1);
+        assertThat(replica.isCurrent()).isFalse();
+
+        List<LogEntry> opening = List.of(LogEntry.opening(2));
+        replica.receive("b", new PeerMessage.AppendRequest(2, 3, 1, opening, 1, 4, 2), 3);
+        assertThat(replica.isCurrent()).isFalse();
+
+        replica.receive("b", new PeerMessage.AppendRequest(2, 4, 2, List.of(), 4, 4, 4), 5);
+        assertThat(replica.isCurrent()).isTrue();
+    }
+}
--- a/quilldyke-daemon/src/main/java/org/quilldyke/daemon/control/ControlReplica.java
+++ b/quilldyke-daemon/src/main/java/org/quilldyke/daemon/control/ControlReplica.java
@@ -115,6 +115,11 @@
         return mNode.leaderSeenAt();
     }
 
+    /** Returns whether all is applied that was committed when the leader was last heard. */
+    public boolean isCurrent() {
+        return mNode.isCurrent();
+    }
+
     /** Returns the replica, to be read. */
     public Replica replica() {
         return mNode.replica();
--- a/quilldyke-daemon/src/main/java/org/quilldyke/daemon/control/ReplicaNode.java
+++ b/quilldyke-daemon/src/main/java/org/quilldyke/daemon/control/ReplicaNode.java
@@ -243,6 +243,11 @@
                 : mReplica.confirmedAt(now());
     }
 
+    /** Returns whether the machine has taken all that {@link Replica#isCurrent} speaks of. */
+    public boolean isCurrent() {
+        return mAppliedIndex >= mReplica.commitIndex() && mReplica.isCurrent();
+    }
+
     /** Returns the replica, to be read. */
     public Replica replica() {
         return mReplica;
--- a/quilldyke-daemon/src/main/java/org/quilldyke/daemon/instance/CellNode.java
+++ b/quilldyke-daemon/src/main/java/org/quilldyke/daemon/instance/CellNode.java
@@ -176,12 +176,14 @@
     @Override
     public InstanceState self() {
         noteLeader();
+        // Who isn't current itself must not make others believe that they are.
+        long leaderAge = mCurrent ? Math.min(mInstances.leaderAge(now()), FOREVER) : FOREVER;
         return new InstanceState(
                 mSelf.id(),
                 mSelf.failureDomain(),
                 mIncarnation,
                 mConfiguration.version(),
-                Math.min(mInstances.leaderAge(now()), FOREVER),
+                leaderAge,
                 mLeaving,
                 mInstances.leader());
     }
@@ -346,7 +348,7 @@
     private void noteLeader() {
         if (mReplica != null && !mReplica.leader().isEmpty()) {
             mInstances.onLeader(mReplica.leader(), mReplica.leaderSeenAt());
-            mCurrent |= mReplica.replica().isCurrent();
+            mCurrent |= mReplica.isCurrent();
         }
         if (mControlClient != null) {
             mControlClient.onLeader(mInstances.leader());
