--- a/quilldyke-daemon/src/main/java/org/quilldyke/daemon/log/Event.java
+++ b/quilldyke-daemon/src/main/java/org/quilldyke/daemon/log/Event.java
@@ -75,7 +75,8 @@
     UNCONFIRMED(5013, Level.WARN, "unconfirmed", "keys cannot be confirmed here any more"),
     RELOADED(5014, Level.INFO, "reload", "the settings were read again"),
     SUBSCRIBER_GAINED(5015, Level.INFO, "subscriber", "an entry process listens here"),
-    SUBSCRIBER_LOST(5016, Level.INFO, "subscriber-lost", "an entry process listens no longer");
+    SUBSCRIBER_LOST(5016, Level.INFO, "subscriber-lost", "an entry process listens no longer"),
+    NO_CLASS_ARCHIVE(5017, Level.WARN, "no-archive", "classes come from the jars, a slow start");
 
     private final int mNumber;
     private final Level mLevel;
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/GatewayProcess.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/GatewayProcess.java
@@ -122,9 +122,17 @@
                 settings.failureDomain(),
                 "seeds",
                 settings.seeds());
+        process.noteArchive();
         return process;
     }
 
+    private void noteArchive() {
+        ClassArchive archive = ClassArchive.ofThisProcess();
+        if (archive != ClassArchive.USED) {
+            mLog.write(Event.NO_CLASS_ARCHIVE, "archive", archive);
+        }
+    }
+
     /** Takes settings that have changed; of these, seeds may differ. */
     public void reload(GatewaySettings settings) {
         mLog.write(Event.RELOADED, "seeds", settings.seeds());
