Control processes remember targets over a restart, and tell entries at once

Now each control process keeps the last reports in a file of its data folder, tells them to entries as remembered, and forgets what hasn't reported itself within 1.5 intervals; requests name the target that they mean, so an address that another one has takes none. Other control processes are told only what was heard.

--- a/quilldyke-core/src/main/java/org/quilldyke/engine/TargetRegistry.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/engine/TargetRegistry.java
@@ -76,7 +76,7 @@
             mEntries.put(report.id(), new Entry(report, heardAt));
             return true;
         }
-        boolean news = !known.mReport.tellsTheSame(report);
+        boolean news = known.mReport.isRemembered() || !known.mReport.tellsTheSame(report);
         known.mReport = report;
         known.mHeardAt = Math.max(known.mHeardAt, heardAt);
         return news;
@@ -172,6 +172,18 @@
         return lapsed;
     }
 
+    /** Forgets the targets that are only remembered; returns their ids. */
+    public List<String> forgetRemembered() {
+        List<String> ids =
+                mEntries.values().stream()
+                        .map(entry -> entry.mReport)
+                        .filter(TargetReport::isRemembered)
+                        .map(TargetReport::id)
+                        .toList();
+        ids.forEach(mEntries::remove);
+        return ids;
+    }
+
     /** Returns the last report of a target. */
     public Optional<TargetReport> report(String id) {
         return Optional.ofNullable(mEntries.get(id)).map(entry -> entry.mReport);
--- a/quilldyke-core/src/main/java/org/quilldyke/engine/TargetReport.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/engine/TargetReport.java
@@ -42,6 +42,9 @@
         long coldMillis,
         Map<String, Long> weights,
         long sequence) {
+    /** The sequence of what is only remembered of a target: anything it says itself is newer. */
+    private static final long REMEMBERED = -1;
+
     /** Copies the weights. */
     public TargetReport {
         weights = Map.copyOf(weights);
@@ -59,6 +62,20 @@
 
     /** Returns the report with other weights. */
     public TargetReport withWeights(Map<String, Long> other) {
+        return with(other, sequence);
+    }
+
+    /** Returns the report as one that a process remembers from before its restart. */
+    public TargetReport remembered() {
+        return with(weights, REMEMBERED);
+    }
+
+    /** Returns whether the target hasn't been heard since the process that tells this began. */
+    public boolean isRemembered() {
+        return sequence == REMEMBERED;
+    }
+
+    private TargetReport with(Map<String, Long> otherWeights, long otherSequence) {
         return new TargetReport(
                 id,
                 service,
@@ -68,7 +85,7 @@
                 slots,
                 leaving,
                 coldMillis,
-                other,
-                sequence);
+                otherWeights,
+                otherSequence);
     }
 }
--- a/quilldyke-daemon/src/main/java/org/quilldyke/daemon/control/DataFolder.java
+++ b/quilldyke-daemon/src/main/java/org/quilldyke/daemon/control/DataFolder.java
@@ -47,6 +47,7 @@
     private static final String SNAPSHOT = "snapshot";
     private static final String LOG = "log";
     private static final String IDENTITY = "identity";
+    private static final String TARGETS = "targets";
     private static final int SNAPSHOT_HEADER = 20;
 
     private final Path mFolder;
@@ -186,10 +187,39 @@
         }
     }
 
+    /**
+     * Returns what was stored of targets last; empty if there is nothing, or nothing whole: what is
+     * remembered of them helps a restart and no promise hangs on it.
+     *
+     * @throws QuilldykeException {@link ResultCode#DISK_FAILED} if the disk can't be read
+     */
+    public byte[] loadTargets() throws QuilldykeException {
+        try {
+            byte[] bytes = readChecked(TARGETS);
+            return bytes == null ? new byte[0] : bytes;
+        } catch (IOException e) {
+            throw failed(e);
+        } catch (QuilldykeException e) {
+            if (e.code() != ResultCode.LOG_DAMAGED) {
+                throw e;
+            }
+            return new byte[0];
+        }
+    }
+
+    /** Stores what is known of targets. */
+    public void saveTargets(byte[] targets) throws QuilldykeException {
+        try {
+            writeChecked(TARGETS, ByteBuffer.wrap(targets));
+        } catch (IOException e) {
+            throw failed(e);
+        }
+    }
+
     /** Removes all files, so that the replica can start anew under another name. */
     public void clear() throws QuilldykeException {
         try {
-            for (String name : List.of(IDENTITY, BALLOT, SNAPSHOT, LOG, LOG + ".tmp")) {
+            for (String name : List.of(IDENTITY, BALLOT, SNAPSHOT, LOG, LOG + ".tmp", TARGETS)) {
                 Files.deleteIfExists(mFolder.resolve(name));
             }
             syncFolder();
--- a/quilldyke-daemon/src/main/java/org/quilldyke/daemon/control/DiskQueue.java
+++ b/quilldyke-daemon/src/main/java/org/quilldyke/daemon/control/DiskQueue.java
@@ -27,7 +27,7 @@
  * nothing else. A write that fails is tried again until it succeeds: a full disk may have room
  * again.
  */
-final class DiskQueue {
+public final class DiskQueue {
     private static final long RETRY_MILLIS = 200;
     private static final long CLOSE_MILLIS = 500;
 
@@ -49,7 +49,7 @@
     }
 
     /** Returns a queue that reports to the given control thread. */
-    static DiskQueue create(ControlLoop loop, EventLog log) {
+    public static DiskQueue create(ControlLoop loop, EventLog log) {
         return new DiskQueue(loop, log);
     }
 
@@ -58,7 +58,7 @@
      *
      * @param write may be called several times
      */
-    void submit(Write write, Runnable done) {
+    public void submit(Write write, Runnable done) {
         mThread.execute(
                 () -> {
                     if (writeUntilDone(write)) {
@@ -68,7 +68,7 @@
     }
 
     /** Stops; waits a little for the write that is under way. */
-    void close() {
+    public void close() {
         mClosed = true;
         mThread.shutdown();
         try {
@@ -110,7 +110,8 @@
     }
 
     /** A write; repeating it does no harm. */
-    interface Write {
+    public interface Write {
+        /** Writes and syncs. */
         void run() throws QuilldykeException;
     }
 }
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/EntrySubscriber.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/EntrySubscriber.java
@@ -96,7 +96,9 @@
         long now = mClock.getAsLong();
         Targets.Builder known = Targets.newBuilder();
         for (TargetReport report : mRegistry.reports()) {
-            known.addTargets(TargetFrames.encode(report, now - mRegistry.heardAt(report.id())));
+            if (!report.isRemembered()) {
+                known.addTargets(TargetFrames.encode(report, now - mRegistry.heardAt(report.id())));
+            }
         }
         return Hello.newBuilder()
                 .setEntry(mInstance)
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/ControlNode.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/ControlNode.java
@@ -72,6 +72,7 @@
     private final Group mGroup;
     private final Confirmations mConfirmations;
     private final Proposals mProposals;
+    private final TargetMemory mMemory;
     private final TargetSpread mTargets;
     private final MembershipKeeper mMembership;
     private final WeightsKeeper mWeights;
@@ -100,6 +101,7 @@
         mMachine = new FleetMachine(this::onState);
         SplittableRandom random = new SplittableRandom(System.nanoTime() ^ mAddress.hashCode());
         DataFolder folder = DataFolder.open(Path.of(settings.dataFolder()));
+        mMemory = TargetMemory.in(folder, loop, log);
         ReplicaIdentity.Opened opened =
                 ReplicaIdentity.open(folder, settings, mAddress, random, log);
         mGroup = new Group(opened.identity().id(), mPeers);
@@ -123,7 +125,12 @@
         mProposals = new Proposals(mGroup, mPeers, loop, clock);
         mTargets =
                 new TargetSpread(
-                        mPeers, mEntries::onTargets, clock, log, settings.timings().targetReport());
+                        mPeers,
+                        mEntries::onTargets,
+                        clock,
+                        log,
+                        mMemory,
+                        settings.timings().targetReport());
         mEntries.connect(mConfirmations, mTargets);
         mMembership =
                 new MembershipKeeper(mGroup, mPeers, mAddress, clock, settings.toleratedLosses());
@@ -193,6 +200,7 @@
     public void stop() throws QuilldykeException {
         mStopped = true;
         mPeers.retain(Set.of());
+        mMemory.close();
         mGroup.node().stop();
     }
 
@@ -349,7 +357,7 @@
     }
 
     private void onPeerUp(String address) {
-        mPeers.send(address, PeerFrame.newBuilder().setTargets(mTargets.all()));
+        mPeers.send(address, PeerFrame.newBuilder().setTargets(mTargets.heard()));
     }
 
     private void tellCache(CacheNews news) {
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/TargetSpread.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/TargetSpread.java
@@ -21,6 +21,7 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import java.util.function.Predicate;
 import org.quilldyke.daemon.log.Event;
 import org.quilldyke.daemon.log.EventLog;
 import org.quilldyke.engine.TargetRegistry;
@@ -35,6 +36,10 @@
 /**
  * The targets that report themselves to any control process, known at all of them and at all
  * entries: news at once, signs of life now and then.
+ *
+ * <p>After a restart entries are told what the process remembers: targets report themselves every
+ * second or so, and until then requests would meet few of them, or none. A target that has ended
+ * meanwhile, or whose address another one has, takes no request that names it.
  */
 final class TargetSpread {
     /** How often the signs of life that came here are told to other control processes. */
@@ -49,13 +54,25 @@
     /** Signs of life come from others this often at the least before a target lapses here. */
     private static final long LAPSE_TELLINGS = 3;
 
+    /**
+     * A remembered target that hasn't reported itself within this many of its reports' intervals is
+     * forgotten: it had one chance to be heard, and half an interval for a late report.
+     */
+    private static final double REMEMBERED_REPORTS = 1.5;
+
+    /** A start takes as long at the least until targets can report themselves. */
+    private static final long MIN_REMEMBERED_MILLIS = 1500;
+
     private final TargetRegistry mRegistry = TargetRegistry.create();
     private final Set<String> mHeardHere = new HashSet<>();
     private final Peers mPeers;
     private final Consumer<Targets> mEntries;
     private final LongSupplier mClock;
     private final EventLog mLog;
+    private final TargetMemory mMemory;
     private final long mLapseMillis;
+    private final long mForgetAt;
+    private boolean mToSave;
     private long mToldAt;
     private long mRefreshedAt;
     private long mCompleteSince;
@@ -65,15 +82,20 @@
             Consumer<Targets> entries,
             LongSupplier clock,
             EventLog log,
+            TargetMemory memory,
             long reportMillis) {
         mPeers = peers;
         mEntries = entries;
         mClock = clock;
         mLog = log;
+        mMemory = memory;
         mLapseMillis =
                 Math.max(Math.round(reportMillis * LAPSE_REPORTS), LAPSE_TELLINGS * ALIVE_MILLIS);
         mCompleteSince = clock.getAsLong();
         mRefreshedAt = mCompleteSince;
+        long remembered = Math.round(reportMillis * REMEMBERED_REPORTS);
+        mForgetAt = mCompleteSince + Math.max(MIN_REMEMBERED_MILLIS, remembered);
+        memory.load().forEach(report -> mRegistry.onReport(report, mCompleteSince));
     }
 
     /** Takes a report that came here. */
@@ -96,6 +118,7 @@
                     report.weights(),
                     "sequence",
                     report.sequence());
+            mToSave = true;
             tell(Targets.newBuilder().addTargets(TargetFrames.encode(report, 0)).build());
         }
     }
@@ -104,6 +127,7 @@
     void onLeave(String id) {
         if (mRegistry.onGone(id, mClock.getAsLong())) {
             mLog.write(Event.TARGET_CHANGED, "target", id, "gone", true);
+            mToSave = true;
             tell(
                     Targets.newBuilder()
                             .addTargets(TargetFrames.encode(id, Target.Standing.GONE))
@@ -132,16 +156,28 @@
             mRegistry.onAlive(alive.getId(), now - alive.getAgeMs());
         }
         if (news.getTargetsCount() > 0) {
+            mToSave = true;
             mEntries.accept(news.build());
         }
     }
 
-    /** Returns all that is known. */
+    /** Returns all that is known, for entries. */
     Targets all() {
+        return all(report -> true);
+    }
+
+    /** Returns what is known of targets that were heard, for other control processes. */
+    Targets heard() {
+        return all(report -> !report.isRemembered());
+    }
+
+    private Targets all(Predicate<TargetReport> which) {
         long now = mClock.getAsLong();
         Targets.Builder all = Targets.newBuilder();
         for (TargetReport report : mRegistry.reports()) {
-            all.addTargets(TargetFrames.encode(report, now - mRegistry.heardAt(report.id())));
+            if (which.test(report)) {
+                all.addTargets(TargetFrames.encode(report, now - mRegistry.heardAt(report.id())));
+            }
         }
         for (String id : mRegistry.gone()) {
             all.addTargets(TargetFrames.encode(id, Target.Standing.GONE));
@@ -173,7 +209,13 @@
         }
         if (inTouch && now - mRefreshedAt >= REFRESH_MILLIS) {
             mRefreshedAt = now;
-            tell(all());
+            tell(heard());
+        }
+        if (now >= mForgetAt) {
+            forgetRemembered();
+        }
+        if (mToSave) {
+            mToSave = !mMemory.save(mRegistry.reports());
         }
         if (!inTouch) {
             mCompleteSince = now;
@@ -185,12 +227,25 @@
         for (TargetReport report : mRegistry.lapse(mLapseMillis, now)) {
             mLog.write(Event.TARGET_LAPSED, "target", report.id(), "after", mLapseMillis);
             lapsed.addTargets(TargetFrames.encode(report.id(), Target.Standing.LAPSED));
+            mToSave = true;
         }
         if (lapsed.getTargetsCount() > 0) {
             mEntries.accept(lapsed.build());
         }
     }
 
+    private void forgetRemembered() {
+        Targets.Builder forgotten = Targets.newBuilder();
+        for (String id : mRegistry.forgetRemembered()) {
+            mLog.write(Event.TARGET_LAPSED, "target", id, "remembered", true);
+            forgotten.addTargets(TargetFrames.encode(id, Target.Standing.LAPSED));
+            mToSave = true;
+        }
+        if (forgotten.getTargetsCount() > 0) {
+            mEntries.accept(forgotten.build());
+        }
+    }
+
     private void tellAlive(long now) {
         List<Alive> alive = new ArrayList<>();
         for (String id : mHeardHere) {
--- a/quilldyke-gateway/src/test/java/org/quilldyke/gateway/control/TargetSpreadTest.java
+++ b/quilldyke-gateway/src/test/java/org/quilldyke/gateway/control/TargetSpreadTest.java
@@ -19,11 +19,16 @@
 
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.quilldyke.daemon.control.DataFolder;
 import org.quilldyke.daemon.log.EventLog;
 import org.quilldyke.engine.TargetReport;
 import org.quilldyke.gateway.instance.NettyLoop;
@@ -33,21 +38,34 @@
 import org.quilldyke.gateway.instance.proto.Targets;
 
 class TargetSpreadTest {
+    private static final long SAVED_NANOS = 5_000_000_000L;
+
+    @TempDir Path mFolder;
     private long mNow;
     private final MultiThreadIoEventLoopGroup mGroup =
             new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final List<Target> mTold = new ArrayList<>();
     private final EventLog mLog = EventLog.of("test");
-    private final TargetSpread mSpread =
-            new TargetSpread(
-                    Peers.create(new NettyLoop(mGroup.next()), () -> mNow, mLog, "127.0.0.1:1"),
-                    targets -> mTold.addAll(targets.getTargetsList()),
-                    () -> mNow,
-                    mLog,
-                    1000);
+    private TargetMemory mMemory;
+    private TargetSpread mSpread;
+
+    @BeforeEach
+    void start() throws Exception {
+        NettyLoop loop = new NettyLoop(mGroup.next());
+        mMemory = TargetMemory.in(DataFolder.open(mFolder), loop, mLog);
+        mSpread =
+                new TargetSpread(
+                        Peers.create(loop, () -> mNow, mLog, "127.0.0.1:1"),
+                        targets -> mTold.addAll(targets.getTargetsList()),
+                        () -> mNow,
+                        mLog,
+                        mMemory,
+                        1000);
+    }
 
     @AfterEach
     void stop() {
+        mMemory.close();
         mGroup.shutdownGracefully();
     }
 
@@ -100,6 +118,66 @@
         assertThat(mTold.get(1).getStanding()).isEqualTo(Target.Standing.GONE);
     }
 
+    /** Until engines reported themselves again, up to 1.2 s, entries knew some of them or none. */
+    @Test
+    void entriesAreToldAtOnceWhatIsRemembered() throws Exception {
+        restartWithMemoryOf(report(7, false));
+
+        assertThat(mSpread.all().getTargetsList()).hasSize(1);
+        assertThat(mSpread.heard().getTargetsList()).isEmpty();
+        mSpread.onReport(report(1, false));
+        assertThat(mTold).hasSize(1);
+        assertThat(mSpread.heard().getTargetsList()).hasSize(1);
+    }
+
+    @Test
+    void rememberedTargetThatDoesNotReportItselfIsForgotten() throws Exception {
+        restartWithMemoryOf(report(7, false));
+        long start = mNow;
+        for (; mNow < start + 1500; mNow += 50) {
+            mSpread.tick(true);
+        }
+        assertThat(mTold).isEmpty();
+        mSpread.tick(true);
+
+        assertThat(mTold).hasSize(1);
+        assertThat(mTold.get(0).getStanding()).isEqualTo(Target.Standing.LAPSED);
+        assertThat(mSpread.all().getTargetsList()).isEmpty();
+    }
+
+    @Test
+    void targetThatHasLeftIsNotRemembered() throws Exception {
+        mSpread.onReport(report(7, false));
+        mSpread.onLeave("a");
+        saveAndRestart();
+
+        assertThat(mSpread.all().getTargetsList()).isEmpty();
+    }
+
+    @Test
+    void damagedMemoryIsTakenForNone() throws Exception {
+        Files.writeString(mFolder.resolve("targets"), "not a checked file");
+        start();
+
+        assertThat(mSpread.all().getTargetsList()).isEmpty();
+    }
+
+    private void restartWithMemoryOf(TargetReport report) throws Exception {
+        mSpread.onReport(report);
+        saveAndRestart();
+    }
+
+    private void saveAndRestart() throws Exception {
+        mSpread.tick(true);
+        long until = System.nanoTime() + SAVED_NANOS;
+        while (!Files.exists(mFolder.resolve("targets")) && System.nanoTime() < until) {
+            Thread.sleep(5);
+        }
+        mMemory.close();
+        mTold.clear();
+        start();
+    }
+
     private static TargetReport report(long sequence, boolean leaving) {
         return new TargetReport("a", "s", "1.1.1.1:1", "z", "v", 4, leaving, 0, Map.of(), sequence);
     }
