--- a/quilldyke-daemon/src/main/java/org/quilldyke/daemon/caller/Answers.java
+++ b/quilldyke-daemon/src/main/java/org/quilldyke/daemon/caller/Answers.java
@@ -23,6 +23,7 @@
 import org.quilldyke.QuilldykeException;
 import org.quilldyke.daemon.engine.Chunk;
 import org.quilldyke.daemon.json.Json;
+import org.quilldyke.daemon.json.JsonTree;
 
 /** The JSON and event forms of completions that this instance makes itself. */
 final class Answers {
@@ -35,7 +36,7 @@
 
     /** Returns the whole answer as one object. */
     static byte[] whole(CallerRequest request, RunRelay relay) throws QuilldykeException {
-        ObjectNode out = Json.object();
+        ObjectNode out = JsonTree.object();
         out.put("id", request.id());
         out.put("object", request.chat() ? "chat.completion" : "text_completion");
         out.put("model", request.model().name());
@@ -47,7 +48,7 @@
             choice.put("text", relay.text());
         }
         choice.put("finish_reason", relay.finishReason());
-        JsonNode usage = Json.tree(relay.closing()).path("usage");
+        JsonNode usage = JsonTree.read(relay.closing()).path("usage");
         if (usage.isObject()) {
             out.set("usage", usage);
         }
@@ -56,7 +57,7 @@
 
     /** Returns the closing chunk of an answer whose engine was lost after the last token. */
     static byte[] closingChunk(String id, EngineRequest request, String finishReason) {
-        ObjectNode out = Json.object();
+        ObjectNode out = JsonTree.object();
         out.put("id", id);
         out.put("object", request.chat() ? "chat.completion.chunk" : "text_completion");
         out.put("model", request.model().name());
@@ -73,7 +74,7 @@
 
     /** Returns a stored whole answer as the events of a stream. */
     static byte[] storedAsEvents(CallerRequest request, byte[] whole) throws QuilldykeException {
-        ObjectNode out = (ObjectNode) Json.tree(whole);
+        ObjectNode out = (ObjectNode) JsonTree.read(whole);
         ObjectNode choice = (ObjectNode) out.path("choices").path(0);
         if (request.chat()) {
             out.put("object", "chat.completion.chunk");
--- a/quilldyke-daemon/src/main/java/org/quilldyke/daemon/caller/RequestReader.java
+++ b/quilldyke-daemon/src/main/java/org/quilldyke/daemon/caller/RequestReader.java
@@ -25,7 +25,7 @@
 import org.quilldyke.QuilldykeException;
 import org.quilldyke.ResultCode;
 import org.quilldyke.control.Configuration;
-import org.quilldyke.daemon.json.Json;
+import org.quilldyke.daemon.json.JsonTree;
 import org.quilldyke.engine.ChatTemplate;
 
 /** Reads completion requests and refuses what can't be served, each with its code. */
@@ -65,7 +65,7 @@
             throws QuilldykeException {
         Configuration.Organisation organisation =
                 CallerHeaders.organisation(request, configuration);
-        JsonNode tree = Json.tree(bytes);
+        JsonNode tree = JsonTree.read(bytes);
         if (!(tree instanceof ObjectNode body)) {
             throw malformed("not an object");
         }
--- a/quilldyke-daemon/src/main/java/org/quilldyke/daemon/caller/Responses.java
+++ b/quilldyke-daemon/src/main/java/org/quilldyke/daemon/caller/Responses.java
@@ -24,6 +24,7 @@
 import org.quilldyke.QuilldykeException;
 import org.quilldyke.ResultCode;
 import org.quilldyke.daemon.json.Json;
+import org.quilldyke.daemon.json.JsonTree;
 
 /** Builds the answers that don't come from a target. */
 public final class Responses {
@@ -72,7 +73,7 @@
 
     /** Returns a failure in the form of the API's errors. */
     static ObjectNode error(QuilldykeException e) {
-        ObjectNode body = Json.object();
+        ObjectNode body = JsonTree.object();
         ObjectNode error = body.putObject("error");
         error.put("message", e.getMessage());
         error.put("type", e.code().name().toLowerCase(Locale.ROOT));
--- a/quilldyke-daemon/src/main/java/org/quilldyke/daemon/control/DataFolder.java
+++ b/quilldyke-daemon/src/main/java/org/quilldyke/daemon/control/DataFolder.java
@@ -18,7 +18,6 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
@@ -33,7 +32,6 @@
 import org.quilldyke.control.DurableState;
 import org.quilldyke.control.LogEntry;
 import org.quilldyke.control.Membership;
-import org.quilldyke.daemon.json.Json;
 
 /**
  * The files of one replica: {@code ballot}, {@code snapshot} and {@code log}, in one folder.
@@ -75,8 +73,7 @@
     public DurableState load() throws QuilldykeException {
         try {
             byte[] ballotBytes = readChecked(BALLOT);
-            Ballot ballot =
-                    ballotBytes == null ? Ballot.blank() : Json.decode(ballotBytes, Ballot.class);
+            Ballot ballot = ballotBytes == null ? Ballot.blank() : ReplicaJson.ballot(ballotBytes);
             ByteBuffer snapshot = ByteBuffer.allocate(SNAPSHOT_HEADER);
             byte[] snapshotBytes = readChecked(SNAPSHOT);
             if (snapshotBytes != null) {
@@ -87,9 +84,7 @@
             byte[] members = new byte[snapshot.getInt()];
             snapshot.get(members);
             Membership membership =
-                    members.length == 0
-                            ? Membership.empty()
-                            : Json.decode(members, Membership.class);
+                    members.length == 0 ? Membership.empty() : ReplicaJson.membership(members);
             byte[] state = new byte[snapshot.remaining()];
             snapshot.get(state);
             mLog = LogFile.open(mFolder.resolve(LOG), index);
@@ -107,7 +102,7 @@
     @Override
     public void saveBallot(Ballot ballot) throws QuilldykeException {
         try {
-            writeChecked(BALLOT, ByteBuffer.wrap(Json.encode(ballot)));
+            writeChecked(BALLOT, ByteBuffer.wrap(ReplicaJson.encode(ballot)));
         } catch (IOException e) {
             throw failed(e);
         }
@@ -143,7 +138,7 @@
     @Override
     public void saveSnapshot(Compaction compaction) throws QuilldykeException {
         try {
-            byte[] members = Json.encode(compaction.membership());
+            byte[] members = ReplicaJson.encode(compaction.membership());
             byte[] state = compaction.state();
             ByteBuffer content =
                     ByteBuffer.allocate(SNAPSHOT_HEADER + members.length + state.length);
@@ -169,19 +164,19 @@
      *
      * @throws QuilldykeException as {@link #load}
      */
-    public String loadIdentity() throws QuilldykeException {
+    public byte[] loadIdentity() throws QuilldykeException {
         try {
             byte[] bytes = readChecked(IDENTITY);
-            return bytes == null ? "" : new String(bytes, StandardCharsets.UTF_8);
+            return bytes == null ? new byte[0] : bytes;
         } catch (IOException e) {
             throw failed(e);
         }
     }
 
     /** Stores the name under which this folder's replica takes part. */
-    public void saveIdentity(String identity) throws QuilldykeException {
+    public void saveIdentity(byte[] identity) throws QuilldykeException {
         try {
-            writeChecked(IDENTITY, ByteBuffer.wrap(identity.getBytes(StandardCharsets.UTF_8)));
+            writeChecked(IDENTITY, ByteBuffer.wrap(identity));
         } catch (IOException e) {
             throw failed(e);
         }
--- a/quilldyke-daemon/src/main/java/org/quilldyke/daemon/control/LogFile.java
+++ b/quilldyke-daemon/src/main/java/org/quilldyke/daemon/control/LogFile.java
@@ -26,8 +26,6 @@
 import java.util.List;
 import org.quilldyke.QuilldykeException;
 import org.quilldyke.control.LogEntry;
-import org.quilldyke.control.Membership;
-import org.quilldyke.daemon.json.Json;
 
 /**
  * The file of a replicated log: records one after the other.
@@ -91,7 +89,9 @@
         int size = 0;
         for (LogEntry entry : entries) {
             byte[] content =
-                    entry.membership() == null ? entry.payload() : Json.encode(entry.membership());
+                    entry.membership() == null
+                            ? entry.payload()
+                            : ReplicaJson.encode(entry.membership());
             contents.add(content);
             size += HEADER + content.length;
         }
@@ -169,7 +169,7 @@
         in.get(content);
         return in.get(start + KIND) == COMMAND
                 ? new LogEntry(term, content)
-                : LogEntry.ofMembership(term, Json.decode(content, Membership.class));
+                : LogEntry.ofMembership(term, ReplicaJson.membership(content));
     }
 
     /**
--- a/quilldyke-daemon/src/main/java/org/quilldyke/daemon/engine/EngineClient.java
+++ b/quilldyke-daemon/src/main/java/org/quilldyke/daemon/engine/EngineClient.java
@@ -29,7 +29,7 @@
 import org.quilldyke.Outcome;
 import org.quilldyke.QuilldykeException;
 import org.quilldyke.caller.Attempt;
-import org.quilldyke.daemon.json.Json;
+import org.quilldyke.daemon.json.JsonTree;
 import org.quilldyke.engine.TargetRecord;
 
 /**
@@ -145,7 +145,7 @@
 
     private static boolean saysNotRun(byte[] body) {
         try {
-            JsonNode tree = Json.tree(body);
+            JsonNode tree = JsonTree.read(body);
             return Outcome.NOT_RUN.label().equals(tree.path("outcome").asText());
         } catch (QuilldykeException e) {
             // Lenient: a target that answers without JSON has not said that nothing ran.
--- a/quilldyke-daemon/src/main/java/org/quilldyke/daemon/engine/EngineWatch.java
+++ b/quilldyke-daemon/src/main/java/org/quilldyke/daemon/engine/EngineWatch.java
@@ -28,6 +28,7 @@
 import java.util.function.Supplier;
 import org.quilldyke.QuilldykeException;
 import org.quilldyke.daemon.json.Json;
+import org.quilldyke.daemon.json.JsonTree;
 import org.quilldyke.daemon.log.Event;
 import org.quilldyke.daemon.log.EventLog;
 import org.quilldyke.daemon.routing.CellView;
@@ -120,7 +121,7 @@
      * @throws QuilldykeException if the data isn't one
      */
     public static CacheEvent parse(byte[] data) throws QuilldykeException {
-        JsonNode tree = Json.tree(data);
+        JsonNode tree = JsonTree.read(data);
         return new CacheEvent(
                 tree.path("sequence").asLong(),
                 CacheEvent.Kind.valueOf(tree.path("kind").asText()),
@@ -232,7 +233,7 @@
             String url = "http://" + mTarget.address() + "/kv/blocks";
             mClient.send(HttpRequest.get(url).build())
                     .then(response -> response.loadBody(BLOCKS_BODY_BYTES))
-                    .map(body -> Json.tree(body.getArray()))
+                    .map(body -> JsonTree.read(body.getArray()))
                     .whenResult(this::onBlocks)
                     .whenException(
                             e ->
--- a/quilldyke-daemon/src/main/java/org/quilldyke/daemon/instance/Wire.java
+++ b/quilldyke-daemon/src/main/java/org/quilldyke/daemon/instance/Wire.java
@@ -21,8 +21,8 @@
 import org.quilldyke.Outcome;
 import org.quilldyke.QuilldykeException;
 import org.quilldyke.ResultCode;
-import org.quilldyke.control.Membership;
 import org.quilldyke.control.PeerMessage;
+import org.quilldyke.daemon.control.ReplicaJson;
 import org.quilldyke.daemon.instance.proto.AppendReply;
 import org.quilldyke.daemon.instance.proto.AppendRequest;
 import org.quilldyke.daemon.instance.proto.ElectNow;
@@ -35,7 +35,6 @@
 import org.quilldyke.daemon.instance.proto.StateRequest;
 import org.quilldyke.daemon.instance.proto.VoteReply;
 import org.quilldyke.daemon.instance.proto.VoteRequest;
-import org.quilldyke.daemon.json.Json;
 
 /** Turns the core's messages into those of instance.proto, and back. */
 public final class Wire {
@@ -76,7 +75,8 @@
                             .setIndexTerm(m.indexTerm())
                             .setOffset(m.offset())
                             .setTotal(m.total())
-                            .setMembershipJson(ByteString.copyFrom(Json.encode(m.membership())))
+                            .setMembershipJson(
+                                    ByteString.copyFrom(ReplicaJson.encode(m.membership())))
                             .setPiece(ByteString.copyFrom(m.piece()))
                             .setSentAt(m.sentAt()));
         } else if (message instanceof PeerMessage.SnapshotReply m) {
@@ -131,7 +131,7 @@
                         m.getIndexTerm(),
                         m.getOffset(),
                         m.getTotal(),
-                        Json.decode(m.getMembershipJson().toByteArray(), Membership.class),
+                        ReplicaJson.membership(m.getMembershipJson().toByteArray()),
                         m.getPiece().toByteArray(),
                         m.getSentAt());
             }
@@ -196,7 +196,7 @@
                         .setTerm(entry.term())
                         .setPayload(ByteString.copyFrom(entry.payload()));
         if (entry.membership() != null) {
-            out.setMembershipJson(ByteString.copyFrom(Json.encode(entry.membership())));
+            out.setMembershipJson(ByteString.copyFrom(ReplicaJson.encode(entry.membership())));
         }
         return out.build();
     }
@@ -205,8 +205,7 @@
         return in.getMembershipJson().isEmpty()
                 ? new org.quilldyke.control.LogEntry(in.getTerm(), in.getPayload().toByteArray())
                 : org.quilldyke.control.LogEntry.ofMembership(
-                        in.getTerm(),
-                        Json.decode(in.getMembershipJson().toByteArray(), Membership.class));
+                        in.getTerm(), ReplicaJson.membership(in.getMembershipJson().toByteArray()));
     }
 
     private static PeerMessage decode(AppendRequest m) throws QuilldykeException {
--- a/quilldyke-daemon/src/main/java/org/quilldyke/daemon/json/Json.java
+++ b/quilldyke-daemon/src/main/java/org/quilldyke/daemon/json/Json.java
@@ -21,7 +21,6 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.json.JsonMapper;
-import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.nio.charset.StandardCharsets;
@@ -93,28 +92,6 @@
         }
     }
 
-    /**
-     * Returns the tree that {@code bytes} hold.
-     *
-     * @throws QuilldykeException {@link ResultCode#MALFORMED_BODY} if they aren't JSON
-     */
-    public static JsonNode tree(byte[] bytes) throws QuilldykeException {
-        try {
-            JsonNode tree = MAPPER.readTree(bytes);
-            if (tree == null || tree.isMissingNode()) {
-                throw QuilldykeException.notRun(ResultCode.MALFORMED_BODY, "empty");
-            }
-            return tree;
-        } catch (IOException e) {
-            throw malformed(e);
-        }
-    }
-
-    /** Returns a new, empty object. */
-    public static ObjectNode object() {
-        return MAPPER.createObjectNode();
-    }
-
     /** Returns the tree of a record. */
     public static JsonNode treeOf(Object value) {
         return MAPPER.valueToTree(value);
--- a/quilldyke-daemon/src/main/java/org/quilldyke/daemon/operator/OperatorServlet.java
+++ b/quilldyke-daemon/src/main/java/org/quilldyke/daemon/operator/OperatorServlet.java
@@ -35,6 +35,7 @@
 import org.quilldyke.daemon.control.ControlClient;
 import org.quilldyke.daemon.instance.CellNode;
 import org.quilldyke.daemon.json.Json;
+import org.quilldyke.daemon.json.JsonTree;
 import org.quilldyke.daemon.log.EventLog;
 import org.quilldyke.daemon.routing.CellView;
 import org.quilldyke.daemon.settings.Site;
@@ -147,7 +148,7 @@
     }
 
     private static HttpResponse response(CommandResult result) {
-        ObjectNode body = Json.object();
+        ObjectNode body = JsonTree.object();
         body.put("code", result.code().label());
         body.put("meaning", result.code().meaning());
         body.put("detail", result.detail());
@@ -160,7 +161,7 @@
     }
 
     private ObjectNode statusBody() {
-        ObjectNode body = Json.object();
+        ObjectNode body = JsonTree.object();
         CellView view = mCell.view();
         InstanceState self = mCell.self();
         body.put("instance", self.id());
@@ -192,7 +193,7 @@
     }
 
     private ObjectNode targetsBody() {
-        ObjectNode body = Json.object();
+        ObjectNode body = JsonTree.object();
         CellView view = mCell.view();
         ArrayNode list = body.putArray("targets");
         for (TargetRecord target : view.targets()) {
--- a/quilldyke-daemon/src/test/java/org/quilldyke/daemon/control/DataFolderTest.java
+++ b/quilldyke-daemon/src/test/java/org/quilldyke/daemon/control/DataFolderTest.java
@@ -139,13 +139,13 @@
         try (DataFolder folder = DataFolder.open(mFolder)) {
             folder.load();
             assertThat(folder.loadIdentity()).isEmpty();
-            folder.saveIdentity("a/1");
+            folder.saveIdentity(new byte[] {7, 1});
             folder.append(1, List.of(LogEntry.ofMembership(4, MEMBERS)));
             folder.sync();
         }
 
         try (DataFolder folder = DataFolder.open(mFolder)) {
-            assertThat(folder.loadIdentity()).isEqualTo("a/1");
+            assertThat(folder.loadIdentity()).isEqualTo(new byte[] {7, 1});
             LogEntry entry = folder.load().entries().get(0);
             assertThat(entry.membership()).isEqualTo(MEMBERS);
             assertThat(entry.isOpening()).isTrue();
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/FleetMachine.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/FleetMachine.java
@@ -18,8 +18,6 @@
 import java.util.function.Consumer;
 import org.quilldyke.QuilldykeException;
 import org.quilldyke.daemon.control.ReplicatedMachine;
-import org.quilldyke.daemon.json.Json;
-import org.quilldyke.manifest.FleetCommand;
 import org.quilldyke.manifest.FleetResult;
 import org.quilldyke.manifest.FleetState;
 
@@ -38,7 +36,7 @@
 
     @Override
     public FleetResult apply(long index, byte[] command) throws QuilldykeException {
-        FleetResult result = mState.apply(index, Json.decode(command, FleetCommand.class));
+        FleetResult result = mState.apply(index, FleetJson.command(command));
         if (result.changed()) {
             mListener.accept(mState);
         }
@@ -47,7 +45,7 @@
 
     @Override
     public byte[] snapshot() {
-        return Json.encode(mState.snapshot());
+        return FleetJson.encode(mState.snapshot());
     }
 
     @Override
@@ -55,7 +53,7 @@
         mState =
                 snapshot.length == 0
                         ? FleetState.create()
-                        : FleetState.restore(Json.decode(snapshot, FleetState.Snapshot.class));
+                        : FleetState.restore(FleetJson.snapshot(snapshot));
         mListener.accept(mState);
     }
 }
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/Proposals.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/Proposals.java
@@ -24,7 +24,6 @@
 import org.quilldyke.Outcome;
 import org.quilldyke.QuilldykeException;
 import org.quilldyke.ResultCode;
-import org.quilldyke.daemon.json.Json;
 import org.quilldyke.gateway.instance.NettyLoop;
 import org.quilldyke.gateway.instance.Peers;
 import org.quilldyke.gateway.instance.proto.PeerFrame;
@@ -62,7 +61,7 @@
 
     /** Has a command committed; fails with {@link ResultCode#NO_LEADER} when the time is over. */
     CompletableFuture<FleetResult> propose(FleetCommand command) {
-        byte[] encoded = Json.encodeAs(FleetCommand.class, command);
+        byte[] encoded = FleetJson.encode(command);
         CompletableFuture<FleetResult> result = new CompletableFuture<>();
         attempt(encoded, mClock.getAsLong() + TIMEOUT_MILLIS, result);
         return result;
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/ReplicaIdentity.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/ReplicaIdentity.java
@@ -25,7 +25,6 @@
 import org.quilldyke.control.DurableState;
 import org.quilldyke.control.Membership;
 import org.quilldyke.daemon.control.DataFolder;
-import org.quilldyke.daemon.json.Json;
 import org.quilldyke.daemon.log.Event;
 import org.quilldyke.daemon.log.EventLog;
 import org.quilldyke.gateway.settings.GatewaySettings;
@@ -60,7 +59,7 @@
             log.write(Event.DISK_CLEARED, "detail", e.getMessage());
             folder.clear();
             ReplicaIdentity identity = joining(address, random);
-            folder.saveIdentity(Json.text(identity));
+            folder.saveIdentity(FleetJson.encode(identity));
             return opened(identity, folder.load());
         }
     }
@@ -68,22 +67,20 @@
     private static Opened load(
             DataFolder folder, GatewaySettings settings, String address, RandomGenerator random)
             throws QuilldykeException {
-        String stored = folder.loadIdentity();
+        byte[] stored = folder.loadIdentity();
         ReplicaIdentity identity;
-        if (stored.isEmpty()) {
+        if (stored.length == 0) {
             identity = fresh(settings, address, random);
-            folder.saveIdentity(Json.text(identity));
+            folder.saveIdentity(FleetJson.encode(identity));
         } else {
             identity = parse(stored);
         }
         return opened(identity, folder.load());
     }
 
-    private static ReplicaIdentity parse(String stored) throws QuilldykeException {
+    private static ReplicaIdentity parse(byte[] stored) throws QuilldykeException {
         try {
-            return Json.decode(
-                    stored.getBytes(java.nio.charset.StandardCharsets.UTF_8),
-                    ReplicaIdentity.class);
+            return FleetJson.identity(stored);
         } catch (QuilldykeException e) {
             throw QuilldykeException.of(
                     ResultCode.LOG_DAMAGED, Outcome.NOT_RUN, "identity: " + e.getMessage(), e);
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/settings/GatewaySettings.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/settings/GatewaySettings.java
@@ -15,7 +15,7 @@
  */
 package org.quilldyke.gateway.settings;
 
-import com.fasterxml.jackson.annotation.JsonProperty;
+import com.fasterxml.jackson.annotation.JsonValue;
 import java.util.List;
 
 /**
@@ -37,28 +37,38 @@
  * @param timings times and bounds
  */
 public record GatewaySettings(
-        @JsonProperty(required = true) String instance,
-        @JsonProperty(required = true) Role role,
-        @JsonProperty(required = true) String failureDomain,
-        @JsonProperty(required = true) String callers,
-        @JsonProperty(required = true) String ready,
-        @JsonProperty(required = true) String control,
-        @JsonProperty(required = true) String ip,
-        @JsonProperty(required = true) int firstPort,
-        @JsonProperty(required = true) List<String> seeds,
-        @JsonProperty(required = true) boolean firstStart,
-        @JsonProperty(required = true) String dataFolder,
-        @JsonProperty(required = true) int toleratedLosses,
-        @JsonProperty(required = true) Timings timings) {
+        String instance,
+        Role role,
+        String failureDomain,
+        String callers,
+        String ready,
+        String control,
+        String ip,
+        int firstPort,
+        List<String> seeds,
+        boolean firstStart,
+        String dataFolder,
+        int toleratedLosses,
+        Timings timings) {
 
     /** What a process does. */
     public enum Role {
         /** Takes callers' requests and forwards them. */
-        @JsonProperty("entry")
-        ENTRY,
+        ENTRY("entry"),
         /** Holds the shared state; takes operators' calls and targets' reports. */
-        @JsonProperty("control")
-        CONTROL
+        CONTROL("control");
+
+        private final String mKey;
+
+        Role(String key) {
+            mKey = key;
+        }
+
+        /** Returns the role's name in the settings. */
+        @JsonValue
+        public String key() {
+            return mKey;
+        }
     }
 
     /**
@@ -74,14 +84,14 @@
      * @param retryFixed second attempts in a window besides, for all instances together
      */
     public record Timings(
-            @JsonProperty(required = true) long targetReport,
-            @JsonProperty(required = true) long revoke,
-            @JsonProperty(required = true) long grace,
-            @JsonProperty(required = true) long orderLease,
-            @JsonProperty(required = true) long convergence,
-            @JsonProperty(required = true) long retryWindow,
-            @JsonProperty(required = true) double retryRatio,
-            @JsonProperty(required = true) double retryFixed) {}
+            long targetReport,
+            long revoke,
+            long grace,
+            long orderLease,
+            long convergence,
+            long retryWindow,
+            double retryRatio,
+            double retryFixed) {}
 
     /** Returns where control processes listen for each other and for entries, at a machine. */
     public String internalAddress(String ipAddress) {
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/settings/GatewaySettingsReader.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/settings/GatewaySettingsReader.java
@@ -21,6 +21,7 @@
 import java.util.List;
 import org.quilldyke.QuilldykeException;
 import org.quilldyke.ResultCode;
+import org.quilldyke.daemon.json.JsonTree;
 import org.quilldyke.daemon.settings.StrictJson;
 
 /** Reads the settings of a gateway process; each refusal names the key's path and the reason. */
@@ -53,7 +54,7 @@
      * @throws QuilldykeException as {@link #read}
      */
     public static GatewaySettings parse(byte[] text) throws QuilldykeException {
-        GatewaySettings settings = StrictJson.parse(text, GatewaySettings.class);
+        GatewaySettings settings = decode(text);
         require(!settings.instance().isBlank(), "instance", "is empty");
         require(settings.ip().matches(IP), "ip", "is no IPv4 address");
         require(isPort(settings.firstPort()), "firstPort", "is out of range");
@@ -69,6 +70,58 @@
         return settings;
     }
 
+    private static GatewaySettings decode(byte[] text) throws QuilldykeException {
+        SettingsObject in;
+        try {
+            in = SettingsObject.of(JsonTree.readStrictly(text));
+        } catch (IOException e) {
+            String reason = String.valueOf(e.getMessage()).lines().findFirst().orElse("");
+            throw StrictJson.refused(ResultCode.SETTINGS_SYNTAX, "", reason);
+        }
+        GatewaySettings settings =
+                new GatewaySettings(
+                        in.text("instance"),
+                        role(in),
+                        in.text("failureDomain"),
+                        in.text("callers"),
+                        in.text("ready"),
+                        in.text("control"),
+                        in.text("ip"),
+                        in.smallInteger("firstPort"),
+                        in.texts("seeds"),
+                        in.flag("firstStart"),
+                        in.text("dataFolder"),
+                        in.smallInteger("toleratedLosses"),
+                        timings(in.object("timings")));
+        in.end();
+        return settings;
+    }
+
+    private static GatewaySettings.Role role(SettingsObject in) throws QuilldykeException {
+        String name = in.text("role");
+        for (GatewaySettings.Role role : GatewaySettings.Role.values()) {
+            if (role.key().equals(name)) {
+                return role;
+            }
+        }
+        throw in.wrong("role", "a role: " + name);
+    }
+
+    private static GatewaySettings.Timings timings(SettingsObject in) throws QuilldykeException {
+        GatewaySettings.Timings timings =
+                new GatewaySettings.Timings(
+                        in.integer("targetReport"),
+                        in.integer("revoke"),
+                        in.integer("grace"),
+                        in.integer("orderLease"),
+                        in.integer("convergence"),
+                        in.integer("retryWindow"),
+                        in.number("retryRatio"),
+                        in.number("retryFixed"));
+        in.end();
+        return timings;
+    }
+
     private static void checkRole(GatewaySettings settings) throws QuilldykeException {
         boolean entry = settings.role() == GatewaySettings.Role.ENTRY;
         require(!entry || !settings.callers().isEmpty(), "callers", "is empty at an entry");
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/warmup/WarmUp.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/warmup/WarmUp.java
@@ -16,7 +16,7 @@
 package org.quilldyke.gateway.warmup;
 
 import java.io.IOException;
-import java.net.InetAddress;
+import java.net.BindException;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -25,6 +25,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Random;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 import org.quilldyke.Outcome;
@@ -49,6 +50,11 @@
  */
 public final class WarmUp {
     private static final String IP_PREFIX = "127.0.0.";
+    private static final int LOWEST_PORT = 12_000;
+    private static final int HIGHEST_PORT = 32_000;
+    private static final int PORT_TRIES = 100;
+    private static final Random PORTS = new Random();
+    private static final int TRIES = 3;
     private static final int CONTROL_PROCESSES = 3;
     private static final int ENTRIES = 2;
     private static final long GRACE_MILLIS = 8000;
@@ -87,6 +93,19 @@
      * @throws QuilldykeException if the processes can't be started
      */
     public static int run(Dialect dialect, SampleCalls samples) throws QuilldykeException {
+        for (int i = 1; ; i++) {
+            try {
+                return tryRun(dialect, samples);
+            } catch (QuilldykeException e) {
+                // A port may have been taken since it was found free.
+                if (e.code() != ResultCode.ADDRESS_IN_USE || i == TRIES) {
+                    throw e;
+                }
+            }
+        }
+    }
+
+    private static int tryRun(Dialect dialect, SampleCalls samples) throws QuilldykeException {
         try {
             Path folder = Files.createTempDirectory("quilldyke-warm-up");
             WarmUp warmUp = new WarmUp(dialect, samples, folder);
@@ -113,12 +132,18 @@
                     send(IP_PREFIX + 1, mCallerPort, request);
                 }
                 TimeUnit.MILLISECONDS.sleep(SETTLE_MILLIS);
-                mProcesses.forEach(GatewayProcess::halt);
-                mProcesses.clear();
+                haltAll();
             }
+        } finally {
+            haltAll();
         }
     }
 
+    private void haltAll() {
+        mProcesses.forEach(GatewayProcess::halt);
+        mProcesses.clear();
+    }
+
     private void startAll(boolean first) throws IOException, QuilldykeException {
         for (int machine = 1; machine <= ENTRIES; machine++) {
             start(GatewaySettings.Role.ENTRY, machine, first);
@@ -195,9 +220,19 @@
         }
     }
 
+    /**
+     * Returns a port that nobody listens on. It is below those that the system gives to outgoing
+     * connections: one of them once had the port before the process that was to listen on it.
+     */
     private static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(IP_PREFIX + 1))) {
-            return socket.getLocalPort();
+        for (int i = 0; i < PORT_TRIES; i++) {
+            int port = LOWEST_PORT + PORTS.nextInt(HIGHEST_PORT - LOWEST_PORT);
+            try (ServerSocket socket = new ServerSocket(port)) {
+                return socket.getLocalPort();
+            } catch (BindException e) {
+                // In use; another one is tried.
+            }
         }
+        throw new IOException("no free port in " + PORT_TRIES + " tries");
     }
 }
--- /dev/null
+++ b/quilldyke-gateway/src/test/java/org/quilldyke/gateway/control/FleetJsonTest.java
@@ -0,0 +1,87 @@
+/*
+ * Copyright 2026 The quilldyke authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.quilldyke.gateway.control;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.junit.jupiter.api.Test;
+import org.quilldyke.QuilldykeException;
+import org.quilldyke.ResultCode;
+import org.quilldyke.control.Membership;
+import org.quilldyke.manifest.FleetCommand;
+import org.quilldyke.manifest.FleetState;
+
+/** Logs of earlier versions are read: the texts here were written by the mapper of records. */
+class FleetJsonTest {
+    private static final String PUBLISH =
+            "{\"type\":\"PublishManifest\",\"version\":7,\"document\":\"AQL/\"}";
+    private static final String NAME = "{\"type\":\"NameWeights\",\"model\":\"m\",\"version\":3}";
+    private static final String FENCE = "{\"type\":\"TakeFence\",\"holder\":\"a/1\"}";
+    private static final String SNAPSHOT =
+            "{\"version\":7,\"document\":\"AQL/\",\"index\":12,\"weights\":{\"m\":3}}";
+    private static final String IDENTITY =
+            "{\"id\":\"a/1\",\"initial\":{\"voters\":[{\"id\":\"a/1\",\"address\":\"a\"}],"
+                    + "\"standbys\":[]}}";
+
+    @Test
+    void commandsAreReadAndWritten() throws Exception {
+        FleetCommand publish = FleetJson.command(bytes(PUBLISH));
+        assertThat(((FleetCommand.PublishManifest) publish).document())
+                .isEqualTo(new byte[] {1, 2, -1});
+        assertThat(FleetJson.command(bytes(NAME))).isEqualTo(new FleetCommand.NameWeights("m", 3));
+        for (String text : List.of(PUBLISH, NAME, FENCE)) {
+            assertThat(text(FleetJson.encode(FleetJson.command(bytes(text))))).isEqualTo(text);
+        }
+    }
+
+    @Test
+    void snapshotIsReadAndWritten() throws Exception {
+        FleetState.Snapshot snapshot = FleetJson.snapshot(bytes(SNAPSHOT));
+        assertThat(snapshot.weights()).isEqualTo(new TreeMap<>(Map.of("m", 3L)));
+        assertThat(text(FleetJson.encode(snapshot))).isEqualTo(SNAPSHOT);
+    }
+
+    @Test
+    void identityIsReadAndWritten() throws Exception {
+        ReplicaIdentity identity = FleetJson.identity(bytes(IDENTITY));
+        assertThat(identity.initial())
+                .isEqualTo(Membership.ofVoters(List.of(new Membership.Member("a/1", "a"))));
+        assertThat(text(FleetJson.encode(identity))).isEqualTo(IDENTITY);
+    }
+
+    @Test
+    void whatIsNoCommandIsRefused() {
+        for (String text : List.of("{}", "{\"type\":\"Other\"}", NAME.replace("3", "\"3\""), "[")) {
+            QuilldykeException e =
+                    assertThrows(
+                            QuilldykeException.class, () -> FleetJson.command(bytes(text)), text);
+            assertThat(e.code()).isEqualTo(ResultCode.MALFORMED_BODY);
+        }
+    }
+
+    private static byte[] bytes(String text) {
+        return text.getBytes(StandardCharsets.UTF_8);
+    }
+
+    private static String text(byte[] bytes) {
+        return new String(bytes, StandardCharsets.UTF_8);
+    }
+}
--- a/quilldyke-tools/src/main/java/org/quilldyke/tools/bench/RelayBench.java
+++ b/quilldyke-tools/src/main/java/org/quilldyke/tools/bench/RelayBench.java
@@ -32,6 +32,7 @@
 import org.quilldyke.daemon.QuilldykeInstance;
 import org.quilldyke.daemon.caller.CallerHeaders;
 import org.quilldyke.daemon.json.Json;
+import org.quilldyke.daemon.json.JsonTree;
 import org.quilldyke.testkit.engine.InstantEngine;
 import org.quilldyke.tools.client.ApiClient;
 import org.quilldyke.tools.client.OperatorClient;
@@ -99,7 +100,7 @@
             relayed[i] = loaded.perSecond();
             ratio[i] = loaded.perSecond() / straight.perSecond();
         }
-        ObjectNode out = Json.object();
+        ObjectNode out = JsonTree.object();
         out.put("bench", "relay").put("requests", requests).put("concurrency", concurrency);
         out.put("body_bytes", mBody.length).put("rounds", ROUNDS);
         out.put("added_first_chunk_p50_ms", median(added));
--- a/quilldyke-tools/src/main/java/org/quilldyke/tools/client/OperatorClient.java
+++ b/quilldyke-tools/src/main/java/org/quilldyke/tools/client/OperatorClient.java
@@ -26,6 +26,7 @@
 import org.quilldyke.ResultCode;
 import org.quilldyke.control.Intent;
 import org.quilldyke.daemon.json.Json;
+import org.quilldyke.daemon.json.JsonTree;
 
 /** An operator's client: states intents, confirms plans, asks for status, at any instance. */
 public final class OperatorClient {
@@ -61,9 +62,9 @@
      */
     public Reply state(String number, String intentId, String operator, Intent intent)
             throws QuilldykeException {
-        ObjectNode body = Json.object();
+        ObjectNode body = JsonTree.object();
         body.put("number", number).put("intentId", intentId).put("operator", operator);
-        body.set("intent", Json.tree(Json.encodeAs(Intent.class, intent)));
+        body.set("intent", JsonTree.read(Json.encodeAs(Intent.class, intent)));
         return call(HttpMethod.POST, "/operator/intents", Json.encode(body));
     }
 
@@ -92,7 +93,7 @@
             ApiClient.Answer answer =
                     mClient.send(method, "http://" + mAddress + path, mHeaders, body).join();
             return new Reply(
-                    answer.status(), Json.tree(answer.body().getBytes(StandardCharsets.UTF_8)));
+                    answer.status(), JsonTree.read(answer.body().getBytes(StandardCharsets.UTF_8)));
         } catch (CompletionException e) {
             throw QuilldykeException.of(
                     ResultCode.NOT_READY, Outcome.UNKNOWN, "no answer from " + mAddress, e);
--- a/quilldyke-tools/src/main/java/org/quilldyke/tools/command/CheckCommand.java
+++ b/quilldyke-tools/src/main/java/org/quilldyke/tools/command/CheckCommand.java
@@ -23,6 +23,7 @@
 import org.quilldyke.QuilldykeException;
 import org.quilldyke.ResultCode;
 import org.quilldyke.daemon.json.Json;
+import org.quilldyke.daemon.json.JsonTree;
 import org.quilldyke.testkit.check.Breaks;
 import org.quilldyke.testkit.check.CheckReport;
 import org.quilldyke.testkit.check.ClusterRun;
@@ -72,7 +73,7 @@
             }
         }
         double seconds = (System.nanoTime() - startedAt) / 1e9;
-        ObjectNode out = Json.object();
+        ObjectNode out = JsonTree.object();
         out.put("part", mPart).put("seeds", mSeeds).put("steps", steps).put("violations", 0);
         out.put("steps_a_minute", Math.round(steps / seconds * 60));
         out.set("counts", Json.treeOf(counts));
@@ -82,7 +83,7 @@
 
     private void printViolation(CheckReport report) {
         if (mJson) {
-            ObjectNode out = Json.object();
+            ObjectNode out = JsonTree.object();
             out.put("part", report.part()).put("seed", report.seed());
             out.put("steps", report.steps()).put("violations", report.violations().size());
             out.put("first", report.violations().get(0));
--- a/quilldyke-tools/src/main/java/org/quilldyke/tools/demo/DemoReport.java
+++ b/quilldyke-tools/src/main/java/org/quilldyke/tools/demo/DemoReport.java
@@ -20,7 +20,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.HdrHistogram.Histogram;
-import org.quilldyke.daemon.json.Json;
+import org.quilldyke.daemon.json.JsonTree;
 import org.quilldyke.tools.client.ReceivedStream;
 
 /** What a demo counted, and whether each promise it exercised held. */
@@ -54,7 +54,7 @@
 
     /** Returns the report as JSON. */
     public synchronized ObjectNode toJson() {
-        ObjectNode out = Json.object();
+        ObjectNode out = JsonTree.object();
         out.put("requests", mRequests);
         out.put("complete", mComplete);
         out.put("interrupted", mInterrupted);
--- a/quilldyke-tools/src/test/java/org/quilldyke/tools/demo/CallerPathTest.java
+++ b/quilldyke-tools/src/test/java/org/quilldyke/tools/demo/CallerPathTest.java
@@ -28,7 +28,7 @@
 import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
-import org.quilldyke.daemon.json.Json;
+import org.quilldyke.daemon.json.JsonTree;
 import org.quilldyke.testkit.engine.EngineStandIn;
 import org.quilldyke.testkit.engine.WordModel;
 import org.quilldyke.tools.client.ApiClient;
@@ -64,7 +64,7 @@
         assertThat(answer.status()).isEqualTo(200);
         assertThat(answer.code()).isEqualTo("QR0000");
         assertThat(answer.outcome()).isEqualTo("ran");
-        var json = Json.tree(answer.body().getBytes(StandardCharsets.UTF_8));
+        var json = JsonTree.read(answer.body().getBytes(StandardCharsets.UTF_8));
         assertThat(json.path("choices").path(0).path("text").asText())
                 .isEqualTo(WordModel.answer(prompt.getBytes(StandardCharsets.UTF_8), 20));
         assertThat(json.path("usage").path("prompt_tokens_details").path("cached_tokens").asInt())
@@ -79,7 +79,7 @@
 
         ApiClient.Answer answer = sSite.post(2, "/v1/chat/completions", body, AUTH, BEARER);
 
-        var json = Json.tree(answer.body().getBytes(StandardCharsets.UTF_8));
+        var json = JsonTree.read(answer.body().getBytes(StandardCharsets.UTF_8));
         String prompt = "<|user|>\nplat note?\n<|assistant|>\n";
         assertThat(json.path("choices").path(0).path("message").path("content").asText())
                 .isEqualTo(WordModel.answer(prompt.getBytes(StandardCharsets.UTF_8), 5));
--- a/quilldyke-tools/src/test/java/org/quilldyke/tools/demo/StoreStandInTest.java
+++ b/quilldyke-tools/src/test/java/org/quilldyke/tools/demo/StoreStandInTest.java
@@ -26,6 +26,7 @@
 import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.Test;
 import org.quilldyke.daemon.json.Json;
+import org.quilldyke.daemon.json.JsonTree;
 import org.quilldyke.engine.BlockChain;
 import org.quilldyke.engine.CacheScope;
 import org.quilldyke.testkit.engine.EngineSettings;
@@ -150,7 +151,7 @@
             throws Exception {
         String url = "http://" + engine.settings().address() + path;
         ApiClient.Answer answer = client.send(HttpMethod.POST, url, Map.of(), body).join();
-        return Json.tree(answer.body().getBytes(StandardCharsets.UTF_8));
+        return JsonTree.read(answer.body().getBytes(StandardCharsets.UTF_8));
     }
 
     private static byte[] transfer(String salt, String store, List<String> keys) {
