Entries hear caches and loads from one near control process; loads are told as sums; caches are handed on whole

Each entry heard all news twice, from two control processes anywhere; control processes told each other each entry's loads every 100 ms. Now one of an entry's two streams is its main one, in its own failure domain if a control process stands there; caches and loads go on that one only; control processes tell each other sums. A control process mirrors what caches keep: an entry that starts is told all of it, others only what is new to them (CacheMirrorTest). While there is no leader each control process watches caches itself.

--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/EntrySubscriber.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/EntrySubscriber.java
@@ -34,7 +34,6 @@
 import org.quilldyke.gateway.instance.proto.Hello;
 import org.quilldyke.gateway.instance.proto.Loading;
 import org.quilldyke.gateway.instance.proto.ModelWeights;
-import org.quilldyke.gateway.instance.proto.Question;
 import org.quilldyke.gateway.instance.proto.Target;
 import org.quilldyke.gateway.instance.proto.TargetLoad;
 import org.quilldyke.gateway.instance.proto.Targets;
@@ -107,11 +106,6 @@
                 .build();
     }
 
-    @Override
-    public Question question(long number) {
-        return Question.newBuilder().setNumber(number).addAllLoads(mLoads).build();
-    }
-
     @Override
     public List<TargetLoad> loads() {
         return mLoads;
@@ -234,7 +228,7 @@
                 new CacheNews(
                         news.getHolder(),
                         news.getUp(),
-                        news.getRestarted(),
+                        news.getRestarted() || news.getWhole(),
                         news.getAddedList(),
                         news.getRemovedList());
         mEntry.loop().execute(() -> mEntry.book().onCacheNews(decoded));
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/GatewayProcess.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/GatewayProcess.java
@@ -249,6 +249,7 @@
                                         mControl,
                                         mClock,
                                         mLog,
+                                        mSettings.failureDomain(),
                                         mSettings.seedAddresses(),
                                         Math.floorMod(mSettings.instance().hashCode(), 97),
                                         subscriber));
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/ControlNode.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/ControlNode.java
@@ -97,7 +97,7 @@
         mAddress = settings.internalAddress(settings.ip());
         mSeeds = new HashSet<>(settings.seedAddresses());
         mPeers = Peers.create(loop, clock, log, mAddress);
-        mEntries = new EntrySessions(clock, log, mPeers);
+        mEntries = new EntrySessions(clock, log, mPeers, settings.failureDomain());
         mMachine = new FleetMachine(this::onState);
         SplittableRandom random = new SplittableRandom(System.nanoTime() ^ mAddress.hashCode());
         DataFolder folder = DataFolder.open(Path.of(settings.dataFolder()));
@@ -298,7 +298,7 @@
             case CONFIRMED -> mConfirmations.onConfirmed(frame.getConfirmed());
             case TARGETS -> mTargets.onTargets(frame.getTargets());
             case LOADING -> onLoading(frame.getLoading());
-            case LOADS -> mEntries.onLoads(frame.getLoads());
+            case LOADS -> mEntries.onLoads(frame.getAddress(), frame.getLoads());
             case CACHE -> mEntries.onCache(frame.getCache());
             default -> {
                 // A sign of life.
@@ -315,6 +315,10 @@
     @Override
     public void onLeadership(boolean leads) {
         mWeights.onLeadership(leads);
+        if (leads) {
+            // From now on others hear of changes only.
+            mEntries.caches().forEach(c -> mPeers.sendToAll(PeerFrame.newBuilder().setCache(c)));
+        }
     }
 
     @Override
@@ -360,8 +364,11 @@
         mPeers.send(address, PeerFrame.newBuilder().setTargets(mTargets.heard()));
     }
 
+    /** Without a leader each control process watches for itself. */
     private void tellCache(CacheNews news) {
-        mPeers.sendToAll(PeerFrame.newBuilder().setCache(news));
+        if (mGroup.leads()) {
+            mPeers.sendToAll(PeerFrame.newBuilder().setCache(news));
+        }
         mEntries.onCache(news);
     }
 
@@ -397,7 +404,8 @@
         mMembership.tick(mSeeds);
         mTargets.tick(isInTouch());
         mEntries.tick();
-        mCaches.tick(mGroup.leads(), mTargets.reports());
+        boolean leaderless = mGroup.node().leader().isEmpty();
+        mCaches.tick(leaderless || mGroup.leads(), mTargets.reports());
         mWeights.tick(
                 mMachine.state().weights(),
                 new EngineFleet(mTargets.reports(), mCaches.silent(), mEntries.openRequests()));
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/EntryLoads.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/EntryLoads.java
@@ -15,14 +15,23 @@
  */
 package org.quilldyke.gateway.control;
 
+import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
-import org.quilldyke.gateway.instance.proto.EntryLoad;
+import org.quilldyke.gateway.instance.proto.Loads;
 import org.quilldyke.gateway.instance.proto.TargetLoad;
 
-/** What each entry process has open at targets, as told here or by other control processes. */
+/**
+ * What entry processes have open at targets: each entry's own, of those that tell it here, and the
+ * sums of what is told to each other control process.
+ *
+ * <p>Sums are enough, and grow with the targets only: told entry by entry, every 100 ms and to each
+ * other control process, they were the largest part of what instances say to each other.
+ */
 final class EntryLoads {
     /** A load that was told this long ago says nothing any more. */
     static final long STALE_MILLIS = 1500;
@@ -30,40 +39,55 @@
     /** An entry that was silent this long no longer has a part of what is shared. */
     static final long FORGOTTEN_MILLIS = 20_000;
 
-    private final Map<String, Known> mEntries = new HashMap<>();
+    private final Map<String, Known> mHere = new HashMap<>();
+    private final Map<String, Known> mOthers = new HashMap<>();
+    private final Map<String, Long> mNamedAt = new HashMap<>();
 
     /** Takes what an entry told here. */
     void onLoad(String entry, List<TargetLoad> targets, long now) {
-        mEntries.put(entry, new Known(targets, now, true));
+        mHere.put(entry, new Known(targets, now));
+        mNamedAt.put(entry, now);
     }
 
-    /** Takes what entries told at another control process. */
-    void onOthers(List<EntryLoad> entries, long now) {
-        for (EntryLoad load : entries) {
-            Known known = mEntries.get(load.getEntry());
-            if (known == null || !known.here() || now - known.at() > STALE_MILLIS) {
-                mEntries.put(load.getEntry(), new Known(load.getTargetsList(), now, false));
-            }
-        }
+    /** Notes that what an entry told here last is still so. */
+    void onAlive(String entry, long now) {
+        mHere.computeIfPresent(entry, (id, known) -> new Known(known.targets(), now));
+        mNamedAt.put(entry, now);
     }
 
-    /** Returns what entries have told here lately. */
-    List<EntryLoad> here(long now) {
-        mEntries.values().removeIf(known -> now - known.at() > FORGOTTEN_MILLIS);
-        return mEntries.entrySet().stream()
-                .filter(e -> e.getValue().here() && now - e.getValue().at() < STALE_MILLIS)
-                .map(
-                        e ->
-                                EntryLoad.newBuilder()
-                                        .setEntry(e.getKey())
-                                        .addAllTargets(e.getValue().targets())
-                                        .build())
-                .toList();
+    /** Notes that an entry tells what it has open elsewhere, or has ended. */
+    void onLeft(String entry) {
+        mHere.remove(entry);
+    }
+
+    /** Takes the sums of another control process. */
+    void onOthers(String control, Loads loads, long now) {
+        mOthers.put(control, new Known(loads.getTargetsList(), now));
+        loads.getEntriesList().forEach(entry -> mNamedAt.put(entry, now));
+    }
+
+    /** Returns the sums of what entries have told here lately. */
+    List<TargetLoad> here(long now) {
+        return listOf(sums(mHere.values(), now));
+    }
+
+    /** Returns the entries that have told something here lately. */
+    Set<String> entriesHere(long now) {
+        Set<String> entries = new HashSet<>();
+        mHere.forEach(
+                (entry, known) -> {
+                    if (known.isFresh(now)) {
+                        entries.add(entry);
+                    }
+                });
+        return entries;
     }
 
     /** Returns how many entries there are. */
-    int entries() {
-        return mEntries.size();
+    int entries(long now) {
+        mNamedAt.values().removeIf(at -> now - at > FORGOTTEN_MILLIS);
+        mHere.keySet().retainAll(mNamedAt.keySet());
+        return mNamedAt.size();
     }
 
     /** Returns how many requests all entries have open at each target, as of {@code now}. */
@@ -75,11 +99,17 @@
 
     /** Returns what all entries have open together, as of {@code now}. */
     Totals totals(long now) {
+        Map<String, TargetLoad.Builder> sums = sums(mHere.values(), now);
+        sums(mOthers.values(), now).values().forEach(sum -> add(sums, sum.build(), 1));
+        return new Totals(sums, now);
+    }
+
+    private static Map<String, TargetLoad.Builder> sums(Collection<Known> all, long now) {
         Map<String, TargetLoad.Builder> sums = new TreeMap<>();
-        mEntries.values().stream()
-                .filter(known -> now - known.at() < STALE_MILLIS)
+        all.stream()
+                .filter(known -> known.isFresh(now))
                 .forEach(known -> known.targets().forEach(load -> add(sums, load, 1)));
-        return new Totals(sums, now);
+        return sums;
     }
 
     private static void add(Map<String, TargetLoad.Builder> sums, TargetLoad load, int sign) {
@@ -89,6 +119,13 @@
         sum.setTokens(sum.getTokens() + sign * load.getTokens());
     }
 
+    private static List<TargetLoad> listOf(Map<String, TargetLoad.Builder> sums) {
+        return sums.values().stream()
+                .filter(load -> load.getRequests() > 0)
+                .map(TargetLoad.Builder::build)
+                .toList();
+    }
+
     /** The sums over all entries, made once for all who ask. */
     final class Totals {
         private final Map<String, TargetLoad.Builder> mSums;
@@ -103,16 +140,17 @@
         List<TargetLoad> allBut(String entry) {
             Map<String, TargetLoad.Builder> others = new TreeMap<>();
             mSums.forEach((id, sum) -> others.put(id, sum.clone()));
-            Known own = mEntries.get(entry);
-            if (own != null && mNow - own.at() < STALE_MILLIS) {
+            Known own = mHere.get(entry);
+            if (own != null && own.isFresh(mNow)) {
                 own.targets().forEach(load -> add(others, load, -1));
             }
-            return others.values().stream()
-                    .filter(load -> load.getRequests() > 0)
-                    .map(TargetLoad.Builder::build)
-                    .toList();
+            return listOf(others);
         }
     }
 
-    private record Known(List<TargetLoad> targets, long at, boolean here) {}
+    private record Known(List<TargetLoad> targets, long at) {
+        boolean isFresh(long now) {
+            return now - at < STALE_MILLIS;
+        }
+    }
 }
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/EntrySessions.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/EntrySessions.java
@@ -24,6 +24,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.LongSupplier;
+import java.util.stream.Stream;
 import org.quilldyke.daemon.log.Event;
 import org.quilldyke.daemon.log.EventLog;
 import org.quilldyke.gateway.instance.Peers;
@@ -33,13 +34,13 @@
 import org.quilldyke.gateway.instance.proto.Configuration;
 import org.quilldyke.gateway.instance.proto.ControlFrame;
 import org.quilldyke.gateway.instance.proto.EntryFrame;
-import org.quilldyke.gateway.instance.proto.EntryLoad;
 import org.quilldyke.gateway.instance.proto.Hello;
 import org.quilldyke.gateway.instance.proto.Loading;
 import org.quilldyke.gateway.instance.proto.Loads;
 import org.quilldyke.gateway.instance.proto.ModelWeights;
 import org.quilldyke.gateway.instance.proto.PeerFrame;
 import org.quilldyke.gateway.instance.proto.Question;
+import org.quilldyke.gateway.instance.proto.Target;
 import org.quilldyke.gateway.instance.proto.TargetLoad;
 import org.quilldyke.gateway.instance.proto.TargetLoads;
 import org.quilldyke.gateway.instance.proto.Targets;
@@ -55,12 +56,18 @@
     private static final long LOADS_MILLIS = 100;
 
     private static final long LOADS_MILLIS_PER_ENTRY = 8;
+
+    /** Loads that haven't changed are told this often, so that they don't go stale. */
+    private static final long LOADS_REFRESH_MILLIS = 500;
+
     private static final long SILENT_MILLIS = 3000;
 
     private final LongSupplier mClock;
     private final EventLog mLog;
     private final Peers mPeers;
+    private final String mFailureDomain;
     private final EntryLoads mLoads = new EntryLoads();
+    private final CacheMirror mCaches = new CacheMirror();
     private final Set<Session> mSessions = new LinkedHashSet<>();
     private final Map<String, Long> mNamedAt = new HashMap<>();
     private final Map<String, Long> mLoadingSince = new HashMap<>();
@@ -70,11 +77,14 @@
     private boolean mStateTold;
     private long mToldVersion = -1;
     private long mLoadsToldAt;
+    private long mLoadsRefreshedAt;
+    private List<TargetLoad> mLoadsTold = List.of();
 
-    EntrySessions(LongSupplier clock, EventLog log, Peers peers) {
+    EntrySessions(LongSupplier clock, EventLog log, Peers peers, String failureDomain) {
         mClock = clock;
         mLog = log;
         mPeers = peers;
+        mFailureDomain = failureDomain;
     }
 
     void connect(Confirmations confirmations, TargetSpread targets) {
@@ -108,6 +118,9 @@
 
     /** Tells targets to all. */
     void onTargets(Targets targets) {
+        targets.getTargetsList().stream()
+                .filter(target -> target.getStanding() == Target.Standing.GONE)
+                .forEach(target -> mCaches.forget(target.getId()));
         tellAll(ControlFrame.newBuilder().setTargets(targets).build());
     }
 
@@ -121,14 +134,21 @@
         tellAll(ControlFrame.newBuilder().setLoading(loading).build());
     }
 
-    /** Tells all what has changed in a cache. */
+    /** Tells entries that listen mainly here what has changed in a cache. */
     void onCache(CacheNews news) {
-        tellAll(ControlFrame.newBuilder().setCache(news).build());
+        mCaches.apply(news)
+                .map(changes -> ControlFrame.newBuilder().setCache(changes).build())
+                .ifPresent(frame -> mainSessions().forEach(session -> session.send(frame)));
+    }
+
+    /** Returns all that is known of caches. */
+    List<CacheNews> caches() {
+        return mCaches.whole();
     }
 
     /** Takes what entries told at another control process. */
-    void onLoads(Loads loads) {
-        mLoads.onOthers(loads.getEntriesList(), mClock.getAsLong());
+    void onLoads(String control, Loads loads) {
+        mLoads.onOthers(control, loads, mClock.getAsLong());
     }
 
     /** Returns how many requests all entries have open at each target. */
@@ -139,7 +159,7 @@
     /** Tells all processes what entries have open; ends sessions that are silent. */
     void tick() {
         long now = mClock.getAsLong();
-        long every = Math.max(LOADS_MILLIS, LOADS_MILLIS_PER_ENTRY * mLoads.entries());
+        long every = Math.max(LOADS_MILLIS, LOADS_MILLIS_PER_ENTRY * mLoads.entries(now));
         if (now - mLoadsToldAt >= every) {
             mLoadsToldAt = now;
             tellLoads(now);
@@ -153,15 +173,29 @@
     }
 
     private void tellLoads(long now) {
-        List<EntryLoad> here = mLoads.here(now);
-        if (!here.isEmpty()) {
-            mPeers.sendToAll(
-                    PeerFrame.newBuilder().setLoads(Loads.newBuilder().addAllEntries(here)));
-        }
+        tellPeers(now);
         EntryLoads.Totals totals = mLoads.totals(now);
-        for (Session session : mSessions) {
-            session.tellLoads(totals.allBut(session.mEntry));
+        mainSessions().forEach(session -> session.tellLoads(totals.allBut(session.mEntry)));
+    }
+
+    /** Tells other control processes the sums of what was told here, if they don't know them. */
+    private void tellPeers(long now) {
+        List<TargetLoad> here = mLoads.here(now);
+        boolean refresh = now - mLoadsRefreshedAt >= LOADS_REFRESH_MILLIS;
+        if (here.equals(mLoadsTold) && !refresh) {
+            return;
+        }
+        Loads.Builder loads = Loads.newBuilder().addAllTargets(here);
+        if (refresh) {
+            mLoadsRefreshedAt = now;
+            loads.addAllEntries(mLoads.entriesHere(now));
         }
+        mLoadsTold = here;
+        mPeers.sendToAll(PeerFrame.newBuilder().setLoads(loads));
+    }
+
+    private Stream<Session> mainSessions() {
+        return mSessions.stream().filter(session -> session.mMain);
     }
 
     private void tellAll(ControlFrame frame) {
@@ -198,6 +232,7 @@
         private final StreamObserver<ControlFrame> mOut;
         private String mEntry = "";
         private long mHeardAt = mClock.getAsLong();
+        private boolean mMain;
         private List<TargetLoad> mLoadsTold = List.of();
 
         Session(StreamObserver<ControlFrame> out) {
@@ -219,6 +254,7 @@
         @Override
         public void onEnd() {
             if (mSessions.remove(this)) {
+                setMain(false);
                 mLog.write(Event.SUBSCRIBER_LOST, "entry", mEntry);
             }
         }
@@ -253,7 +289,10 @@
         }
 
         private void onQuestion(Question question) {
-            mLoads.onLoad(mEntry, question.getLoadsList(), mClock.getAsLong());
+            setMain(question.getMain());
+            if (mMain) {
+                mLoads.onAlive(mEntry, mClock.getAsLong());
+            }
             mConfirmations.ask(
                     confirmed -> {
                         if (confirmed && mSessions.contains(this)) {
@@ -264,12 +303,29 @@
                     });
         }
 
+        /** Begins to tell the entry of caches and loads, or ends it. */
+        private void setMain(boolean main) {
+            if (main == mMain) {
+                return;
+            }
+            mMain = main;
+            if (!main) {
+                mLoads.onLeft(mEntry);
+                return;
+            }
+            mLoadsTold = List.of();
+            for (CacheNews cache : mCaches.whole()) {
+                send(ControlFrame.newBuilder().setCache(cache).build());
+            }
+        }
+
         private ControlFrame answer(long number) {
             return ControlFrame.newBuilder()
                     .setAnswer(
                             Answer.newBuilder()
                                     .setNumber(number)
-                                    .setEntries(mLoads.entries())
+                                    .setEntries(mLoads.entries(mClock.getAsLong()))
+                                    .setFailureDomain(mFailureDomain)
                                     .addAllControlAddresses(mPeers.known()))
                     .build();
         }
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/instance/ControlLink.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/instance/ControlLink.java
@@ -60,7 +60,7 @@
     void onBeat() {
         mQuestion++;
         mAskedAt.put(mQuestion, mClock.getAsLong());
-        send(EntryFrame.newBuilder().setQuestion(mOwner.question(mQuestion)).build());
+        send(EntryFrame.newBuilder().setQuestion(mOwner.question(this, mQuestion)).build());
     }
 
     @Override
@@ -70,7 +70,7 @@
             if (askedAt != null) {
                 mAskedAt.values().removeIf(at -> at < askedAt);
                 mConfirmedAt = Math.max(mConfirmedAt, askedAt);
-                mOwner.onAnswer(frame.getAnswer(), askedAt);
+                mOwner.onAnswer(this, frame.getAnswer(), askedAt);
             }
         } else {
             mOwner.onNews(frame);
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/instance/ControlLinks.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/instance/ControlLinks.java
@@ -16,9 +16,10 @@
 package org.quilldyke.gateway.instance;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Optional;
+import java.util.Map;
 import java.util.Set;
 import java.util.function.LongSupplier;
 import org.quilldyke.daemon.log.Event;
@@ -46,6 +47,9 @@
 
     private static final long CHECK_MILLIS = 250;
 
+    /** A near control process that didn't answer is preferred again after this long. */
+    private static final long NEAR_RETRY_MILLIS = 5000;
+
     /** How often it is looked whether what is open at targets has changed. */
     private static final long LOADS_MILLIS = 100;
 
@@ -53,16 +57,26 @@
     private final LongSupplier mClock;
     private final EventLog mLog;
     private final Subscriber mSubscriber;
+    private final String mFailureDomain;
     private final Set<String> mAddresses = new LinkedHashSet<>();
+    private final Map<String, String> mDomains = new HashMap<>();
+    private final Map<String, Long> mFailedAt = new HashMap<>();
     private final List<ControlLink> mLinks = new ArrayList<>();
     private List<TargetLoad> mLoadsTold = List.of();
+    private ControlLink mMain;
     private int mNext;
     private boolean mClosed;
 
-    private ControlLinks(NettyLoop loop, LongSupplier clock, EventLog log, Subscriber subscriber) {
+    private ControlLinks(
+            NettyLoop loop,
+            LongSupplier clock,
+            EventLog log,
+            String failureDomain,
+            Subscriber subscriber) {
         mLoop = loop;
         mClock = clock;
         mLog = log;
+        mFailureDomain = failureDomain;
         mSubscriber = subscriber;
     }
 
@@ -72,6 +86,8 @@
      * @param loop the control thread
      * @param clock monotonic milliseconds
      * @param log where gained and lost control processes go
+     * @param failureDomain where this entry stands; a control process there is heard rather than
+     *     others, since what crosses to another one costs
      * @param addresses those known from the settings
      * @param first where among them to begin, so that entries spread over them
      * @param subscriber hears what they tell
@@ -80,10 +96,11 @@
             NettyLoop loop,
             LongSupplier clock,
             EventLog log,
+            String failureDomain,
             List<String> addresses,
             int first,
             Subscriber subscriber) {
-        ControlLinks links = new ControlLinks(loop, clock, log, subscriber);
+        ControlLinks links = new ControlLinks(loop, clock, log, failureDomain, subscriber);
         links.mAddresses.addAll(addresses);
         links.mNext = first;
         links.check();
@@ -114,12 +131,13 @@
         return mSubscriber.hello();
     }
 
-    Question question(long number) {
-        return mSubscriber.question(number);
+    Question question(ControlLink link, long number) {
+        return Question.newBuilder().setNumber(number).setMain(isMain(link)).build();
     }
 
-    void onAnswer(Answer answer, long askedAt) {
+    void onAnswer(ControlLink link, Answer answer, long askedAt) {
         onAddresses(answer.getControlAddressesList());
+        mDomains.put(link.address(), answer.getFailureDomain());
         mSubscriber.onAnswer(answer, askedAt);
     }
 
@@ -127,6 +145,23 @@
         mSubscriber.onNews(frame);
     }
 
+    /**
+     * Returns whether a link is the one on which this entry tells what it has open, and hears of
+     * caches and of others' loads: one that is up, and rather one in the own failure domain.
+     */
+    private boolean isMain(ControlLink link) {
+        boolean replaced = mMain == null || !mLinks.contains(mMain) || !mMain.isUp();
+        if (replaced || isNear(link) && link.isUp() && !isNear(mMain)) {
+            mMain = link;
+            mLoadsTold = List.of();
+        }
+        return mMain == link;
+    }
+
+    private boolean isNear(ControlLink link) {
+        return mFailureDomain.equals(mDomains.get(link.address()));
+    }
+
     void onLink(String address, boolean up, String why) {
         mLog.write(up ? Event.CONTROL_GAINED : Event.CONTROL_LOST, "control", address, "why", why);
     }
@@ -142,9 +177,11 @@
                     boolean stale = now - link.confirmedAt() > UNCONFIRMED_MILLIS;
                     if (stale) {
                         link.close();
+                        mFailedAt.put(link.address(), now);
                     }
                     return stale;
                 });
+        leaveForNearer();
         while (mLinks.size() < Math.min(LINKS, mAddresses.size())) {
             ControlLink link = new ControlLink(mLoop, mClock, nextAddress(), this);
             mLinks.add(link);
@@ -152,29 +189,54 @@
         }
     }
 
+    /** Leaves a far link if the other one is far, too, and a control process may be near. */
+    private void leaveForNearer() {
+        boolean settled = mLinks.size() == LINKS && mLinks.stream().allMatch(ControlLink::isUp);
+        if (!settled || mLinks.stream().anyMatch(this::isNear)) {
+            return;
+        }
+        boolean hope = mAddresses.stream().anyMatch(address -> mayBeNear(address));
+        if (hope) {
+            mLinks.remove(LINKS - 1).close();
+        }
+    }
+
+    /** Returns whether an address without a link is in the own failure domain, or may be. */
+    private boolean mayBeNear(String address) {
+        String domain = mDomains.getOrDefault(address, mFailureDomain);
+        Long failedAt = mFailedAt.get(address);
+        boolean failed = failedAt != null && mClock.getAsLong() - failedAt < NEAR_RETRY_MILLIS;
+        return !failed
+                && domain.equals(mFailureDomain)
+                && mLinks.stream().noneMatch(link -> link.address().equals(address));
+    }
+
     private void tellLoads() {
         if (mClosed) {
             return;
         }
         mLoop.schedule(LOADS_MILLIS, this::tellLoads);
         List<TargetLoad> loads = mSubscriber.loads();
-        Optional<ControlLink> link = mLinks.stream().filter(ControlLink::isUp).findFirst();
-        if (link.isPresent() && !loads.equals(mLoadsTold)) {
+        if (mMain != null && mMain.isUp() && !loads.equals(mLoadsTold)) {
             mLoadsTold = loads;
             TargetLoads news = TargetLoads.newBuilder().addAllTargets(loads).build();
-            link.get().send(EntryFrame.newBuilder().setLoads(news).build());
+            mMain.send(EntryFrame.newBuilder().setLoads(news).build());
         }
     }
 
     private String nextAddress() {
         List<String> all = new ArrayList<>(mAddresses);
+        boolean near = mLinks.stream().anyMatch(this::isNear);
+        String fallback = all.get(0);
         for (int i = 0; i < all.size(); i++) {
             String address = all.get(Math.floorMod(mNext++, all.size()));
-            if (mLinks.stream().noneMatch(link -> link.address().equals(address))) {
+            boolean free = mLinks.stream().noneMatch(link -> link.address().equals(address));
+            if (free && (near || mayBeNear(address))) {
                 return address;
             }
+            fallback = free ? address : fallback;
         }
-        return all.get(0);
+        return fallback;
     }
 
     /** Hears what control processes tell, on the control thread. */
@@ -182,9 +244,6 @@
         /** Returns what opens a stream. */
         Hello hello();
 
-        /** Returns a question with the given number. */
-        Question question(long number);
-
         /** Returns what this entry has open at targets. */
         List<TargetLoad> loads();
 
--- /dev/null
+++ b/quilldyke-gateway/src/test/java/org/quilldyke/gateway/control/CacheMirrorTest.java
@@ -0,0 +1,69 @@
+/*
+ * Copyright 2026 The quilldyke authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.quilldyke.gateway.control;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.quilldyke.gateway.instance.proto.CacheNews;
+
+/** An entry that started knew nothing of caches until they changed. */
+class CacheMirrorTest {
+    private final CacheMirror mMirror = new CacheMirror();
+
+    @Test
+    void wholeIsWhatWasAddedAndNotRemoved() {
+        mMirror.apply(news().addAdded(1).addAdded(2).build());
+        mMirror.apply(news().addRemoved(1).addAdded(3).build());
+
+        CacheNews whole = mMirror.whole().get(0);
+        assertThat(whole.getWhole()).isTrue();
+        assertThat(whole.getAddedList()).containsExactly(2L, 3L);
+    }
+
+    @Test
+    void onlyWhatIsNewGoesOn() {
+        mMirror.apply(news().addAdded(1).addAdded(2).build());
+
+        assertThat(mMirror.apply(news().addAdded(1).addRemoved(9).build())).isEmpty();
+        CacheNews changes = mMirror.apply(news().addAdded(1).addAdded(3).build()).get();
+        assertThat(changes.getAddedList()).containsExactly(3L);
+    }
+
+    @Test
+    void wholeNewsRemoveTheRest() {
+        mMirror.apply(news().addAdded(1).addAdded(2).build());
+
+        CacheNews changes = mMirror.apply(news().setWhole(true).addAdded(2).build()).get();
+
+        assertThat(changes.getRemovedList()).containsExactly(1L);
+        assertThat(changes.getAddedList()).isEmpty();
+    }
+
+    @Test
+    void restartAndStandingAreNewsByThemselves() {
+        mMirror.apply(news().addAdded(1).build());
+
+        assertThat(mMirror.apply(news().setUp(false).build()).get().getUp()).isFalse();
+        assertThat(mMirror.apply(news().setRestarted(true).build()).get().getRestarted()).isTrue();
+        assertThat(mMirror.whole().get(0).getAddedList()).isEqualTo(List.of());
+    }
+
+    private static CacheNews.Builder news() {
+        return CacheNews.newBuilder().setHolder("i-1").setUp(true);
+    }
+}
--- a/quilldyke-gateway/src/test/java/org/quilldyke/gateway/control/EntryLoadsTest.java
+++ b/quilldyke-gateway/src/test/java/org/quilldyke/gateway/control/EntryLoadsTest.java
@@ -19,7 +19,7 @@
 
 import java.util.List;
 import org.junit.jupiter.api.Test;
-import org.quilldyke.gateway.instance.proto.EntryLoad;
+import org.quilldyke.gateway.instance.proto.Loads;
 import org.quilldyke.gateway.instance.proto.TargetLoad;
 
 /** What others have open was known half a second late, so that all chose the same engine. */
@@ -31,14 +31,37 @@
         mLoads.onLoad("a", List.of(load("x", 2, 100), load("y", 1, 10)), 0);
         mLoads.onLoad("b", List.of(load("x", 3, 50)), 0);
         mLoads.onOthers(
-                List.of(EntryLoad.newBuilder().setEntry("c").addTargets(load("y", 4, 7)).build()),
-                0);
+                "other", Loads.newBuilder().addTargets(load("y", 4, 7)).addEntries("c").build(), 0);
 
         EntryLoads.Totals totals = mLoads.totals(10);
 
         assertThat(totals.allBut("a")).containsExactly(load("x", 3, 50), load("y", 4, 7));
         assertThat(totals.allBut("b")).containsExactly(load("x", 2, 100), load("y", 5, 17));
         assertThat(totals.allBut("d")).containsExactly(load("x", 5, 150), load("y", 5, 17));
+        assertThat(mLoads.here(10)).containsExactly(load("x", 5, 150), load("y", 1, 10));
+        assertThat(mLoads.entriesHere(10)).containsExactly("a", "b");
+        assertThat(mLoads.entries(10)).isEqualTo(3);
+    }
+
+    @Test
+    void entryThatTellsElsewhereCountsOnceOnly() {
+        mLoads.onLoad("a", List.of(load("x", 2, 100)), 0);
+        mLoads.onLeft("a");
+        mLoads.onOthers(
+                "other",
+                Loads.newBuilder().addTargets(load("x", 2, 100)).addEntries("a").build(),
+                0);
+
+        assertThat(mLoads.totals(10).allBut("b")).containsExactly(load("x", 2, 100));
+        assertThat(mLoads.entries(10)).isEqualTo(1);
+    }
+
+    @Test
+    void loadThatIsConfirmedDoesNotGoStale() {
+        mLoads.onLoad("a", List.of(load("x", 2, 100)), 0);
+        mLoads.onAlive("a", EntryLoads.STALE_MILLIS);
+
+        assertThat(mLoads.here(EntryLoads.STALE_MILLIS + 1)).containsExactly(load("x", 2, 100));
     }
 
     @Test
