Caches are remembered over a restart; an entry lets the control process of its machine start and be elected first

Cause: as no process watched caches before there was a leader, prompts were read whole for 0.2 to 0.4 s; watching earlier cost the election 0.2 s. Control processes now store what caches keep every 300 ms: while all are down no engine is asked for anything. On machines with both processes the second one ran its first instruction when the first was up, and the two then shared a core: entries wait there until the control process listens and for 250 ms more, unless it listens already.

--- a/quilldyke-daemon/src/main/java/org/quilldyke/daemon/control/DataFolder.java
+++ b/quilldyke-daemon/src/main/java/org/quilldyke/daemon/control/DataFolder.java
@@ -45,7 +45,7 @@
     private static final String SNAPSHOT = "snapshot";
     private static final String LOG = "log";
     private static final String IDENTITY = "identity";
-    private static final String TARGETS = "targets";
+    private static final String HINTS = "hint-";
     private static final int SNAPSHOT_HEADER = 20;
 
     private final Path mFolder;
@@ -183,14 +183,15 @@
     }
 
     /**
-     * Returns what was stored of targets last; empty if there is nothing, or nothing whole: what is
-     * remembered of them helps a restart and no promise hangs on it.
+     * Returns a hint that was stored last; empty if there is none, or none whole: hints make a
+     * restart quicker, and no promise hangs on them.
      *
+     * @param name which one
      * @throws QuilldykeException {@link ResultCode#DISK_FAILED} if the disk can't be read
      */
-    public byte[] loadTargets() throws QuilldykeException {
+    public byte[] loadHint(String name) throws QuilldykeException {
         try {
-            byte[] bytes = readChecked(TARGETS);
+            byte[] bytes = readChecked(HINTS + name);
             return bytes == null ? new byte[0] : bytes;
         } catch (IOException e) {
             throw failed(e);
@@ -202,10 +203,10 @@
         }
     }
 
-    /** Stores what is known of targets. */
-    public void saveTargets(byte[] targets) throws QuilldykeException {
+    /** Stores a hint. */
+    public void saveHint(String name, byte[] content) throws QuilldykeException {
         try {
-            writeChecked(TARGETS, ByteBuffer.wrap(targets));
+            writeChecked(HINTS + name, ByteBuffer.wrap(content));
         } catch (IOException e) {
             throw failed(e);
         }
@@ -214,7 +215,7 @@
     /** Removes all files, so that the replica can start anew under another name. */
     public void clear() throws QuilldykeException {
         try {
-            for (String name : List.of(IDENTITY, BALLOT, SNAPSHOT, LOG, LOG + ".tmp", TARGETS)) {
+            for (String name : List.of(IDENTITY, BALLOT, SNAPSHOT, LOG, LOG + ".tmp")) {
                 Files.deleteIfExists(mFolder.resolve(name));
             }
             syncFolder();
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/GatewayProcess.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/GatewayProcess.java
@@ -116,6 +116,7 @@
      */
     public static GatewayProcess start(GatewaySettings settings, Dialect dialect, long startedAt)
             throws QuilldykeException {
+        StartOrder.await(settings);
         GatewayProcess process = new GatewayProcess(settings, dialect, startedAt);
         if (settings.role() == GatewaySettings.Role.ENTRY) {
             process.startEntry();
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Exchange.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Exchange.java
@@ -61,6 +61,7 @@
     private final ByteBuf mBody;
     private final ExchangeLog mLog;
     private final long mArrivedAt;
+    private long mMillisLeft = -1;
     private ForwardRequest mRequest;
     private Forwarding mForwarding;
     private Choice mChoice;
@@ -251,9 +252,11 @@
         if (mEntry.routes() != null && mEntry.lease().wasGranted()) {
             return false;
         }
-        long millisLeft =
-                mEntry.dialect().callers().read(mHead).millisLeft().orElse(Long.MAX_VALUE);
-        return StartUpWait.mayWait(mArrivedAt, millisLeft, now());
+        if (mMillisLeft < 0) {
+            mMillisLeft =
+                    mEntry.dialect().callers().read(mHead).millisLeft().orElse(Long.MAX_VALUE);
+        }
+        return StartUpWait.mayWait(mArrivedAt, mMillisLeft, now());
     }
 
     private ForwardRequest admit() throws QuilldykeException {
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/CacheWatch.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/CacheWatch.java
@@ -37,11 +37,9 @@
 /**
  * Watches what engines and stores keep of prompts, and tells it to all instances in short form.
  *
- * <p>Only the leader watches: an engine bears few readers, and one is enough. While there is none,
- * as after a loss of all, each control process does: until caches were known, 0.2 to 0.4 s after
- * the first requests, prompts were read whole, and the next second's were refused for it. A holder
- * that doesn't answer is asked again, and all instances hear of it: they avoid it unless they hear
- * it themselves. What an engine kept is believed lost only if it says that it has restarted.
+ * <p>Only the leader watches: an engine bears few readers, and one is enough. A holder that doesn't
+ * answer is asked again, and all instances hear of it: they avoid it unless they hear it
+ * themselves. What an engine kept is believed lost only if it says that it has restarted.
  */
 final class CacheWatch {
     private static final long RETRY_MILLIS = 400;
@@ -52,7 +50,7 @@
     private final Consumer<CacheNews> mTell;
     private final Map<String, Watch> mWatches = new HashMap<>();
     private Map<String, Service> mServices = Map.of();
-    private boolean mActive;
+    private boolean mLeads;
 
     CacheWatch(EngineOrders engines, NettyLoop loop, EventLog log, Consumer<CacheNews> tell) {
         mEngines = engines;
@@ -69,15 +67,16 @@
     }
 
     /** Begins to watch what is new, and stops to watch what is gone. */
-    void tick(boolean active, List<TargetReport> targets) {
-        mActive = active;
-        if (!active) {
+    void tick(boolean leads, List<TargetReport> targets) {
+        mLeads = leads;
+        if (!leads) {
             mWatches.clear();
             return;
         }
         Set<String> wanted = new HashSet<>();
         for (TargetReport target : targets) {
-            if (isEngine(target)) {
+            Service service = mServices.get(target.service());
+            if (service != null && service.engines().isPresent()) {
                 wanted.add(target.id());
                 watch(target.id(), target.address());
             }
@@ -93,15 +92,6 @@
         mWatches.keySet().retainAll(wanted);
     }
 
-    /** Before a manifest is known, an engine shows by the weights that it reports. */
-    private boolean isEngine(TargetReport target) {
-        if (mServices.isEmpty()) {
-            return !target.weights().isEmpty();
-        }
-        Service service = mServices.get(target.service());
-        return service != null && service.engines().isPresent();
-    }
-
     /** Returns the holders that don't answer just now. */
     Set<String> silent() {
         Set<String> silent = new HashSet<>();
@@ -118,7 +108,7 @@
     }
 
     private void ask(Watch watch) {
-        if (!mActive || mWatches.get(watch.mHolder) != watch) {
+        if (!mLeads || mWatches.get(watch.mHolder) != watch) {
             return;
         }
         mEngines.watchCache(
@@ -128,7 +118,7 @@
     }
 
     private void onEvents(Watch watch, Optional<CacheEvents> answer) {
-        if (!mActive || mWatches.get(watch.mHolder) != watch) {
+        if (!mLeads || mWatches.get(watch.mHolder) != watch) {
             return;
         }
         if (answer.isEmpty()) {
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/ControlNode.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/ControlNode.java
@@ -59,6 +59,9 @@
     private static final long LEASE_MILLIS = 350;
     private static final long TICK_MILLIS = 50;
 
+    /** An engine of today's sites reads one or two long prompts within this time. */
+    private static final long SAVE_CACHES_MILLIS = 300;
+
     /** A process that hasn't heard a leader for this long can't say that a target is silent. */
     private static final long OUT_OF_TOUCH_MILLIS = 1500;
 
@@ -72,13 +75,14 @@
     private final Group mGroup;
     private final Confirmations mConfirmations;
     private final Proposals mProposals;
-    private final TargetMemory mMemory;
+    private final RestartMemory mMemory;
     private final TargetSpread mTargets;
     private final MembershipKeeper mMembership;
     private final WeightsKeeper mWeights;
     private final CacheWatch mCaches;
     private final ControlDialect mDialect;
     private volatile Set<String> mSeeds;
+    private long mCachesSavedAt;
     private boolean mTellPosted;
     private boolean mStopped;
 
@@ -101,7 +105,7 @@
         mMachine = new FleetMachine(this::onState);
         SplittableRandom random = new SplittableRandom(System.nanoTime() ^ mAddress.hashCode());
         DataFolder folder = DataFolder.open(Path.of(settings.dataFolder()));
-        mMemory = TargetMemory.in(folder, loop, log);
+        mMemory = RestartMemory.in(folder, loop, log);
         ReplicaIdentity.Opened opened =
                 ReplicaIdentity.open(folder, settings, mAddress, random, log);
         mGroup = new Group(opened.identity().id(), mPeers);
@@ -181,6 +185,7 @@
                 "last",
                 node.mGroup.node().replica().lastIndex());
         node.mPeers.onUp(node::onPeerUp);
+        node.mMemory.caches().forEach(node.mEntries::onCache);
         node.mGroup.node().start();
         node.tick();
         return node;
@@ -364,11 +369,8 @@
         mPeers.send(address, PeerFrame.newBuilder().setTargets(mTargets.heard()));
     }
 
-    /** Without a leader each control process watches for itself. */
     private void tellCache(CacheNews news) {
-        if (mGroup.leads()) {
-            mPeers.sendToAll(PeerFrame.newBuilder().setCache(news));
-        }
+        mPeers.sendToAll(PeerFrame.newBuilder().setCache(news));
         mEntries.onCache(news);
     }
 
@@ -404,8 +406,11 @@
         mMembership.tick(mSeeds);
         mTargets.tick(isInTouch());
         mEntries.tick();
-        boolean leaderless = mGroup.node().leader().isEmpty();
-        mCaches.tick(leaderless || mGroup.leads(), mTargets.reports());
+        mCaches.tick(mGroup.leads(), mTargets.reports());
+        if (mClock.getAsLong() - mCachesSavedAt >= SAVE_CACHES_MILLIS) {
+            mCachesSavedAt = mClock.getAsLong();
+            mMemory.saveCaches(mEntries.caches());
+        }
         mWeights.tick(
                 mMachine.state().weights(),
                 new EngineFleet(mTargets.reports(), mCaches.silent(), mEntries.openRequests()));
--- /dev/null
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/RestartMemory.java
@@ -0,0 +1,113 @@
+/*
+ * Copyright 2026 The quilldyke authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.quilldyke.gateway.control;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import com.google.protobuf.MessageLite;
+import com.google.protobuf.Parser;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.quilldyke.QuilldykeException;
+import org.quilldyke.daemon.control.ControlLoop;
+import org.quilldyke.daemon.control.DataFolder;
+import org.quilldyke.daemon.control.DiskQueue;
+import org.quilldyke.daemon.log.Event;
+import org.quilldyke.daemon.log.EventLog;
+import org.quilldyke.engine.TargetReport;
+import org.quilldyke.gateway.instance.TargetFrames;
+import org.quilldyke.gateway.instance.proto.CacheNews;
+import org.quilldyke.gateway.instance.proto.Caches;
+import org.quilldyke.gateway.instance.proto.Target;
+import org.quilldyke.gateway.instance.proto.Targets;
+
+/**
+ * What a control process knew before its restart, kept on its disk: targets, and what they cached.
+ * Best effort: a write that is under way or fails holds up nothing.
+ *
+ * <p>While all processes are down no request reaches an engine, so what caches kept just before is
+ * what they keep after it.
+ */
+final class RestartMemory {
+    private static final String TARGETS = "targets";
+    private static final String CACHES = "caches";
+
+    private final DataFolder mFolder;
+    private final DiskQueue mDisk;
+    private final EventLog mLog;
+    private final Set<String> mSaving = new HashSet<>();
+
+    private RestartMemory(DataFolder folder, DiskQueue disk, EventLog log) {
+        mFolder = folder;
+        mDisk = disk;
+        mLog = log;
+    }
+
+    /** Returns the memory in a folder; its writes have a thread of their own. */
+    static RestartMemory in(DataFolder folder, ControlLoop loop, EventLog log) {
+        return new RestartMemory(folder, DiskQueue.create(loop, log), log);
+    }
+
+    /** Returns the targets that were stored last. */
+    List<TargetReport> targets() {
+        return load(TARGETS, Targets.parser(), Targets.getDefaultInstance())
+                .getTargetsList()
+                .stream()
+                .map(TargetFrames::decode)
+                .map(TargetReport::remembered)
+                .toList();
+    }
+
+    /** Returns what was stored of caches last. */
+    List<CacheNews> caches() {
+        return load(CACHES, Caches.parser(), Caches.getDefaultInstance()).getCachesList();
+    }
+
+    /** Stores targets; returns whether it is done, and not still busy with the write before. */
+    boolean saveTargets(List<TargetReport> reports) {
+        List<Target> targets = reports.stream().map(r -> TargetFrames.encode(r, 0)).toList();
+        return save(TARGETS, Targets.newBuilder().addAllTargets(targets).build());
+    }
+
+    /** Stores what caches keep; returns as {@link #saveTargets}. */
+    boolean saveCaches(List<CacheNews> whole) {
+        return save(CACHES, Caches.newBuilder().addAllCaches(whole).build());
+    }
+
+    void close() {
+        mDisk.close();
+    }
+
+    private boolean save(String name, MessageLite content) {
+        if (!mSaving.add(name)) {
+            return false;
+        }
+        byte[] bytes = content.toByteArray();
+        mDisk.submit(() -> mFolder.saveHint(name, bytes), () -> mSaving.remove(name));
+        return true;
+    }
+
+    private <T> T load(String name, Parser<T> parser, T none) {
+        try {
+            return parser.parseFrom(mFolder.loadHint(name));
+        } catch (QuilldykeException e) {
+            mLog.write(Event.DISK_FAILED, "detail", e.getMessage());
+        } catch (InvalidProtocolBufferException e) {
+            mLog.write(Event.INVARIANT, "detail", name + ": " + e.getMessage());
+        }
+        return none;
+    }
+}
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/TargetSpread.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/TargetSpread.java
@@ -69,7 +69,7 @@
     private final Consumer<Targets> mEntries;
     private final LongSupplier mClock;
     private final EventLog mLog;
-    private final TargetMemory mMemory;
+    private final RestartMemory mMemory;
     private final long mLapseMillis;
     private final long mForgetAt;
     private boolean mToSave;
@@ -82,7 +82,7 @@
             Consumer<Targets> entries,
             LongSupplier clock,
             EventLog log,
-            TargetMemory memory,
+            RestartMemory memory,
             long reportMillis) {
         mPeers = peers;
         mEntries = entries;
@@ -95,7 +95,7 @@
         mRefreshedAt = mCompleteSince;
         long remembered = Math.round(reportMillis * REMEMBERED_REPORTS);
         mForgetAt = mCompleteSince + Math.max(MIN_REMEMBERED_MILLIS, remembered);
-        memory.load().forEach(report -> mRegistry.onReport(report, mCompleteSince));
+        memory.targets().forEach(report -> mRegistry.onReport(report, mCompleteSince));
     }
 
     /** Takes a report that came here. */
@@ -215,7 +215,7 @@
             forgetRemembered();
         }
         if (mToSave) {
-            mToSave = !mMemory.save(mRegistry.reports());
+            mToSave = !mMemory.saveTargets(mRegistry.reports());
         }
         if (!inTouch) {
             mCompleteSince = now;
--- a/quilldyke-gateway/src/test/java/org/quilldyke/gateway/control/TargetSpreadTest.java
+++ b/quilldyke-gateway/src/test/java/org/quilldyke/gateway/control/TargetSpreadTest.java
@@ -46,13 +46,13 @@
             new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final List<Target> mTold = new ArrayList<>();
     private final EventLog mLog = EventLog.of("test");
-    private TargetMemory mMemory;
+    private RestartMemory mMemory;
     private TargetSpread mSpread;
 
     @BeforeEach
     void start() throws Exception {
         NettyLoop loop = new NettyLoop(mGroup.next());
-        mMemory = TargetMemory.in(DataFolder.open(mFolder), loop, mLog);
+        mMemory = RestartMemory.in(DataFolder.open(mFolder), loop, mLog);
         mSpread =
                 new TargetSpread(
                         Peers.create(loop, () -> mNow, mLog, "127.0.0.1:1"),
@@ -156,7 +156,7 @@
 
     @Test
     void damagedMemoryIsTakenForNone() throws Exception {
-        Files.writeString(mFolder.resolve("targets"), "not a checked file");
+        Files.writeString(mFolder.resolve("hint-targets"), "not a checked file");
         start();
 
         assertThat(mSpread.all().getTargetsList()).isEmpty();
@@ -170,7 +170,7 @@
     private void saveAndRestart() throws Exception {
         mSpread.tick(true);
         long until = System.nanoTime() + SAVED_NANOS;
-        while (!Files.exists(mFolder.resolve("targets")) && System.nanoTime() < until) {
+        while (!Files.exists(mFolder.resolve("hint-targets")) && System.nanoTime() < until) {
             Thread.sleep(5);
         }
         mMemory.close();
