--- a/quilldyke-core/src/main/java/org/quilldyke/caller/Forwarding.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/caller/Forwarding.java
@@ -43,6 +43,13 @@
     /** A target may be silent for this long before it is given up, whatever the objective. */
     private static final long MIN_SILENCE_MILLIS = 800;
 
+    /**
+     * A stream that runs is moved only if this many second attempts are left: its new target may
+     * begin to load weights too, and refuse it unrun. An instance that had just started moved
+     * streams with its last attempt, and cut those that were refused.
+     */
+    private static final int MOVE_ATTEMPTS = 3;
+
     /** A second attempt with less time than this is pointless. */
     private static final long MIN_MILLIS_LEFT = 30;
 
@@ -161,7 +168,11 @@
      */
     public Optional<Step> onTargetWaits(long now) {
         boolean underWay = mOpen && mHeadPassed;
-        if (!underWay || !mayRunAgain(now) || !takeRetry(now)) {
+        boolean mayMove =
+                underWay
+                        && mayRunAgain(now)
+                        && mRetries.hasRoom(mRequest.service(), MOVE_ATTEMPTS, now);
+        if (!mayMove || !takeRetry(now)) {
             return Optional.empty();
         }
         finishAttempt();
--- a/quilldyke-core/src/main/java/org/quilldyke/caller/RetryAllowance.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/caller/RetryAllowance.java
@@ -70,15 +70,20 @@
 
     /** Takes a second attempt on a service; returns false, and takes nothing, if none is left. */
     public boolean tryTake(String service, long now) {
-        Window window = window(service, now);
-        double allowed = mRatio * sum(window.mRequests) + mFixed / mInstances;
-        if (sum(window.mRetries) + 1 > USED_PART * allowed) {
+        if (!hasRoom(service, 1, now)) {
             return false;
         }
-        window.mRetries[bucket(now)]++;
+        window(service, now).mRetries[bucket(now)]++;
         return true;
     }
 
+    /** Returns whether so many second attempts on a service are left. */
+    public boolean hasRoom(String service, int attempts, long now) {
+        Window window = window(service, now);
+        double allowed = mRatio * sum(window.mRequests) + mFixed / mInstances;
+        return sum(window.mRetries) + attempts <= USED_PART * allowed;
+    }
+
     private Window window(String service, long now) {
         Window window = mWindows.computeIfAbsent(service, name -> new Window(now / mBucketMillis));
         window.advanceTo(now / mBucketMillis);
--- a/quilldyke-core/src/test/java/org/quilldyke/caller/ForwardingTest.java
+++ b/quilldyke-core/src/test/java/org/quilldyke/caller/ForwardingTest.java
@@ -249,6 +249,25 @@
         assertThat(alone.onTargetWaits(20)).isEqualTo(Optional.empty());
     }
 
+    /** Streams were moved with the last second attempt, and cut when their new target shed them. */
+    @Test
+    void streamIsMovedOnlyIfAnAttemptIsLeftForARefusal() {
+        mRetries = RetryAllowance.create(0, 3.75, 10_000, 1);
+        Forwarding moved = forwarding(RequestKind.STREAMING, 2);
+        String first = sent(moved.start(0), moved);
+        moved.onAnswer(STREAM, 10);
+        moved.onEventPassed(4);
+        String second = sent(moved.onTargetWaits(20).get(), moved);
+        String third = sent(moved.onAnswer(SHED, 30), moved);
+        assertThat(List.of(first, second, third)).containsNoDuplicates();
+
+        Forwarding next = forwarding(RequestKind.STREAMING, 2);
+        sent(next.start(40), next);
+        next.onAnswer(STREAM, 50);
+        next.onEventPassed(4);
+        assertThat(next.onTargetWaits(60)).isEqualTo(Optional.empty());
+    }
+
     /** A stream was cut on its second target after a second of silence, with nowhere left to go. */
     @Test
     void silenceTellsNothingWhenNobodyElseCouldAnswer() {
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/GatewayProcess.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/GatewayProcess.java
@@ -68,7 +68,7 @@
     private static final long OUT_OF_ROTATION_MILLIS = 2600;
 
     /** What is kept of the time to shut down for the last answers to leave. */
-    private static final long EXIT_MARGIN_MILLIS = 400;
+    private static final long EXIT_MARGIN_MILLIS = 200;
 
     private static final long POLL_MILLIS = 50;
     private static final long SWEEP_MILLIS = 1000;
