--- a/quilldyke-core/src/main/java/org/quilldyke/caller/Forwarding.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/caller/Forwarding.java
@@ -45,8 +45,7 @@
 
     /**
      * A stream that runs is moved only if this many second attempts are left: its new target may
-     * begin to load weights too, and refuse it unrun. An instance that had just started moved
-     * streams with its last attempt, and cut those that were refused.
+     * begin to load weights too, and refuse it unrun, and without an attempt left it is cut then.
      */
     private static final int MOVE_ATTEMPTS = 3;
 
--- a/quilldyke-core/src/main/java/org/quilldyke/routing/SiteWeights.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/routing/SiteWeights.java
@@ -23,9 +23,9 @@
  * its prefill times a price that grows with the requests that wait there.
  */
 public enum SiteWeights {
-    /** Long, heavily shared prompts: prefix hits and little recomputation first (Brazos County). */
+    /** Long, heavily shared prompts: prefix hits and little recomputation first. */
     REUSE(8),
-    /** Callers who cannot wait: the predicted time to first token first (Winterthal). */
+    /** Callers who cannot wait: the predicted time to first token first. */
     LATENCY(5);
 
     private final double mBasePrice;
--- a/quilldyke-core/src/test/java/org/quilldyke/caller/ForwardingTest.java
+++ b/quilldyke-core/src/test/java/org/quilldyke/caller/ForwardingTest.java
@@ -249,7 +249,7 @@
         assertThat(alone.onTargetWaits(20)).isEqualTo(Optional.empty());
     }
 
-    /** Streams were moved with the last second attempt, and cut when their new target shed them. */
+    /** A stream that is moved with the last second attempt is cut if its new target sheds it. */
     @Test
     void streamIsMovedOnlyIfAnAttemptIsLeftForARefusal() {
         mRetries = RetryAllowance.create(0, 3.75, 10_000, 1);
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/EntryLoads.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/EntryLoads.java
@@ -29,8 +29,8 @@
  * What entry processes have open at targets: each entry's own, of those that tell it here, and the
  * sums of what is told to each other control process.
  *
- * <p>Sums are enough, and grow with the targets only: told entry by entry, every 100 ms and to each
- * other control process, they were the largest part of what instances say to each other.
+ * <p>Sums are enough, and grow with the targets only; told entry by entry, every 100 ms and to each
+ * other control process, loads grow with entries times targets.
  */
 final class EntryLoads {
     /** A load that was told this long ago says nothing any more. */
