Sight: a shutdown tells what was open, and each answer that it cuts

Cause of the change: the lines couldn't tell the hypotheses apart. QD5002 tells what is open, QD5003 what was cut, QD1001 with the new QR2021 each request that was cut and after which event, QD2001 the most output tokens, QD1002 the last event. What is open at the limit gets an answer now where none has begun: 503 if it was not sent, 502 if it may have run; before, the process just ended.

--- a/quilldyke-core/src/main/java/org/quilldyke/caller/Forwarding.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/caller/Forwarding.java
@@ -181,14 +181,25 @@
 
     /** Returns the step when the request's time is over. */
     public Step onTimeOver(long now) {
+        return cutShort(
+                ResultCode.ROUTE_TIMEOUT,
+                new Step.Refuse(ResultCode.DEADLINE_PASSED, 0, "no target in time"));
+    }
+
+    /** Returns the step when this instance has to end before the target's answer does. */
+    public Step onInstanceEnds() {
+        return cutShort(
+                ResultCode.CUT_BY_SHUTDOWN,
+                new Step.Refuse(ResultCode.SHUTTING_DOWN, 0, "not sent before the end"));
+    }
+
+    private Step cutShort(ResultCode code, Step.Refuse unsent) {
         boolean sent = mSent;
         finishAttempt();
         if (mHeadPassed) {
-            return new Step.Break(ResultCode.ROUTE_TIMEOUT);
+            return new Step.Break(code);
         }
-        return sent || mMayHaveRun > 0
-                ? new Step.Fail(ResultCode.ROUTE_TIMEOUT)
-                : new Step.Refuse(ResultCode.DEADLINE_PASSED, 0, "no target in time");
+        return sent || mMayHaveRun > 0 ? new Step.Fail(code) : unsent;
     }
 
     /** Notes that nothing more is done: the caller went away, or its key can't be confirmed. */
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/GatewayProcess.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/GatewayProcess.java
@@ -28,6 +28,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 import org.quilldyke.Outcome;
 import org.quilldyke.QuilldykeException;
 import org.quilldyke.ResultCode;
@@ -77,6 +78,9 @@
     /** A loop that is stuck is left behind after this long. */
     private static final long HALT_LIMIT_MILLIS = 2000;
 
+    /** A traffic thread that is busy for longer than this isn't waited for. */
+    private static final long COUNT_LIMIT_MILLIS = 1000;
+
     private static final long DISK_RETRY_MILLIS = 300;
 
     private final GatewaySettings mSettings;
@@ -160,7 +164,8 @@
     public void shutdown() {
         long start = mClock.getAsLong();
         mDraining.set(true);
-        mLog.write(Event.SHUTTING_DOWN, "role", mSettings.role());
+        int open = mEntry == null ? 0 : onTraffic(mCallers::busyConnections);
+        mLog.write(Event.SHUTTING_DOWN, "role", mSettings.role(), "open", open);
         if (mNode != null) {
             mControl.execute(mNode::leave);
             pause(POLL_MILLIS);
@@ -169,11 +174,15 @@
             mTraffic.execute(mEntry::drain);
             long end = start + mSettings.timings().grace() - EXIT_MARGIN_MILLIS;
             pause(OUT_OF_ROTATION_MILLIS);
-            while (mClock.getAsLong() < end && busyConnections() > 0) {
+            while ((open = busyConnections()) > 0 && mClock.getAsLong() < end) {
+                pause(POLL_MILLIS);
+            }
+            if (open > 0) {
+                mTraffic.execute(mCallers::onInstanceEnds);
                 pause(POLL_MILLIS);
             }
         }
-        mLog.write(Event.STOPPED, "after", mClock.getAsLong() - start);
+        mLog.write(Event.STOPPED, "after", mClock.getAsLong() - start, "cut", open);
     }
 
     /** Stops at once and says nothing, as a killed process does. */
@@ -208,13 +217,18 @@
     }
 
     private int busyConnections() {
-        CompletableFuture<Integer> busy = new CompletableFuture<>();
-        mTraffic.execute(
+        return onTraffic(
                 () -> {
                     mCallers.closeIdle();
-                    busy.complete(mCallers.busyConnections());
+                    return mCallers.busyConnections();
                 });
-        return busy.completeOnTimeout(1, 1, TimeUnit.SECONDS).join();
+    }
+
+    /** Returns a count of what is open, taken on the traffic thread; 1 if that thread is stuck. */
+    private int onTraffic(Supplier<Integer> count) {
+        CompletableFuture<Integer> counted = new CompletableFuture<>();
+        mTraffic.execute(() -> counted.complete(count.get()));
+        return counted.completeOnTimeout(1, COUNT_LIMIT_MILLIS, TimeUnit.MILLISECONDS).join();
     }
 
     private void startEntry() throws QuilldykeException {
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/CallerConnection.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/CallerConnection.java
@@ -123,6 +123,15 @@
         return mExchange != null || mHead != null;
     }
 
+    /** Ends what is open on the connection: the instance ends. */
+    void onInstanceEnds() {
+        if (mExchange != null) {
+            mExchange.onInstanceEnds();
+        } else if (mHead != null) {
+            refuse(QuilldykeException.notRun(ResultCode.SHUTTING_DOWN, "amid the request"));
+        }
+    }
+
     /** Closes the connection if nothing is open on it. */
     void closeIfIdle() {
         if (!isBusy()) {
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/CallerServer.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/CallerServer.java
@@ -63,6 +63,11 @@
         new ArrayList<>(mConnections).forEach(CallerConnection::closeIfIdle);
     }
 
+    /** Ends what is still open, and tells of each; call it on the traffic thread. */
+    public void onInstanceEnds() {
+        new ArrayList<>(mConnections).forEach(CallerConnection::onInstanceEnds);
+    }
+
     private void initialize(SocketChannel channel) {
         CallerConnection connection = new CallerConnection(mEntry);
         mConnections.add(connection);
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Exchange.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Exchange.java
@@ -125,6 +125,19 @@
         end();
     }
 
+    /** The instance ends before the answer does. */
+    void onInstanceEnds() {
+        if (mEnded) {
+            return;
+        }
+        Step step =
+                mForwarding == null
+                        ? new Step.Refuse(ResultCode.SHUTTING_DOWN, 0, "before a target was chosen")
+                        : mForwarding.onInstanceEnds();
+        cancelAttempt();
+        perform(step);
+    }
+
     void onWritable(boolean writable) {
         if (mAttempt != null) {
             mAttempt.setReading(writable);
@@ -509,6 +522,7 @@
                 mChoice,
                 mFirstEventMillis,
                 mLongestPauseMillis,
+                mForwarding.lastEvent(),
                 millis);
     }
 
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/ExchangeLog.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/ExchangeLog.java
@@ -53,6 +53,8 @@
                 choice.cachedTokens(),
                 "missing",
                 choice.missingTokens(),
+                "output_tokens",
+                request.prompt().map(Prompt::maxOutputTokens).orElse(0),
                 "fetched_from",
                 choice.cacheSource(),
                 "kept_at",
@@ -88,6 +90,7 @@
      * @param choice whose answer it is
      * @param firstEventMillis from the last sending to the first event, -1 if it isn't a stream
      * @param pauseMillis the longest time between two events
+     * @param lastEvent the number of the last event, -1 for none
      * @param millis from the request's arrival to the end
      */
     void answered(
@@ -96,6 +99,7 @@
             Choice choice,
             long firstEventMillis,
             long pauseMillis,
+            long lastEvent,
             long millis) {
         mLog.write(
                 Event.ANSWERED,
@@ -111,6 +115,8 @@
                 choice.expectedMillis(),
                 "pause_ms",
                 pauseMillis,
+                "last_event",
+                lastEvent,
                 "ms",
                 millis);
     }
