An instance that shuts down takes only what ends before it has to

Cause: an entry took every request until its listener closed (2.6 s after SIGTERM), whatever it might last, and ended 7.8 s after SIGTERM. Class: a promise (an answer to its end) given without asking whether the time for it is there.

Change: ShutdownAdmission. The longest run of a stream is its largest number of tokens, over the tokens of an event as the runs seen bound them, at the slowest pace of late (seen: 37 ms an event, up to 70 at p99; events hold 5 tokens; a short note may have 955). What may last longer is refused unrun at once (QR2014), to come back at once: the other instances serve it. Left: a stream begun before SIGTERM may still outlast the shutdown.

ShutdownPathTest failed before, passes (2 of 2); ShutdownAdmissionTest 7, ForwardingTest, GatewayPathTest passed.

--- a/quilldyke-core/src/main/java/org/quilldyke/caller/Forwarding.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/caller/Forwarding.java
@@ -55,6 +55,7 @@
     private final ForwardRequest mRequest;
     private final TargetBook mBook;
     private final RetryAllowance mRetries;
+    private final ShutdownAdmission mShutdown;
     private final Set<String> mExcluded = new HashSet<>();
     private Choice mChoice;
     private boolean mOpen;
@@ -66,10 +67,15 @@
     private boolean mHeadPassed;
     private long mLastEvent;
 
-    private Forwarding(ForwardRequest request, TargetBook book, RetryAllowance retries) {
+    private Forwarding(
+            ForwardRequest request,
+            TargetBook book,
+            RetryAllowance retries,
+            ShutdownAdmission shutdown) {
         mRequest = request;
         mBook = book;
         mRetries = retries;
+        mShutdown = shutdown;
         mLastEvent = request.lastEvent();
     }
 
@@ -79,9 +85,14 @@
      * @param request what is asked for
      * @param book the targets
      * @param retries bounds second attempts
+     * @param shutdown which requests are taken while the instance shuts down
      */
-    public static Forwarding of(ForwardRequest request, TargetBook book, RetryAllowance retries) {
-        return new Forwarding(request, book, retries);
+    public static Forwarding of(
+            ForwardRequest request,
+            TargetBook book,
+            RetryAllowance retries,
+            ShutdownAdmission shutdown) {
+        return new Forwarding(request, book, retries, shutdown);
     }
 
     /** Returns the first step. */
@@ -299,6 +310,11 @@
                             + mRequest.route().objectiveMillis();
             return giveUp(ResultCode.OVERLOADED, why, now);
         }
+        if (choice.isPresent()
+                && fresh
+                && !mShutdown.admits(mRequest, choice.get().expectedMillis(), now)) {
+            return mShutdown.refusal(now);
+        }
         if (choice.isPresent()) {
             mChoice = choice.get();
             mOpen = true;
--- a/quilldyke-core/src/test/java/org/quilldyke/caller/ForwardingTest.java
+++ b/quilldyke-core/src/test/java/org/quilldyke/caller/ForwardingTest.java
@@ -331,6 +331,6 @@
         ForwardRequest request =
                 new ForwardRequest(
                         "id", route, "s", Optional.empty(), "", Optional.empty(), 0, 0, 1000, -1);
-        return Forwarding.of(request, mBook, mRetries);
+        return Forwarding.of(request, mBook, mRetries, ShutdownAdmission.create());
     }
 }
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/GatewayProcess.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/GatewayProcess.java
@@ -171,8 +171,8 @@
             pause(POLL_MILLIS);
         }
         if (mEntry != null) {
-            mTraffic.execute(mEntry::drain);
             long end = start + mSettings.timings().grace() - EXIT_MARGIN_MILLIS;
+            mTraffic.execute(() -> mEntry.drain(end));
             pause(OUT_OF_ROTATION_MILLIS);
             while ((open = busyConnections()) > 0 && mClock.getAsLong() < end) {
                 pause(POLL_MILLIS);
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Entry.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Entry.java
@@ -26,6 +26,7 @@
 import java.util.function.LongSupplier;
 import org.quilldyke.caller.KeyLease;
 import org.quilldyke.caller.RetryAllowance;
+import org.quilldyke.caller.ShutdownAdmission;
 import org.quilldyke.daemon.log.EventLog;
 import org.quilldyke.engine.TargetReport;
 import org.quilldyke.gateway.dialect.Dialect;
@@ -49,13 +50,13 @@
     private final TargetBook mBook;
     private final TargetPool mPool;
     private final RetryAllowance mRetries;
+    private final ShutdownAdmission mShutdown = ShutdownAdmission.create();
     private final KeyLease mLease;
     private final EventLog mLog;
     private final GatewayMetrics mMetrics;
     private final Map<String, Set<Exchange>> mExchanges = new HashMap<>();
     private final Set<String> mLapsing = new HashSet<>();
     private RouteTable mRoutes;
-    private boolean mDraining;
 
     private Entry(Parts parts) {
         mLoop = parts.loop();
@@ -116,7 +117,7 @@
      * instance that shuts down, which has to bring them to their end.
      */
     private void checkHeldUp(String target) {
-        if (mDraining || !mBook.isLoading(target, now())) {
+        if (isDraining() || !mBook.isLoading(target, now())) {
             return;
         }
         if (mBook.isHeldUp(target, now())) {
@@ -132,9 +133,14 @@
         }
     }
 
-    /** Takes no more connections for long: answers end their connections. */
-    public void drain() {
-        mDraining = true;
+    /**
+     * Takes no more connections for long, and no request that would not end in time: answers end
+     * their connections.
+     *
+     * @param endsAt when the last answer has to be out
+     */
+    public void drain(long endsAt) {
+        mShutdown.onShutdown(endsAt);
     }
 
     /** Returns the present configuration, or null if none is known. */
@@ -149,7 +155,7 @@
 
     /** Returns whether the instance shuts down. */
     public boolean isDraining() {
-        return mDraining;
+        return mShutdown.isShuttingDown();
     }
 
     /** Returns whether the configuration was confirmed a short while ago. */
@@ -187,6 +193,11 @@
         return mLease;
     }
 
+    /** Returns which requests are taken while the instance shuts down. */
+    ShutdownAdmission shutdown() {
+        return mShutdown;
+    }
+
     Dialect dialect() {
         return mDialect;
     }
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Exchange.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Exchange.java
@@ -78,6 +78,7 @@
     private long mSentAt;
     private long mFirstEventMillis = -1;
     private long mEventAt;
+    private long mStreamBegunAt;
     private long mLongestPauseMillis;
     private boolean mStreamBegun;
     private boolean mEnded;
@@ -107,7 +108,7 @@
         }
         long left = Math.max(0, mRequest.answerBy() - now());
         mTimeOver = mEntry.loop().schedule(this::onTimeOver, left, TimeUnit.MILLISECONDS);
-        mForwarding = Forwarding.of(mRequest, mEntry.book(), mEntry.retries());
+        mForwarding = Forwarding.of(mRequest, mEntry.book(), mEntry.retries(), mEntry.shutdown());
         mEntry.metrics().onRequest(mRequest.route().kind());
         perform(mForwarding.start(now()));
     }
@@ -399,6 +400,8 @@
         }
         beginStream();
         mForwarding.onComplete();
+        mEntry.shutdown()
+                .onStreamEnded(mRequest, mForwarding.lastEvent(), now() - mStreamBegunAt, now());
         logAnswered();
         end();
         mCaller.endStream();
@@ -413,6 +416,7 @@
         mFirstHeaders = HopByHop.passedOn(mAnswerHead.headers(), name -> false);
         mFirstEventMillis = now() - mSentAt;
         mEventAt = now();
+        mStreamBegunAt = mEventAt;
         mEntry.book().onFirstEvent(mChoice, mFirstEventMillis, now());
         mEntry.metrics().onFirstEvent(mFirstEventMillis, mChoice.expectedMillis());
         mCaller.beginStream(mAnswerHead.status(), mFirstHeaders);
