A connection ends with the first answer that ends during a shutdown

Class: a state that changes is asked once, at the begin of what it must hold for to the end. Ruled out: the listener (closed at 2.6 s). Change: it is asked at the end of each answer. What was read behind a stream is still answered.

--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/CallerConnection.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/CallerConnection.java
@@ -274,7 +274,7 @@
         mExchange = null;
         mHead = null;
         stopTimer();
-        if (!mKeepAlive) {
+        if (isLastAnswer()) {
             mClosing = true;
             mContext.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
             return;
@@ -284,6 +284,15 @@
         mContext.executor().execute(this::readWaiting);
     }
 
+    /**
+     * Asked at the end of each answer: the shutdown may have begun after the head of a stream,
+     * which then promised to keep the connection. What was read behind the stream is still
+     * answered.
+     */
+    private boolean isLastAnswer() {
+        return !mKeepAlive || mEntry.isDraining() && mWaiting.isEmpty();
+    }
+
     private void readWaiting() {
         while (mExchange == null && !mWaiting.isEmpty()) {
             Object message = mWaiting.poll();
