What a request lasts is learnt from the slowest of the last runs, by the tokens that each might have had

Requests without a prompt and with a long timeout were always refused; streams that broke off taught nothing. Change: RunTimes keeps the last 256 runs of a service; the slowest, by allowed token, with a margin of a half, bounds the next. Forty runs are enough; before, a token counts 80 ms. Resumed streams count as whole ones. Ruled out: the caller's hint of a length (right at the median only, off by a factor of four for one in 400 at a spread of 0.5).

--- /dev/null
+++ b/quilldyke-core/src/main/java/org/quilldyke/caller/RunTimes.java
@@ -0,0 +1,55 @@
+/*
+ * Copyright 2026 The quilldyke authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.quilldyke.caller;
+
+import java.util.OptionalDouble;
+
+/** The slowest of the last runs of one kind, with a margin for those that are slower still. */
+final class RunTimes {
+    /** Some minutes of one instance's streams; a slow engine is forgotten with them. */
+    private static final int KEPT_RUNS = 256;
+
+    /** Before so many runs were seen, nothing is taken as learnt. */
+    private static final int ENOUGH_RUNS = 40;
+
+    /**
+     * Lengths are spread over a factor of four above their median (log-normal, sigma 0.7, cut off
+     * at four times the median): the longest of forty is below two thirds of that for one in
+     * twenty.
+     */
+    private static final double MARGIN = 1.5;
+
+    private final double[] mMillis = new double[KEPT_RUNS];
+    private int mSeen;
+
+    /** Takes how long a run lasted, in milliseconds of whatever its kind is measured by. */
+    void onEnded(double millis) {
+        mMillis[mSeen % KEPT_RUNS] = millis;
+        mSeen++;
+    }
+
+    /** Returns how long a run lasts at most; nothing as long as too few were seen. */
+    OptionalDouble most() {
+        if (mSeen < ENOUGH_RUNS) {
+            return OptionalDouble.empty();
+        }
+        double slowest = 0;
+        for (int i = 0; i < Math.min(mSeen, KEPT_RUNS); i++) {
+            slowest = Math.max(slowest, mMillis[i]);
+        }
+        return OptionalDouble.of(slowest * MARGIN);
+    }
+}
--- a/quilldyke-core/src/main/java/org/quilldyke/caller/ShutdownAdmission.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/caller/ShutdownAdmission.java
@@ -24,16 +24,24 @@
  *
  * <p>Until the balancer has noticed, callers still come, and the instance has a few seconds less
  * than a stream may last. A stream that it took and couldn't finish would be cut amid its answer;
- * one that is refused at once is served by another instance. One object for all requests of an
- * instance, used by one thread.
+ * one that is refused at once may be served by another instance. What a request lasts is learnt
+ * from those that ended: streams by the tokens that they might have had, others by themselves. One
+ * object for all requests of an instance, used by one thread.
  */
 public final class ShutdownAdmission {
     private static final long RUNNING = Long.MAX_VALUE;
 
-    /** A refused caller comes back at once: the other instances go on serving. */
+    /** A refused caller comes back at once: an instance that goes on serves it in time. */
     private static final long RETRY_MILLIS = 1;
 
-    private final Map<String, StreamTimes> mStreams = new HashMap<>();
+    /**
+     * What a token is taken to last as long as nothing is learnt: an engine's step that reads 4,096
+     * tokens of a prompt at 57 a millisecond, and 8 ms for the rest.
+     */
+    private static final double UNKNOWN_TOKEN_MILLIS = 80;
+
+    private final Map<String, RunTimes> mTokens = new HashMap<>();
+    private final Map<String, RunTimes> mOthers = new HashMap<>();
     private long mEndsAt = RUNNING;
 
     private ShutdownAdmission() {}
@@ -60,11 +68,9 @@
      * @param firstEventMillis when its first event is expected
      */
     public boolean admits(ForwardRequest request, long firstEventMillis, long now) {
-        if (!isShuttingDown() || request.answerBy() <= mEndsAt) {
-            return true;
-        }
-        return request.prompt().isPresent()
-                && now + firstEventMillis + streamMillis(request, now) <= mEndsAt;
+        return !isShuttingDown()
+                || request.answerBy() <= mEndsAt
+                || now + firstEventMillis + mostMillis(request) <= mEndsAt;
     }
 
     /** Returns the refusal of a request that isn't taken. */
@@ -74,24 +80,32 @@
     }
 
     /**
-     * Takes how long a stream lasted that came to its end.
+     * Takes how long an answer lasted, also one that broke off: it would have lasted longer.
      *
-     * @param lastEvent the number of its last event
-     * @param millis from its first event here to its end
+     * @param millis from its first event, or from its sending if it is no stream, to its end
      */
-    public void onStreamEnded(ForwardRequest request, long lastEvent, long millis, long now) {
-        if (request.prompt().isPresent()) {
-            long events = lastEvent - Math.max(0, request.lastEvent());
-            int maxTokens = request.prompt().get().maxOutputTokens();
-            times(request).onEnded(maxTokens, lastEvent, events, millis, now);
+    public void onEnded(ForwardRequest request, long millis) {
+        int maxTokens = maxTokens(request);
+        if (maxTokens > 0) {
+            times(mTokens, request).onEnded((double) millis / maxTokens);
+        } else {
+            times(mOthers, request).onEnded(millis);
         }
     }
 
-    private double streamMillis(ForwardRequest request, long now) {
-        return times(request).millis(request.prompt().get().maxOutputTokens(), now);
+    /** A stream that goes on after an event is taken for a whole one: its rest isn't known. */
+    private double mostMillis(ForwardRequest request) {
+        int maxTokens = maxTokens(request);
+        return maxTokens > 0
+                ? maxTokens * times(mTokens, request).most().orElse(UNKNOWN_TOKEN_MILLIS)
+                : times(mOthers, request).most().orElse(request.route().timeoutMillis());
+    }
+
+    private static int maxTokens(ForwardRequest request) {
+        return request.prompt().map(Prompt::maxOutputTokens).orElse(0);
     }
 
-    private StreamTimes times(ForwardRequest request) {
-        return mStreams.computeIfAbsent(request.service(), service -> new StreamTimes());
+    private static RunTimes times(Map<String, RunTimes> all, ForwardRequest request) {
+        return all.computeIfAbsent(request.service(), service -> new RunTimes());
     }
 }
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Exchange.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Exchange.java
@@ -400,8 +400,6 @@
         }
         beginStream();
         mForwarding.onComplete();
-        mEntry.shutdown()
-                .onStreamEnded(mRequest, mForwarding.lastEvent(), now() - mStreamBegunAt, now());
         logAnswered();
         end();
         mCaller.endStream();
@@ -502,6 +500,7 @@
             return;
         }
         mEnded = true;
+        noteLasted();
         closeAttempt();
         releaseAnswer();
         mBody.release();
@@ -513,6 +512,15 @@
         }
     }
 
+    /** How long answers last tells what may still be taken when the instance shuts down. */
+    private void noteLasted() {
+        if (mStreamBegun) {
+            mEntry.shutdown().onEnded(mRequest, now() - mStreamBegunAt);
+        } else if (mSentAt > 0) {
+            mEntry.shutdown().onEnded(mRequest, now() - mSentAt);
+        }
+    }
+
     private void logAttempt(String outcome, String why) {
         mLog.attemptFailed(id(), mChoice, outcome, why);
     }
