--- a/quilldyke-daemon/src/main/java/org/quilldyke/daemon/log/Event.java
+++ b/quilldyke-daemon/src/main/java/org/quilldyke/daemon/log/Event.java
@@ -61,7 +61,7 @@
     DISK_CLEARED(4020, Level.ERROR, "disk-cleared", "a damaged data folder was emptied"),
 
     STARTED(5001, Level.INFO, "start", "the instance serves"),
-    SHUTTING_DOWN(5002, Level.INFO, "drain", "the instance takes no new requests"),
+    SHUTTING_DOWN(5002, Level.INFO, "drain", "the instance takes only what ends before it has to"),
     STOPPED(5003, Level.INFO, "stop", "the instance has stopped"),
     STANDING(5004, Level.WARN, "standing", "the instance's standing in the cell has changed"),
     INSTANCE_HEARD(5005, Level.INFO, "instance", "another instance was heard for the first time"),
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/GatewayProcess.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/GatewayProcess.java
@@ -79,7 +79,12 @@
     private static final long HALT_LIMIT_MILLIS = 2000;
 
     /** A traffic thread that is busy for longer than this isn't waited for. */
-    private static final long COUNT_LIMIT_MILLIS = 1000;
+    private static final long COUNT_LIMIT_MILLIS = 100;
+
+    /**
+     * An operator's call waits for a commit, and is sent again after a second without an answer.
+     */
+    private static final long LAST_CALLS_MILLIS = 1000;
 
     private static final long DISK_RETRY_MILLIS = 300;
 
@@ -95,6 +100,7 @@
     private Entry mEntry;
     private CallerServer mCallers;
     private ControlNode mNode;
+    private ControlServer mCalls;
     private ControlLinks mLinks;
     private SessionServer mSessions;
 
@@ -164,25 +170,36 @@
     public void shutdown() {
         long start = mClock.getAsLong();
         mDraining.set(true);
-        int open = mEntry == null ? 0 : onTraffic(mCallers::busyConnections);
+        int open = mEntry == null ? mCalls.open() : onTraffic(mCallers::busyConnections);
         mLog.write(Event.SHUTTING_DOWN, "role", mSettings.role(), "open", open);
-        if (mNode != null) {
-            mControl.execute(mNode::leave);
+        int cut = mEntry == null ? endControl(start) : endEntry(start);
+        mLog.write(Event.STOPPED, "after", mClock.getAsLong() - start, "cut", cut);
+    }
+
+    /** Returns how many calls were cut: those that take longer than calls ever should. */
+    private int endControl(long start) {
+        mControl.execute(mNode::leave);
+        pause(POLL_MILLIS);
+        while (mCalls.open() > 0 && mClock.getAsLong() < start + LAST_CALLS_MILLIS) {
             pause(POLL_MILLIS);
         }
-        if (mEntry != null) {
-            long end = start + mSettings.timings().grace() - EXIT_MARGIN_MILLIS;
-            mTraffic.execute(() -> mEntry.drain(end));
-            pause(OUT_OF_ROTATION_MILLIS);
-            while ((open = busyConnections()) > 0 && mClock.getAsLong() < end) {
-                pause(POLL_MILLIS);
-            }
-            if (open > 0) {
-                mTraffic.execute(mCallers::onInstanceEnds);
-                pause(POLL_MILLIS);
-            }
+        return mCalls.open();
+    }
+
+    /** Returns how many requests were cut: those that outlast the time to shut down. */
+    private int endEntry(long start) {
+        long end = start + mSettings.timings().grace() - EXIT_MARGIN_MILLIS;
+        mTraffic.execute(() -> mEntry.drain(end));
+        pause(OUT_OF_ROTATION_MILLIS);
+        mTraffic.execute(mCallers::closeListener);
+        do {
+            pause(POLL_MILLIS);
+        } while (busyConnections() > 0 && mClock.getAsLong() < end);
+        int cut = onTraffic(mCallers::onInstanceEnds);
+        if (cut > 0) {
+            pause(POLL_MILLIS);
         }
-        mLog.write(Event.STOPPED, "after", mClock.getAsLong() - start, "cut", open);
+        return cut;
     }
 
     /** Stops at once and says nothing, as a killed process does. */
@@ -283,8 +300,9 @@
         EngineOrders orders = EngineOrders.create(mTraffic, mDialect.targets(), mClock, mLog);
         mNode = startNode(orders);
         mSessions = SessionServer.start(mSettings.internalAddress(mSettings.ip()), mControl, mNode);
-        ControlServer.start(
-                mSettings.control(), mTraffic, mControl, mNode, mDialect.control(), mLog);
+        mCalls =
+                ControlServer.start(
+                        mSettings.control(), mTraffic, mControl, mNode, mDialect.control(), mLog);
     }
 
     /** Starts the node; a disk that can't be written just now may be writable again soon. */
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/CallerConnection.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/CallerConnection.java
@@ -17,6 +17,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -52,12 +53,17 @@
     /** How many pieces of later requests wait before no more is read. */
     private static final int MAX_WAITING = 64;
 
+    /** A caller that has just connected sends its request within this time. */
+    private static final long NEW_MILLIS = 500;
+
     private final Entry mEntry;
     private final Deque<Object> mWaiting = new ArrayDeque<>();
     private ChannelHandlerContext mContext;
     private HttpRequest mHead;
     private ByteBuf mBody;
     private Exchange mExchange;
+    private long mOpenedAt;
+    private ChannelFuture mLastWrite;
     private boolean mKeepAlive = true;
     private boolean mClosing;
     private ScheduledFuture<?> mTimer;
@@ -69,6 +75,7 @@
     @Override
     public void channelActive(ChannelHandlerContext ctx) {
         mContext = ctx;
+        mOpenedAt = mEntry.now();
         startTimer(mEntry.limits().idleMillis(), this::onIdle);
     }
 
@@ -118,9 +125,14 @@
         ctx.close();
     }
 
-    /** Returns whether a request is being answered or read. */
+    /** Returns whether a request is being answered or read, or an answer hasn't left yet. */
     boolean isBusy() {
-        return mExchange != null || mHead != null;
+        return mExchange != null || mHead != null || isLeaving();
+    }
+
+    /** An answer that has ended may still wait here for a caller that reads slowly. */
+    private boolean isLeaving() {
+        return mLastWrite != null && !mLastWrite.isDone();
     }
 
     /** Ends what is open on the connection: the instance ends. */
@@ -129,12 +141,21 @@
             mExchange.onInstanceEnds();
         } else if (mHead != null) {
             refuse(QuilldykeException.notRun(ResultCode.SHUTTING_DOWN, "amid the request"));
+        } else if (isLeaving()) {
+            mEntry.log()
+                    .write(
+                            Event.REFUSED,
+                            "code",
+                            ResultCode.CUT_BY_SHUTDOWN.label(),
+                            "why",
+                            "the caller has not read the end of its answer");
         }
     }
 
-    /** Closes the connection if nothing is open on it. */
+    /** Closes the connection if nothing is open on it, and its first request isn't under way. */
     void closeIfIdle() {
-        if (!isBusy()) {
+        boolean isNew = mLastWrite == null && mEntry.now() - mOpenedAt < NEW_MILLIS;
+        if (!isBusy() && !isNew) {
             mClosing = true;
             mContext.close();
         }
@@ -147,7 +168,7 @@
         response.headers().add(headers);
         response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
         markLast(response.headers());
-        mContext.writeAndFlush(response);
+        mLastWrite = mContext.writeAndFlush(response);
         onAnswered();
     }
 
@@ -190,7 +211,7 @@
 
     /** Ends a stream that is whole. */
     void endStream() {
-        mContext.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
+        mLastWrite = mContext.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
         onAnswered();
     }
 
@@ -276,7 +297,7 @@
         stopTimer();
         if (isLastAnswer()) {
             mClosing = true;
-            mContext.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+            mLastWrite.addListener(ChannelFutureListener.CLOSE);
             return;
         }
         startTimer(mEntry.limits().idleMillis(), this::onIdle);
@@ -305,6 +326,10 @@
     }
 
     private void onIdle() {
+        if (isLeaving()) {
+            startTimer(mEntry.limits().idleMillis(), this::onIdle);
+            return;
+        }
         mClosing = true;
         mContext.close();
     }
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/CallerServer.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/CallerServer.java
@@ -54,18 +54,25 @@
         return (int) mConnections.stream().filter(CallerConnection::isBusy).count();
     }
 
-    /**
-     * Takes no new connections, and closes those without an open request; call it on the traffic
-     * thread.
-     */
-    public void closeIdle() {
+    /** Takes no new connections; call it on the traffic thread. */
+    public void closeListener() {
         mListener.close();
+    }
+
+    /** Closes the connections without an open request; call it on the traffic thread. */
+    public void closeIdle() {
         new ArrayList<>(mConnections).forEach(CallerConnection::closeIfIdle);
     }
 
-    /** Ends what is still open, and tells of each; call it on the traffic thread. */
-    public void onInstanceEnds() {
+    /**
+     * Ends what is still open, and tells of each; call it on the traffic thread.
+     *
+     * @return how many connections had something open
+     */
+    public int onInstanceEnds() {
+        int open = busyConnections();
         new ArrayList<>(mConnections).forEach(CallerConnection::onInstanceEnds);
+        return open;
     }
 
     private void initialize(SocketChannel channel) {
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/operator/ControlServer.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/operator/ControlServer.java
@@ -36,6 +36,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.quilldyke.Outcome;
 import org.quilldyke.QuilldykeException;
 import org.quilldyke.ResultCode;
@@ -60,6 +61,7 @@
     private final ControlNode mNode;
     private final ControlDialect mDialect;
     private final EventLog mLog;
+    private final AtomicInteger mOpen = new AtomicInteger();
 
     private ControlServer(
             NettyLoop control, ControlNode node, ControlDialect dialect, EventLog log) {
@@ -78,9 +80,10 @@
      * @param node the control process's state
      * @param dialect how operators and targets speak
      * @param log where events go
+     * @return the server, which runs
      * @throws QuilldykeException {@link ResultCode#ADDRESS_IN_USE} if the address can't be bound
      */
-    public static void start(
+    public static ControlServer start(
             String address,
             EventLoop loop,
             NettyLoop control,
@@ -90,6 +93,12 @@
             throws QuilldykeException {
         ControlServer server = new ControlServer(control, node, dialect, log);
         HttpListener.bind(address, loop, server::initialize);
+        return server;
+    }
+
+    /** Returns how many calls were read and aren't answered yet. */
+    public int open() {
+        return mOpen.get();
     }
 
     private void initialize(SocketChannel channel) {
@@ -164,6 +173,7 @@
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
             boolean keepAlive = HttpUtil.isKeepAlive(request);
+            mOpen.incrementAndGet();
             String path = request.uri().split("[?#]", 2)[0];
             try {
                 ControlCall call =
@@ -223,6 +233,7 @@
                 response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
             }
             ctx.writeAndFlush(response)
+                    .addListener(sent -> mOpen.decrementAndGet())
                     .addListener(
                             keepAlive
                                     ? ChannelFutureListener.CLOSE_ON_FAILURE
