--- a/quilldyke-daemon/src/main/java/org/quilldyke/daemon/log/Event.java
+++ b/quilldyke-daemon/src/main/java/org/quilldyke/daemon/log/Event.java
@@ -76,7 +76,8 @@
     RELOADED(5014, Level.INFO, "reload", "the settings were read again"),
     SUBSCRIBER_GAINED(5015, Level.INFO, "subscriber", "an entry process listens here"),
     SUBSCRIBER_LOST(5016, Level.INFO, "subscriber-lost", "an entry process listens no longer"),
-    NO_CLASS_ARCHIVE(5017, Level.WARN, "no-archive", "classes come from the jars, a slow start");
+    NO_CLASS_ARCHIVE(5017, Level.WARN, "no-archive", "classes come from the jars, a slow start"),
+    LOOP_STUCK(5018, Level.ERROR, "loop-stuck", "a thread did not stop in time; addresses stay");
 
     private final int mNumber;
     private final Level mLevel;
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/GatewayProcess.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/GatewayProcess.java
@@ -228,9 +228,14 @@
     }
 
     /** Returns when the loop's sockets are closed: a successor may take their addresses at once. */
-    private static void halt(EventLoop loop) {
-        loop.shutdownGracefully(0, HALT_MILLIS, TimeUnit.MILLISECONDS)
-                .awaitUninterruptibly(HALT_LIMIT_MILLIS);
+    private void halt(EventLoop loop) {
+        long start = mClock.getAsLong();
+        boolean ended =
+                loop.shutdownGracefully(0, HALT_MILLIS, TimeUnit.MILLISECONDS)
+                        .awaitUninterruptibly(HALT_LIMIT_MILLIS);
+        if (!ended) {
+            mLog.write(Event.LOOP_STUCK, "after", mClock.getAsLong() - start);
+        }
     }
 
     private int busyConnections() {
