Removed log entries that were synced are synced away before others take their place

Cause: a follower that replaced entries wrote the new ones over the old ones with one sync for both. A loss of power in between could tear the new ones and keep old ones behind them, which say that the torn place was synced: that was taken for damage, and the folder was cleared. A machine that had lost nothing so counted as one more lost disk.

Change: LogFile.truncateFrom syncs if it removes what was synced; rare, and on the disk's thread.

Ruled out: a milder reading of damage, since real damage to acknowledged entries must stay refused.

--- a/quilldyke-daemon/src/main/java/org/quilldyke/daemon/control/LogFile.java
+++ b/quilldyke-daemon/src/main/java/org/quilldyke/daemon/control/LogFile.java
@@ -108,15 +108,21 @@
         mEnd += size;
     }
 
+    /**
+     * Removes entries. If some of them were synced, their removal is synced too: what is written in
+     * their place may be torn, and must not look like damage to what the disk was known to hold.
+     */
     void truncateFrom(long index) throws IOException {
         int kept = (int) (index - mFirstIndex);
-        if (kept >= mOffsets.size()) {
-            return;
+        if (kept < mOffsets.size()) {
+            mEnd = mOffsets.getLong(kept);
+            mChannel.truncate(mEnd);
+            mOffsets.size(kept);
+        }
+        if (index <= mSynced) {
+            mChannel.force(false);
+            mSynced = index - 1;
         }
-        mEnd = mOffsets.getLong(kept);
-        mOffsets.size(kept);
-        mSynced = Math.min(mSynced, index - 1);
-        mChannel.truncate(mEnd);
     }
 
     void sync() throws IOException {
