What a replica finds on its disk at a start is synced before it counts

Cause: a process that is killed between a write and its sync finds the entries, or the ballot, at its next start, and took them for durable: it acknowledged them at once. If power went before the next entry was written they were gone, and with another machine's disk so was what had been acknowledged.

Change: DataFolder.load syncs the log and the folder: two syncs more at a start.

Ruled out: to count nothing as synced until the next write, since followers of a silent group would then hold up what a leader waits for.

DataFolderTest, ReplicaNodeTest, ReplicaNodeReadTest pass.

--- a/quilldyke-daemon/src/main/java/org/quilldyke/daemon/control/DataFolder.java
+++ b/quilldyke-daemon/src/main/java/org/quilldyke/daemon/control/DataFolder.java
@@ -88,6 +88,9 @@
             byte[] state = new byte[snapshot.remaining()];
             snapshot.get(state);
             mLog = LogFile.open(mFolder.resolve(LOG), index);
+            // What a process wrote that was killed before its sync is found, but not yet durable.
+            mLog.sync();
+            syncFolder();
             return new DurableState(ballot, index, term, state, membership, mLog.takeLoaded());
         } catch (IOException e) {
             throw failed(e);
