A damaged folder loses its name before its log

Cause: a folder that is cleared lost all names with one sync. A loss of power in between could leave the name without the ballot and the log, and a replica under its old name, whose votes and acknowledgements count, would have remembered nothing.

Change: DataFolder.clear removes the name first and syncs that.

Ruled out: nothing else was found that vouches for the rest.

Ran: DataFolderPowerLossTest (5 tests), DataFolderTest, ReplicaNodeTest, ReplicaNodeReadTest pass.

--- a/quilldyke-daemon/src/main/java/org/quilldyke/daemon/control/DataFolder.java
+++ b/quilldyke-daemon/src/main/java/org/quilldyke/daemon/control/DataFolder.java
@@ -215,10 +215,15 @@
         }
     }
 
-    /** Removes all files, so that the replica can start anew under another name. */
+    /**
+     * Removes all files, so that the replica can start anew under another name; the name first, for
+     * good, since it vouches for the others.
+     */
     public void clear() throws QuilldykeException {
         try {
-            for (String name : List.of(IDENTITY, BALLOT, SNAPSHOT, LOG, LOG + ".tmp")) {
+            Files.deleteIfExists(mFolder.resolve(IDENTITY));
+            syncFolder();
+            for (String name : List.of(BALLOT, SNAPSHOT, LOG, LOG + ".tmp")) {
                 Files.deleteIfExists(mFolder.resolve(name));
             }
             syncFolder();
