Control groups that lose disks while all others lose power, in virtual time

Cause: nothing showed that what was acknowledged survives the loss of as many disks as a site must bear at the moment at which all other machines lose power.

ReplicaNode can be given the thread of its disk, ControlNode's replica is made in one place for both, and FakeNetwork is public.

Ruled out: ClusterRun with another disk, since its shell isn't the one that runs on machines.

--- a/quilldyke-daemon/src/main/java/org/quilldyke/daemon/control/DiskQueue.java
+++ b/quilldyke-daemon/src/main/java/org/quilldyke/daemon/control/DiskQueue.java
@@ -36,21 +36,27 @@
     private final ExecutorService mThread;
     private volatile boolean mClosed;
 
-    private DiskQueue(ControlLoop loop, EventLog log) {
+    private DiskQueue(ExecutorService thread, ControlLoop loop, EventLog log) {
+        mThread = thread;
         mLoop = loop;
         mLog = log;
-        mThread =
+    }
+
+    /** Returns a queue with a thread of its own that reports to the given control thread. */
+    public static DiskQueue create(ControlLoop loop, EventLog log) {
+        ExecutorService thread =
                 Executors.newSingleThreadExecutor(
                         task -> {
-                            Thread thread = new Thread(task, "disk");
-                            thread.setDaemon(true);
-                            return thread;
+                            Thread daemon = new Thread(task, "disk");
+                            daemon.setDaemon(true);
+                            return daemon;
                         });
+        return on(thread, loop, log);
     }
 
-    /** Returns a queue that reports to the given control thread. */
-    public static DiskQueue create(ControlLoop loop, EventLog log) {
-        return new DiskQueue(loop, log);
+    /** Returns a queue on the given thread, which carries out one task after the other. */
+    public static DiskQueue on(ExecutorService thread, ControlLoop loop, EventLog log) {
+        return new DiskQueue(thread, loop, log);
     }
 
     /**
--- a/quilldyke-daemon/src/main/java/org/quilldyke/daemon/control/ReplicaNode.java
+++ b/quilldyke-daemon/src/main/java/org/quilldyke/daemon/control/ReplicaNode.java
@@ -80,7 +80,7 @@
             Listener listener) {
         mEnvironment = environment;
         mStorage = storage;
-        mDisk = DiskQueue.create(environment.loop(), environment.log());
+        mDisk = environment.disk();
         mReplica = replica;
         mMachine = machine;
         mSend = send;
@@ -482,8 +482,14 @@
      * @param loop the control thread
      * @param clock monotonic milliseconds
      * @param log where events go
+     * @param disk carries out its writes; it is closed with the replica
      */
-    public record Environment(ControlLoop loop, LongSupplier clock, EventLog log) {
+    public record Environment(ControlLoop loop, LongSupplier clock, EventLog log, DiskQueue disk) {
+        /** Creates an environment whose writes have a thread of their own. */
+        public Environment(ControlLoop loop, LongSupplier clock, EventLog log) {
+            this(loop, clock, log, DiskQueue.create(loop, log));
+        }
+
         /** Returns the present time in monotonic milliseconds. */
         public long now() {
             return clock.getAsLong();
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/ControlNode.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/ControlNode.java
@@ -22,6 +22,7 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.LongSupplier;
+import java.util.random.RandomGenerator;
 import org.quilldyke.QuilldykeException;
 import org.quilldyke.ResultCode;
 import org.quilldyke.control.Membership;
@@ -109,12 +110,7 @@
         ReplicaIdentity.Opened opened =
                 ReplicaIdentity.open(folder, settings, mAddress, random, log);
         mGroup = new Group(opened.identity().id(), mPeers);
-        ReplicaSettings replicaSettings =
-                ReplicaSettings.of(opened.identity().id(), opened.identity().initial())
-                        .withTimes(HEARTBEAT_MILLIS, ELECTION_MILLIS, LEASE_MILLIS);
-        Replica replica =
-                Replica.restore(
-                        replicaSettings, opened.disk(), random, startedAt, clock.getAsLong());
+        Replica replica = restore(opened, random, startedAt, clock.getAsLong());
         ReplicaNode<FleetResult> node =
                 ReplicaNode.of(
                         new ReplicaNode.Environment(loop, clock, log),
@@ -191,6 +187,15 @@
         return node;
     }
 
+    /** Returns a replica of this fleet in the state that its disk holds. */
+    static Replica restore(
+            ReplicaIdentity.Opened opened, RandomGenerator random, long startedAt, long now) {
+        ReplicaSettings settings =
+                ReplicaSettings.of(opened.identity().id(), opened.identity().initial())
+                        .withTimes(HEARTBEAT_MILLIS, ELECTION_MILLIS, LEASE_MILLIS);
+        return Replica.restore(settings, opened.disk(), random, startedAt, now);
+    }
+
     /** Takes seeds that the settings name now. */
     public void onSeeds(Set<String> seeds) {
         mSeeds = Set.copyOf(seeds);
--- /dev/null
+++ b/quilldyke-gateway/src/test/java/org/quilldyke/gateway/control/LossMachine.java
@@ -0,0 +1,295 @@
+/*
+ * Copyright 2026 The quilldyke authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.quilldyke.gateway.control;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.SplittableRandom;
+import org.quilldyke.QuilldykeException;
+import org.quilldyke.control.Membership;
+import org.quilldyke.control.MembershipPlanner;
+import org.quilldyke.daemon.control.DataFolder;
+import org.quilldyke.daemon.control.DiskQueue;
+import org.quilldyke.daemon.control.ReplicaNode;
+import org.quilldyke.daemon.control.ReplicatedMachine;
+import org.quilldyke.daemon.log.Event;
+import org.quilldyke.daemon.log.EventLog;
+import org.quilldyke.gateway.settings.GatewaySettings;
+import org.quilldyke.manifest.FleetResult;
+import org.quilldyke.manifest.FleetState;
+import org.quilldyke.testkit.check.CheckReport;
+import org.quilldyke.testkit.disk.PowerLossDisk;
+import org.quilldyke.testkit.disk.PowerLostException;
+
+/** A machine of a {@link LossRun}: the real replica with its files on a disk that loses power. */
+final class LossMachine implements ReplicatedMachine<FleetResult> {
+    private static final int PORT = 7340;
+    private static final int SEEDS = 3;
+    private static final int KEEPER_MILLIS = 50;
+    private static final int JOIN_MILLIS = 500;
+    private static final int READ_MILLIS = 900;
+
+    private final String mAddress;
+    private final int mNumber;
+    private final int mTolerated;
+    private final LossRun mRun;
+    private final CheckReport mReport;
+    private final Random mRandom;
+    private final long mClockOffset;
+    private final PowerLossDisk mDisk = PowerLossDisk.create();
+    private final List<Read> mReads = new ArrayList<>();
+    private FleetMachine mState = new FleetMachine(state -> {});
+    private EventLog mLog;
+    private VirtualLoop mLoop;
+    private VirtualDisk mWrites;
+    private MembershipPlanner mPlanner;
+    private ReplicaNode<FleetResult> mNode;
+    private String mId = "";
+    private boolean mFirstStart = true;
+    private long mStartAt;
+    private long mPausedUntil;
+    private long mJoinedAt;
+
+    LossMachine(int number, int tolerated, LossRun run, CheckReport report, Random random) {
+        mNumber = number;
+        mTolerated = tolerated;
+        mRun = run;
+        mReport = report;
+        mRandom = random;
+        mAddress = ip(number) + ":" + PORT;
+        mClockOffset = random.nextInt(1_000_000);
+    }
+
+    static String ip(int number) {
+        return "10.0.0." + number;
+    }
+
+    String id() {
+        return mId;
+    }
+
+    String address() {
+        return mAddress;
+    }
+
+    boolean isUp() {
+        return mNode != null;
+    }
+
+    boolean canAct() {
+        return isUp() && mPausedUntil <= mRun.now();
+    }
+
+    ReplicaNode<FleetResult> node() {
+        return mNode;
+    }
+
+    FleetState state() {
+        return mState.state();
+    }
+
+    long snapshots() {
+        return isUp() ? mLog.count(Event.SNAPSHOT_SAVED) : 0;
+    }
+
+    void startAt(long at) {
+        mStartAt = at;
+    }
+
+    void pauseUntil(long until) {
+        mPausedUntil = until;
+    }
+
+    /** Takes the wish of a replica to be a member. */
+    void onJoin(Membership.Member joiner) {
+        mPlanner.onJoin(joiner);
+    }
+
+    /** Lets a millisecond pass. */
+    void advance() {
+        if (!isUp() && mStartAt <= mRun.now()) {
+            start();
+        }
+        if (canAct()) {
+            mWrites.run(mRun.now());
+            mLoop.run();
+            answerReads();
+        }
+    }
+
+    /** Asks for the newest manifest. */
+    void read(long atLeast) {
+        if (canAct() && mNode.isLeader()) {
+            mReads.add(new Read(clock(), atLeast));
+        }
+    }
+
+    /** Ends the process at any operation of its disk; its files stay as they are. */
+    void kill() {
+        if (!isUp()) {
+            return;
+        }
+        mWrites.breakOff();
+        checkEvents();
+        mNode = null;
+        mReads.clear();
+        mFirstStart = false;
+    }
+
+    /** Takes the power away at any operation of the disk. */
+    void losePower() {
+        kill();
+        mDisk.losePower(mRandom);
+    }
+
+    /** Takes the power and the disk away; the next start finds an empty folder. */
+    void loseDisk() {
+        kill();
+        mDisk.wipe();
+    }
+
+    @Override
+    public FleetResult apply(long index, byte[] command) throws QuilldykeException {
+        mRun.onApply(mId, index, command);
+        return mState.apply(index, command);
+    }
+
+    @Override
+    public byte[] snapshot() {
+        return mState.snapshot();
+    }
+
+    @Override
+    public void restore(byte[] snapshot) throws QuilldykeException {
+        mState.restore(snapshot);
+        mRun.checkContent(mId, mState.state());
+    }
+
+    private void start() {
+        boolean losesPower = !mFirstStart && mRandom.nextInt(8) == 0;
+        mDisk.failAfter(losesPower ? mRandom.nextInt(30) : Long.MAX_VALUE);
+        try {
+            open();
+        } catch (PowerLostException e) {
+            mReport.count("fault loss of power at a start");
+            mDisk.losePower(mRandom);
+            mNode = null;
+            mStartAt = mRun.now() + mRandom.nextInt(300);
+        } catch (QuilldykeException e) {
+            mReport.violation("a start fails: " + mAddress + " " + e);
+        }
+        mDisk.failAfter(Long.MAX_VALUE);
+    }
+
+    private void open() throws QuilldykeException {
+        mLog = EventLog.of(mAddress);
+        mLoop = new VirtualLoop(this::clock);
+        mWrites = new VirtualDisk(mDisk, mRandom);
+        mPlanner = MembershipPlanner.create(mTolerated);
+        mState = new FleetMachine(state -> {});
+        SplittableRandom random = new SplittableRandom(mRandom.nextLong());
+        DataFolder folder = DataFolder.open(mDisk.folder());
+        ReplicaIdentity.Opened opened =
+                ReplicaIdentity.open(folder, settings(), mAddress, random, mLog);
+        mId = opened.identity().id();
+        ReplicaNode.Environment environment =
+                new ReplicaNode.Environment(
+                        mLoop, this::clock, mLog, DiskQueue.on(mWrites, mLoop, mLog));
+        mNode =
+                ReplicaNode.of(
+                        environment,
+                        folder,
+                        opened.disk(),
+                        ControlNode.restore(opened, random, clock(), clock()),
+                        this,
+                        (to, message) -> mRun.send(this, to, message),
+                        leads -> mRun.onLeadership(this, leads));
+        mNode.start();
+        keepMembership();
+    }
+
+    private GatewaySettings settings() {
+        List<String> seeds = new ArrayList<>();
+        for (int i = 0; i < SEEDS; i++) {
+            seeds.add(ip(i) + ":8783");
+        }
+        return new GatewaySettings(
+                "machine-" + mNumber,
+                GatewaySettings.Role.CONTROL,
+                "domain",
+                "",
+                "",
+                "",
+                ip(mNumber),
+                PORT,
+                seeds,
+                mFirstStart,
+                "",
+                mTolerated,
+                null);
+    }
+
+    /** Does what {@link MembershipKeeper} does. */
+    private void keepMembership() {
+        mLoop.schedule(KEEPER_MILLIS, this::keepMembership);
+        if (mNode.isLeader()) {
+            Optional<Membership> next =
+                    mPlanner.next(mNode.replica(), mId, mNode.leaderSince(), clock());
+            if (next.isPresent() && mNode.proposeMembership(next.get())) {
+                mReport.count("membership proposed");
+            }
+        } else if (mNode.leader().isEmpty() && clock() - mJoinedAt > JOIN_MILLIS) {
+            mJoinedAt = clock();
+            mRun.join(new Membership.Member(mId, mAddress));
+        }
+    }
+
+    private void answerReads() {
+        long confirmedAt = mNode.confirmedAt();
+        for (Read read : List.copyOf(mReads)) {
+            if (read.since() < confirmedAt) {
+                mReads.remove(read);
+                mRun.checkContent(mId, state());
+                mReport.check(
+                        state().version() >= read.atLeast(),
+                        "a read gives what was acknowledged before it",
+                        mId + " " + state().version() + " of " + read.atLeast());
+            } else if (read.since() < clock() - READ_MILLIS) {
+                mReads.remove(read);
+            }
+        }
+    }
+
+    private void checkEvents() {
+        mReport.check(mLog.count(Event.INVARIANT) == 0, "invariants hold", mId);
+        mReport.check(
+                mLog.count(Event.DISK_CLEARED) == 0, "no disk is taken for a damaged one", mId);
+    }
+
+    private long clock() {
+        return mClockOffset + mRun.now();
+    }
+
+    /**
+     * A question for the newest manifest.
+     *
+     * @param since when it came, of this machine's clock
+     * @param atLeast the newest version that was acknowledged by then
+     */
+    private record Read(long since, long atLeast) {}
+}
--- /dev/null
+++ b/quilldyke-gateway/src/test/java/org/quilldyke/gateway/control/VirtualDisk.java
@@ -0,0 +1,105 @@
+/*
+ * Copyright 2026 The quilldyke authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.quilldyke.gateway.control;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.AbstractExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.quilldyke.testkit.disk.PowerLossDisk;
+import org.quilldyke.testkit.disk.PowerLostException;
+
+/** The disk's thread of one process in virtual time: each write takes some milliseconds. */
+final class VirtualDisk extends AbstractExecutorService {
+    private static final int QUICK_MILLIS = 8;
+    private static final int SLOW_MILLIS = 300;
+    private static final int SLOW_IN = 40;
+
+    /** More operations than the longest write takes. */
+    private static final int MAX_OPERATIONS = 24;
+
+    private final Deque<Runnable> mWrites = new ArrayDeque<>();
+    private final PowerLossDisk mDisk;
+    private final Random mRandom;
+    private long mDueAt = -1;
+
+    VirtualDisk(PowerLossDisk disk, Random random) {
+        mDisk = disk;
+        mRandom = random;
+    }
+
+    @Override
+    public void execute(Runnable write) {
+        mWrites.add(write);
+    }
+
+    /** Carries out the write that is due, if one is. */
+    void run(long now) {
+        if (mWrites.isEmpty()) {
+            return;
+        }
+        if (mDueAt < 0) {
+            boolean slow = mRandom.nextInt(SLOW_IN) == 0;
+            mDueAt = now + mRandom.nextInt(slow ? SLOW_MILLIS : QUICK_MILLIS);
+        }
+        if (now >= mDueAt) {
+            mDueAt = -1;
+            mWrites.remove().run();
+        }
+    }
+
+    /** Gets as far with its writes as an end of the process at any operation allows. */
+    void breakOff() {
+        mDisk.failAfter(mRandom.nextInt(MAX_OPERATIONS));
+        try {
+            while (!mWrites.isEmpty() && mRandom.nextInt(4) > 0) {
+                mWrites.remove().run();
+            }
+        } catch (PowerLostException e) {
+            // So far it got.
+        }
+        mWrites.clear();
+        mDisk.failAfter(Long.MAX_VALUE);
+    }
+
+    @Override
+    public void shutdown() {
+        mWrites.clear();
+    }
+
+    @Override
+    public List<Runnable> shutdownNow() {
+        mWrites.clear();
+        return List.of();
+    }
+
+    @Override
+    public boolean isShutdown() {
+        return false;
+    }
+
+    @Override
+    public boolean isTerminated() {
+        return false;
+    }
+
+    @Override
+    public boolean awaitTermination(long timeout, TimeUnit unit) {
+        return true;
+    }
+}
--- a/quilldyke-testkit/src/main/java/org/quilldyke/testkit/check/FakeNetwork.java
+++ b/quilldyke-testkit/src/main/java/org/quilldyke/testkit/check/FakeNetwork.java
@@ -22,7 +22,7 @@
 import org.quilldyke.control.PeerMessage;
 
 /** A network that delays, reorders, loses and doubles messages, and cuts links in one direction. */
-final class FakeNetwork {
+public final class FakeNetwork {
     private static final int MAX_DELAY = 12;
     private static final int SLOW_DELAY = 400;
 
@@ -33,12 +33,19 @@
     private int mLossPerMille;
     private long mSent;
 
-    FakeNetwork(Random random, CheckReport report) {
+    /**
+     * Creates a network without faults.
+     *
+     * @param random draws delays and losses
+     * @param report counts them
+     */
+    public FakeNetwork(Random random, CheckReport report) {
         mRandom = random;
         mReport = report;
     }
 
-    void send(String from, String to, PeerMessage message, long now) {
+    /** Sends a message, which may be lost, late or doubled. */
+    public void send(String from, String to, PeerMessage message, long now) {
         if (mCuts.contains(from + ">" + to)) {
             mReport.count("fault message cut");
             return;
@@ -55,20 +62,23 @@
     }
 
     /** Returns the next message due at {@code now}, or null. */
-    Packet poll(long now) {
+    public Packet poll(long now) {
         return !mPackets.isEmpty() && mPackets.peek().at() <= now ? mPackets.poll() : null;
     }
 
-    void setLoss(int perMille) {
+    /** Loses, and doubles, so many of a thousand messages from now on. */
+    public void setLoss(int perMille) {
         mLossPerMille = perMille;
     }
 
-    void cut(String from, String to) {
+    /** Cuts a link in one direction. */
+    public void cut(String from, String to) {
         mCuts.add(from + ">" + to);
         mReport.count("fault link cut in one direction");
     }
 
-    void heal() {
+    /** Mends all links. */
+    public void heal() {
         mCuts.clear();
     }
 
@@ -82,7 +92,7 @@
     }
 
     /** A message on its way. */
-    record Packet(long at, long order, String from, String to, PeerMessage message)
+    public record Packet(long at, long order, String from, String to, PeerMessage message)
             implements Comparable<Packet> {
         @Override
         public int compareTo(Packet other) {
