JSON trees are read 200 levels deep at the most, strictly read ones in one form of UTF-8 only

Cause: trees are read by recursion, and the parser's own limit of a thousand levels overflows a stack of 256 KB (seen with nested fields of a report). The parser also takes an overlong form of a character for the character.

Change: a limit of 200 levels for all trees; strict reading checks that all bytes are UTF-8 before it parses, piece by piece, so that a large manifest isn't held twice. Ruled out: parsing from decoded text, which holds it twice.

--- a/quilldyke-daemon/src/main/java/org/quilldyke/daemon/json/JsonTree.java
+++ b/quilldyke-daemon/src/main/java/org/quilldyke/daemon/json/JsonTree.java
@@ -20,6 +20,7 @@
 import com.fasterxml.jackson.core.JsonParseException;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
+import com.fasterxml.jackson.core.StreamReadConstraints;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.BaseJsonNode;
@@ -28,6 +29,12 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.nio.ByteBuffer;
+import java.nio.CharBuffer;
+import java.nio.charset.CharacterCodingException;
+import java.nio.charset.CharsetDecoder;
+import java.nio.charset.CoderResult;
+import java.nio.charset.StandardCharsets;
 import java.util.Iterator;
 import java.util.Map;
 import org.quilldyke.Outcome;
@@ -41,9 +48,17 @@
  * reflection, and takes a tenth of a second of a start to be made.
  */
 public final class JsonTree {
-    private static final JsonFactory LENIENT = new JsonFactory();
+    /**
+     * Trees are read by recursion: a thousand levels, the parser's own limit, overflow a stack of
+     * 256 KB.
+     */
+    static final int MAX_DEPTH = 200;
+
+    private static final int CHECKED_CHARS = 8192;
+
+    private static final JsonFactory LENIENT = factory();
     private static final JsonFactory STRICT =
-            new JsonFactory().enable(JsonParser.Feature.STRICT_DUPLICATE_DETECTION);
+            factory().enable(JsonParser.Feature.STRICT_DUPLICATE_DETECTION);
     private static final JsonNodeFactory NODES = JsonNodeFactory.instance;
 
     private JsonTree() {}
@@ -69,11 +84,13 @@
     }
 
     /**
-     * Returns the tree that {@code bytes} hold, and nothing besides; no key may come twice.
+     * Returns the tree that {@code bytes} hold, and nothing besides; no key may come twice, and all
+     * text is UTF-8 in its one right form.
      *
      * @throws IOException if they hold anything else; its message says where
      */
     public static JsonNode readStrictly(byte[] bytes) throws IOException {
+        checkUtf8(bytes);
         try (JsonParser parser = STRICT.createParser(bytes)) {
             parser.nextToken();
             JsonNode tree = value(parser);
@@ -96,6 +113,26 @@
         return out.toByteArray();
     }
 
+    /** The parser takes some characters in more bytes than they need, and halves of pairs. */
+    private static void checkUtf8(byte[] bytes) throws CharacterCodingException {
+        CharsetDecoder decoder = StandardCharsets.UTF_8.newDecoder();
+        ByteBuffer in = ByteBuffer.wrap(bytes);
+        CharBuffer out = CharBuffer.allocate(Math.min(CHECKED_CHARS, bytes.length + 1));
+        CoderResult result;
+        while ((result = decoder.decode(in, out, true)).isOverflow()) {
+            out.clear();
+        }
+        if (result.isError()) {
+            result.throwException();
+        }
+    }
+
+    private static JsonFactory factory() {
+        StreamReadConstraints limits =
+                StreamReadConstraints.builder().maxNestingDepth(MAX_DEPTH).build();
+        return JsonFactory.builder().streamReadConstraints(limits).build();
+    }
+
     private static void write(JsonNode tree, JsonGenerator out) throws IOException {
         if (tree.isObject()) {
             out.writeStartObject();
--- a/quilldyke-daemon/src/test/java/org/quilldyke/daemon/json/JsonTreeTest.java
+++ b/quilldyke-daemon/src/test/java/org/quilldyke/daemon/json/JsonTreeTest.java
@@ -22,6 +22,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.util.concurrent.FutureTask;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import org.junit.jupiter.api.Test;
@@ -57,6 +58,37 @@
         assertThrows(IOException.class, () -> JsonTree.readStrictly(bytes("{} {}")));
     }
 
+    /** The parser takes an overlong form for the character that it stands for. */
+    @Test
+    void strictReadingTakesNoOtherFormOfACharacter() throws Exception {
+        byte[] good = bytes("[\"" + "\u00e9\ud83d\ude00".repeat(9000) + "abcd\"]");
+        assertThat(JsonTree.readStrictly(good).isArray()).isTrue();
+        int[][] wrong = {{0xc0, 0xaf}, {0xe0, 0x80, 0xaf}, {0xed, 0xa0, 0x80}, {0xff}, {0xc3}};
+        for (int[] form : wrong) {
+            byte[] bad = good.clone();
+            for (int i = 0; i < form.length; i++) {
+                bad[bad.length - 2 - form.length + i] = (byte) form[i];
+            }
+            assertThrows(IOException.class, () -> JsonTree.readStrictly(bad));
+        }
+    }
+
+    /** What is nested without end overflowed the stack of a small thread. */
+    @Test
+    void deepNestingIsRefusedOnASmallStack() throws Exception {
+        FutureTask<Void> task = new FutureTask<>(JsonTreeTest::readNested, null);
+        new Thread(null, task, "small", 256 << 10).start();
+        task.get();
+    }
+
+    private static void readNested() {
+        for (int depth : new int[] {JsonTree.MAX_DEPTH + 1, 999, 100_000}) {
+            byte[] nested = bytes("[".repeat(depth) + "]".repeat(depth));
+            assertThrows(QuilldykeException.class, () -> JsonTree.read(nested));
+            assertThrows(IOException.class, () -> JsonTree.readStrictly(nested));
+        }
+    }
+
     @Property(tries = 2000, seed = "81")
     void anyBytesAreReadOrRefused(@ForAll byte[] bytes) throws Exception {
         try {
