Metrics as text have a class of their own

The text of /metrics was made inside the server of probes, which only entries have. MetricsText makes it; ProbeServer serves the same as before.

--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/platform/ProbeServer.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/platform/ProbeServer.java
@@ -15,12 +15,7 @@
  */
 package org.quilldyke.gateway.platform;
 
-import com.codahale.metrics.Counting;
-import com.codahale.metrics.Gauge;
-import com.codahale.metrics.Histogram;
-import com.codahale.metrics.Metric;
 import com.codahale.metrics.MetricRegistry;
-import com.codahale.metrics.Snapshot;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
@@ -35,7 +30,6 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import java.nio.charset.StandardCharsets;
-import java.util.Map;
 import java.util.function.BooleanSupplier;
 import org.quilldyke.QuilldykeException;
 import org.quilldyke.ResultCode;
@@ -44,7 +38,6 @@
 /** Answers the platform's probes: whether the process takes requests, and its metrics as text. */
 public final class ProbeServer {
     private static final int MAX_BODY_BYTES = 1024;
-    private static final String METRICS_PATH = "/metrics";
 
     private final BooleanSupplier mReady;
     private final MetricRegistry mMetrics;
@@ -81,13 +74,14 @@
         return new SimpleChannelInboundHandler<>() {
             @Override
             protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
-                boolean metrics = request.uri().startsWith(METRICS_PATH);
+                boolean metrics = request.uri().startsWith(MetricsText.PATH);
                 boolean ready = mReady.getAsBoolean();
                 HttpResponseStatus status =
                         metrics || ready
                                 ? HttpResponseStatus.OK
                                 : HttpResponseStatus.SERVICE_UNAVAILABLE;
-                String text = metrics ? metricsText() : ready ? "ready\n" : "not ready\n";
+                String text =
+                        metrics ? MetricsText.of(mMetrics) : ready ? "ready\n" : "not ready\n";
                 DefaultFullHttpResponse response =
                         new DefaultFullHttpResponse(
                                 HttpVersion.HTTP_1_1,
@@ -110,30 +104,4 @@
             }
         };
     }
-
-    private String metricsText() {
-        StringBuilder text = new StringBuilder();
-        for (Map.Entry<String, Metric> entry : mMetrics.getMetrics().entrySet()) {
-            append(text, entry.getKey(), entry.getValue());
-        }
-        return text.toString();
-    }
-
-    private static void append(StringBuilder text, String name, Metric metric) {
-        if (metric instanceof Histogram histogram) {
-            Snapshot snapshot = histogram.getSnapshot();
-            line(text, name + ".p50", snapshot.getMedian());
-            line(text, name + ".p99", snapshot.get99thPercentile());
-            line(text, name + ".max", snapshot.getMax());
-        }
-        if (metric instanceof Counting counting) {
-            line(text, name + ".count", counting.getCount());
-        } else if (metric instanceof Gauge<?> gauge) {
-            line(text, name, gauge.getValue());
-        }
-    }
-
-    private static void line(StringBuilder text, String name, Object value) {
-        text.append(name).append(' ').append(value).append('\n');
-    }
 }
