What targets say is taken whole or not at all, and refusals are counted and logged in bounds

Cause: a report with a missing zone, a state that isn't known, "address":"x", slots of -1 or "4", a sequence of 2^70, a doubled key or bytes behind its end was taken, replaced what was known under its id, and ended the target whose address it bore. An odd id went into headers as it was. One cache event that couldn't be read cost the list; a list without its epoch was taken for a restart, after which all that the holder kept was believed lost. A service that no manifest names was taken too, and could be given orders to load weights. Each refusal wrote a line.

Change: Reports reads strictly (one document, no key twice, one form of UTF-8) and holds reports against ReportRules in the core: id, IP:port, names, ranges. Events of a cache are taken each by itself. TargetSpread takes reports of named services only, once there is a manifest, but for targets that are known with theirs; and none that says nothing of weights that the target holds. Targets that other instances pass on or that are remembered on disk are held against the same rules one by one. RefusedNews counts by source and code (QR3009 to QR3016) and logs QD3008, five lines a second of each and the number left out (LineLimit); other refused calls are bounded alike. Control processes serve /metrics.

Ruled out: dropping single entries of a report's models (what is known of the target would be replaced by a part of it); holding reports of unnamed services until a manifest names them (more state for one heartbeat's time).

--- a/quilldyke-core/src/main/java/org/quilldyke/ResultCode.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/ResultCode.java
@@ -69,6 +69,13 @@
     MANIFEST_INVALID(3007, 400, "the manifest breaks a rule"),
     READ_UNCONFIRMED(3008, 503, "this instance cannot confirm the newest state now"),
     REPORT_INVALID(3009, 400, "a target's report cannot be read"),
+    REPORT_UNREADABLE(3010, 400, "what a target says is no JSON, or more than one document"),
+    REPORT_RANGE(3011, 400, "a target's report has a value outside its range"),
+    REPORT_ADDRESS(3012, 400, "a target's address is not IP:port"),
+    REPORT_STATE(3013, 400, "a target's state is not known"),
+    REPORT_SERVICE(3014, 400, "a target's service is in no manifest"),
+    REPORT_ID(3015, 400, "a target's id cannot be one"),
+    REPORT_EVENT(3016, 400, "an event of a target's cache cannot be read"),
 
     SETTINGS_UNREADABLE(4001, 400, "the settings file cannot be read"),
     SETTINGS_SYNTAX(4002, 400, "the settings are not valid JSON"),
--- /dev/null
+++ b/quilldyke-core/src/main/java/org/quilldyke/engine/ReportRules.java
@@ -0,0 +1,113 @@
+/*
+ * Copyright 2026 The quilldyke authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.quilldyke.engine;
+
+import java.util.Map;
+import java.util.Optional;
+import java.util.regex.Pattern;
+import org.quilldyke.QuilldykeException;
+import org.quilldyke.ResultCode;
+
+/**
+ * What a target's report must fulfil to be taken. Anybody may send one: it names a target only if
+ * the target can be reached, and if nothing in it would lead decisions astray.
+ */
+public final class ReportRules {
+    /** Far more than any target runs at once; with more, all requests would go there. */
+    static final int MAX_SLOTS = 100_000;
+
+    static final int MAX_TEXT = 256;
+    static final int MAX_MODELS = 256;
+
+    /** Numbers up to here are the same to all that read them; after a higher one none may come. */
+    static final long MAX_NUMBER = 1L << 53;
+
+    /** What stands in a path, and in a header, as it is; the longest id in use has some 40. */
+    private static final Pattern ID = Pattern.compile("[A-Za-z0-9._~:@!$&'()*+,;=-]{1,128}");
+
+    private ReportRules() {}
+
+    /**
+     * Returns a report that fulfils the rules.
+     *
+     * @throws QuilldykeException with the code of the first rule that it breaks
+     */
+    public static TargetReport checked(TargetReport report) throws QuilldykeException {
+        Optional<ResultCode> objection = objection(report);
+        if (objection.isPresent()) {
+            throw QuilldykeException.notRun(objection.get(), "");
+        }
+        return report;
+    }
+
+    /** Returns the first rule that a report breaks. */
+    public static Optional<ResultCode> objection(TargetReport report) {
+        if (!isId(report.id())) {
+            return Optional.of(ResultCode.REPORT_ID);
+        }
+        if (!SocketAddresses.isIpAndPort(report.address())) {
+            return Optional.of(ResultCode.REPORT_ADDRESS);
+        }
+        boolean texts =
+                isName(report.service())
+                        && isText(report.failureDomain())
+                        && isText(report.softwareVersion());
+        if (!texts) {
+            return Optional.of(ResultCode.REPORT_INVALID);
+        }
+        boolean numbers =
+                report.slots() >= 1
+                        && report.slots() <= MAX_SLOTS
+                        && isCount(report.coldMillis())
+                        && (report.isRemembered() || isCount(report.sequence()));
+        return numbers ? objection(report.weights()) : Optional.of(ResultCode.REPORT_RANGE);
+    }
+
+    /** Returns the first rule that is broken by what a target says of the weights it holds. */
+    public static Optional<ResultCode> objection(Map<String, Long> weights) {
+        if (weights.size() > MAX_MODELS
+                || !weights.values().stream().allMatch(ReportRules::isCount)) {
+            return Optional.of(ResultCode.REPORT_RANGE);
+        }
+        return weights.keySet().stream().allMatch(ReportRules::isName)
+                ? Optional.empty()
+                : Optional.of(ResultCode.REPORT_INVALID);
+    }
+
+    /** Returns whether a target may have this id. */
+    public static boolean isId(String id) {
+        return ID.matcher(id).matches();
+    }
+
+    /** Returns whether a number that targets count up, or a time in milliseconds, is sound. */
+    public static boolean isCount(long number) {
+        return number >= 0 && number <= MAX_NUMBER;
+    }
+
+    private static boolean isName(String text) {
+        return !text.isEmpty() && isText(text);
+    }
+
+    /** Half of a surrogate pair is another text once it has been sent on. */
+    private static boolean isText(String text) {
+        return text.length() <= MAX_TEXT
+                && text.codePoints()
+                        .noneMatch(
+                                c ->
+                                        Character.isISOControl(c)
+                                                || Character.getType(c) == Character.SURROGATE);
+    }
+}
--- /dev/null
+++ b/quilldyke-core/src/test/java/org/quilldyke/engine/ReportRulesTest.java
@@ -0,0 +1,110 @@
+/*
+ * Copyright 2026 The quilldyke authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.quilldyke.engine;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.quilldyke.QuilldykeException;
+import org.quilldyke.ResultCode;
+
+class ReportRulesTest {
+    private static final TargetReport GOOD = report("i-7f3a91c2", "s", "10.1.2.3:80", 4, 0, 1, 7);
+
+    @Test
+    void soundReportIsTaken() throws Exception {
+        assertThat(ReportRules.checked(GOOD)).isEqualTo(GOOD);
+        assertThat(ReportRules.objection(GOOD.remembered())).isEqualTo(Optional.empty());
+    }
+
+    @Test
+    void eachRuleHasItsCode() {
+        check(ResultCode.REPORT_ID, report("", "s", "10.1.2.3:80", 4, 0, 1, 7));
+        check(ResultCode.REPORT_ID, report("a/b", "s", "10.1.2.3:80", 4, 0, 1, 7));
+        check(ResultCode.REPORT_ID, report("i\r\n", "s", "10.1.2.3:80", 4, 0, 1, 7));
+        check(ResultCode.REPORT_ID, report("x".repeat(129), "s", "10.1.2.3:80", 4, 0, 1, 7));
+        check(ResultCode.REPORT_ADDRESS, report("i", "s", "10.1.2.3:0", 4, 0, 1, 7));
+        check(ResultCode.REPORT_ADDRESS, report("i", "s", "host:80", 4, 0, 1, 7));
+        check(ResultCode.REPORT_INVALID, report("i", "", "10.1.2.3:80", 4, 0, 1, 7));
+        check(ResultCode.REPORT_INVALID, report("i", "\ud800", "10.1.2.3:80", 4, 0, 1, 7));
+        check(ResultCode.REPORT_RANGE, report("i", "s", "10.1.2.3:80", 0, 0, 1, 7));
+        check(ResultCode.REPORT_RANGE, report("i", "s", "10.1.2.3:80", 2_000_000_000, 0, 1, 7));
+        check(ResultCode.REPORT_RANGE, report("i", "s", "10.1.2.3:80", 4, -1, 1, 7));
+        check(ResultCode.REPORT_RANGE, report("i", "s", "10.1.2.3:80", 4, 0, -1, 7));
+        check(ResultCode.REPORT_RANGE, report("i", "s", "10.1.2.3:80", 4, 0, 1, -2));
+        check(ResultCode.REPORT_RANGE, report("i", "s", "10.1.2.3:80", 4, 0, 1, Long.MAX_VALUE));
+    }
+
+    @Test
+    void weightsAreBounded() {
+        Map<String, Long> many = new HashMap<>();
+        for (int i = 0; i <= ReportRules.MAX_MODELS; i++) {
+            many.put("m" + i, 1L);
+        }
+
+        assertThat(ReportRules.objection(many)).isEqualTo(Optional.of(ResultCode.REPORT_RANGE));
+        assertThat(ReportRules.objection(Map.of("", 1L)))
+                .isEqualTo(Optional.of(ResultCode.REPORT_INVALID));
+    }
+
+    @Test
+    void addressIsIpAndPort() {
+        for (String good : new String[] {"1.1.1.1:1", "255.255.255.255:65535", "10.0.0.9:8080"}) {
+            assertWithMessage(good).that(SocketAddresses.isIpAndPort(good)).isTrue();
+        }
+        for (String bad :
+                new String[] {
+                    "",
+                    ":",
+                    "1.1.1.1",
+                    "1.1.1.1:",
+                    "1.1.1.1:65536",
+                    "1.1.1.1:1:1",
+                    "1.1.1:1",
+                    "256.1.1.1:1",
+                    "01.1.1.1:1",
+                    "1.1.1.1:+1",
+                    "1.1.1.1:1\n",
+                    "[::1]:1"
+                }) {
+            assertWithMessage(bad).that(SocketAddresses.isIpAndPort(bad)).isFalse();
+        }
+    }
+
+    private static void check(ResultCode code, TargetReport report) {
+        QuilldykeException e =
+                assertThrows(QuilldykeException.class, () -> ReportRules.checked(report));
+        assertThat(e.code()).isEqualTo(code);
+    }
+
+    private static TargetReport report(
+            String id,
+            String service,
+            String address,
+            int slots,
+            long cold,
+            long version,
+            long sequence) {
+        Map<String, Long> weights = Map.of("m", version);
+        return new TargetReport(
+                id, service, address, "z", "v", slots, false, cold, weights, sequence);
+    }
+}
--- a/quilldyke-daemon/src/main/java/org/quilldyke/daemon/log/Event.java
+++ b/quilldyke-daemon/src/main/java/org/quilldyke/daemon/log/Event.java
@@ -38,6 +38,7 @@
     INDEX_RESYNCED(3005, Level.INFO, "resync", "a target's cached blocks were read anew"),
     WATCH_FAILED(3006, Level.DEBUG, "watch", "an engine's events or load could not be read"),
     WATCH_LOST(3007, Level.WARN, "watch-lost", "a holder of cached prompts does not answer"),
+    NEWS_REFUSED(3008, Level.WARN, "news-refused", "what a target says cannot be taken"),
 
     LEADER_WON(4001, Level.INFO, "leader-won", "this replica leads"),
     LEADER_LOST(4002, Level.INFO, "leader-lost", "this replica leads no longer"),
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/EntrySubscriber.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/EntrySubscriber.java
@@ -25,6 +25,7 @@
 import org.quilldyke.engine.TargetReport;
 import org.quilldyke.gateway.caller.Entry;
 import org.quilldyke.gateway.dialect.ControlDialect;
+import org.quilldyke.gateway.engine.RefusedNews;
 import org.quilldyke.gateway.instance.Compression;
 import org.quilldyke.gateway.instance.ControlLinks;
 import org.quilldyke.gateway.instance.TargetFrames;
@@ -54,6 +55,7 @@
     private final ControlDialect mDialect;
     private final LongSupplier mClock;
     private final EventLog mLog;
+    private final RefusedNews mRefused;
     private final TargetRegistry mRegistry = TargetRegistry.following();
     private volatile List<TargetLoad> mLoads = List.of();
     private long mHeldIndex;
@@ -63,12 +65,14 @@
             Entry entry,
             ControlDialect dialect,
             LongSupplier clock,
-            EventLog log) {
+            EventLog log,
+            RefusedNews refused) {
         mInstance = instance;
         mEntry = entry;
         mDialect = dialect;
         mClock = clock;
         mLog = log;
+        mRefused = refused;
     }
 
     /** Begins to note what is open at targets; call it on the traffic thread. */
@@ -200,11 +204,19 @@
                         mEntry.loop().execute(() -> mEntry.onTargetLost(id, true));
                     }
                 }
-                default -> onReport(TargetFrames.decode(target), now - target.getAgeMs());
+                default -> onReport(target, now - target.getAgeMs());
             }
         }
     }
 
+    private void onReport(Target target, long heardAt) {
+        try {
+            onReport(TargetFrames.decode(target), heardAt);
+        } catch (QuilldykeException e) {
+            mRefused.onRefused(RefusedNews.Source.INSTANCE, target.getId(), e);
+        }
+    }
+
     private void onReport(TargetReport report, long heardAt) {
         if (mRegistry.onReport(report, heardAt)) {
             mLog.write(
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/GatewayProcess.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/GatewayProcess.java
@@ -40,6 +40,7 @@
 import org.quilldyke.gateway.control.ControlNode;
 import org.quilldyke.gateway.dialect.Dialect;
 import org.quilldyke.gateway.engine.EngineOrders;
+import org.quilldyke.gateway.engine.RefusedNews;
 import org.quilldyke.gateway.instance.ControlLinks;
 import org.quilldyke.gateway.instance.NettyLoop;
 import org.quilldyke.gateway.instance.SessionServer;
@@ -85,6 +86,7 @@
     private final LongSupplier mClock = GatewayProcess::now;
     private final long mStartedAt;
     private final GatewayMetrics mMetrics = GatewayMetrics.create();
+    private final RefusedNews mRefused;
     private final AtomicBoolean mDraining = new AtomicBoolean();
     private final NettyLoop mControl = new NettyLoop(loop("control"));
     private final EventLoop mTraffic = loop("traffic");
@@ -99,6 +101,7 @@
         mDialect = dialect;
         mStartedAt = startedAt;
         mLog = EventLog.of(settings.instance());
+        mRefused = RefusedNews.create(mMetrics.registry(), mLog, mClock);
     }
 
     /** Returns the present time in monotonic milliseconds. */
@@ -239,7 +242,8 @@
         mCallers = CallerServer.start(mSettings.callers(), mEntry);
         ProbeServer.start(mSettings.ready(), mTraffic, this::isReady, mMetrics.registry());
         EntrySubscriber subscriber =
-                new EntrySubscriber(mSettings.instance(), mEntry, mDialect.control(), mClock, mLog);
+                new EntrySubscriber(
+                        mSettings.instance(), mEntry, mDialect.control(), mClock, mLog, mRefused);
         mTraffic.execute(subscriber::noteLoads);
         mTraffic.scheduleAtFixedRate(
                 mEntry.pool()::closeIdle, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
@@ -266,11 +270,17 @@
     }
 
     private void startControl() throws QuilldykeException {
-        EngineOrders orders = EngineOrders.create(mTraffic, mDialect.targets(), mClock, mLog);
+        EngineOrders orders = EngineOrders.create(mTraffic, mDialect.targets(), mClock, mRefused);
         mNode = startNode(orders);
         mSessions = SessionServer.start(mSettings.internalAddress(mSettings.ip()), mControl, mNode);
         ControlServer.start(
-                mSettings.control(), mTraffic, mControl, mNode, mDialect.control(), mLog);
+                mSettings.control(),
+                mTraffic,
+                mControl,
+                mNode,
+                mDialect.control(),
+                mMetrics.registry(),
+                mRefused);
     }
 
     /** Starts the node; a disk that can't be written just now may be writable again soon. */
@@ -301,6 +311,7 @@
                                         mLog,
                                         orders,
                                         mDialect.control(),
+                                        mRefused,
                                         mStartedAt));
                     } catch (QuilldykeException | RuntimeException e) {
                         started.completeExceptionally(e);
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/ControlNode.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/ControlNode.java
@@ -22,6 +22,7 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.LongSupplier;
+import java.util.stream.Collectors;
 import org.quilldyke.QuilldykeException;
 import org.quilldyke.ResultCode;
 import org.quilldyke.control.Membership;
@@ -33,9 +34,10 @@
 import org.quilldyke.daemon.instance.Wire;
 import org.quilldyke.daemon.log.Event;
 import org.quilldyke.daemon.log.EventLog;
-import org.quilldyke.engine.TargetReport;
+import org.quilldyke.gateway.dialect.ControlCall;
 import org.quilldyke.gateway.dialect.ControlDialect;
 import org.quilldyke.gateway.engine.EngineOrders;
+import org.quilldyke.gateway.engine.RefusedNews;
 import org.quilldyke.gateway.instance.Compression;
 import org.quilldyke.gateway.instance.NettyLoop;
 import org.quilldyke.gateway.instance.Peers;
@@ -48,6 +50,8 @@
 import org.quilldyke.manifest.FleetCommand;
 import org.quilldyke.manifest.FleetResult;
 import org.quilldyke.manifest.FleetState;
+import org.quilldyke.manifest.Manifest;
+import org.quilldyke.manifest.Service;
 import org.quilldyke.weights.EngineFleet;
 
 /** One control process: its replica, its peers, its entries. Lives on the control thread. */
@@ -93,6 +97,7 @@
             EventLog log,
             EngineOrders orders,
             ControlDialect dialect,
+            RefusedNews refused,
             long startedAt)
             throws QuilldykeException {
         mLoop = loop;
@@ -105,16 +110,17 @@
         mMachine = new FleetMachine(this::onState);
         SplittableRandom random = new SplittableRandom(System.nanoTime() ^ mAddress.hashCode());
         DataFolder folder = DataFolder.open(Path.of(settings.dataFolder()));
-        mMemory = RestartMemory.in(folder, loop, log);
+        mMemory = RestartMemory.in(folder, loop, log, refused);
         ReplicaIdentity.Opened opened =
                 ReplicaIdentity.open(folder, settings, mAddress, random, log);
         mGroup = new Group(opened.identity().id(), mPeers);
-        ReplicaSettings replicaSettings =
-                ReplicaSettings.of(opened.identity().id(), opened.identity().initial())
-                        .withTimes(HEARTBEAT_MILLIS, ELECTION_MILLIS, LEASE_MILLIS);
         Replica replica =
                 Replica.restore(
-                        replicaSettings, opened.disk(), random, startedAt, clock.getAsLong());
+                        settingsOf(opened.identity()),
+                        opened.disk(),
+                        random,
+                        startedAt,
+                        clock.getAsLong());
         ReplicaNode<FleetResult> node =
                 ReplicaNode.of(
                         new ReplicaNode.Environment(loop, clock, log),
@@ -127,14 +133,7 @@
         mGroup.onNode(node);
         mConfirmations = new Confirmations(mGroup, mPeers, clock);
         mProposals = new Proposals(mGroup, mPeers, loop, clock);
-        mTargets =
-                new TargetSpread(
-                        mPeers,
-                        mEntries::onTargets,
-                        clock,
-                        log,
-                        mMemory,
-                        settings.timings().targetReport());
+        mTargets = spread(settings.timings().targetReport(), refused);
         mEntries.connect(mConfirmations, mTargets);
         mMembership =
                 new MembershipKeeper(mGroup, mPeers, mAddress, clock, settings.toleratedLosses());
@@ -155,6 +154,16 @@
         onState(mMachine.state());
     }
 
+    private TargetSpread spread(long reportMillis, RefusedNews refused) {
+        return new TargetSpread(
+                mPeers, mEntries::onTargets, mClock, mLog, mMemory, refused, reportMillis);
+    }
+
+    private static ReplicaSettings settingsOf(ReplicaIdentity identity) {
+        return ReplicaSettings.of(identity.id(), identity.initial())
+                .withTimes(HEARTBEAT_MILLIS, ELECTION_MILLIS, LEASE_MILLIS);
+    }
+
     /**
      * Starts a control process's part of the group; call it on the control thread.
      *
@@ -164,6 +173,8 @@
      * @param log where events go
      * @param orders speaks to engines
      * @param dialect reads manifests
+     * @param refused takes notice of what can't be taken of what others say of targets
+     * @param startedAt when the process began
      * @throws QuilldykeException if the data folder can't be read
      */
     public static ControlNode start(
@@ -173,9 +184,11 @@
             EventLog log,
             EngineOrders orders,
             ControlDialect dialect,
+            RefusedNews refused,
             long startedAt)
             throws QuilldykeException {
-        ControlNode node = new ControlNode(settings, loop, clock, log, orders, dialect, startedAt);
+        ControlNode node =
+                new ControlNode(settings, loop, clock, log, orders, dialect, refused, startedAt);
         node.mLog.write(
                 Event.IDENTITY,
                 "id",
@@ -270,9 +283,14 @@
         return result;
     }
 
-    /** Takes a target's report; returns whether this process is in touch with the others. */
-    public boolean onReport(TargetReport report) {
-        mTargets.onReport(report);
+    /**
+     * Takes a target's report; returns whether this process is in touch with the others.
+     *
+     * @throws QuilldykeException {@link ResultCode#REPORT_SERVICE} if no service has its name,
+     *     {@link ResultCode#REPORT_INVALID} if it says nothing of weights that the target holds
+     */
+    public boolean onReport(ControlCall.Report call) throws QuilldykeException {
+        mTargets.onReport(call.report(), call.tellsWeights());
         return isInTouch();
     }
 
@@ -391,7 +409,10 @@
             return;
         }
         try {
-            mCaches.onManifest(mDialect.readManifest(Compression.expand(state.document())));
+            Manifest manifest = mDialect.readManifest(Compression.expand(state.document()));
+            mCaches.onManifest(manifest);
+            mTargets.onServices(
+                    manifest.services().stream().map(Service::name).collect(Collectors.toSet()));
         } catch (QuilldykeException e) {
             mLog.write(Event.INVARIANT, "detail", e.getMessage());
         }
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/RestartMemory.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/RestartMemory.java
@@ -18,6 +18,7 @@
 import com.google.protobuf.InvalidProtocolBufferException;
 import com.google.protobuf.MessageLite;
 import com.google.protobuf.Parser;
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -28,6 +29,7 @@
 import org.quilldyke.daemon.log.Event;
 import org.quilldyke.daemon.log.EventLog;
 import org.quilldyke.engine.TargetReport;
+import org.quilldyke.gateway.engine.RefusedNews;
 import org.quilldyke.gateway.instance.TargetFrames;
 import org.quilldyke.gateway.instance.proto.CacheNews;
 import org.quilldyke.gateway.instance.proto.Caches;
@@ -48,27 +50,34 @@
     private final DataFolder mFolder;
     private final DiskQueue mDisk;
     private final EventLog mLog;
+    private final RefusedNews mRefused;
     private final Set<String> mSaving = new HashSet<>();
 
-    private RestartMemory(DataFolder folder, DiskQueue disk, EventLog log) {
+    private RestartMemory(DataFolder folder, DiskQueue disk, EventLog log, RefusedNews refused) {
         mFolder = folder;
         mDisk = disk;
         mLog = log;
+        mRefused = refused;
     }
 
     /** Returns the memory in a folder; its writes have a thread of their own. */
-    static RestartMemory in(DataFolder folder, ControlLoop loop, EventLog log) {
-        return new RestartMemory(folder, DiskQueue.create(loop, log), log);
+    static RestartMemory in(
+            DataFolder folder, ControlLoop loop, EventLog log, RefusedNews refused) {
+        return new RestartMemory(folder, DiskQueue.create(loop, log), log, refused);
     }
 
     /** Returns the targets that were stored last. */
     List<TargetReport> targets() {
-        return load(TARGETS, Targets.parser(), Targets.getDefaultInstance())
-                .getTargetsList()
-                .stream()
-                .map(TargetFrames::decode)
-                .map(TargetReport::remembered)
-                .toList();
+        Targets stored = load(TARGETS, Targets.parser(), Targets.getDefaultInstance());
+        List<TargetReport> reports = new ArrayList<>();
+        for (Target target : stored.getTargetsList()) {
+            try {
+                reports.add(TargetFrames.decode(target).remembered());
+            } catch (QuilldykeException e) {
+                mRefused.onRefused(RefusedNews.Source.MEMORY, target.getId(), e);
+            }
+        }
+        return reports;
     }
 
     /** Returns what was stored of caches last. */
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/TargetSpread.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/TargetSpread.java
@@ -18,14 +18,18 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.function.Predicate;
+import org.quilldyke.QuilldykeException;
+import org.quilldyke.ResultCode;
 import org.quilldyke.daemon.log.Event;
 import org.quilldyke.daemon.log.EventLog;
 import org.quilldyke.engine.TargetRegistry;
 import org.quilldyke.engine.TargetReport;
+import org.quilldyke.gateway.engine.RefusedNews;
 import org.quilldyke.gateway.instance.Peers;
 import org.quilldyke.gateway.instance.TargetFrames;
 import org.quilldyke.gateway.instance.proto.Alive;
@@ -70,12 +74,14 @@
     private final LongSupplier mClock;
     private final EventLog mLog;
     private final RestartMemory mMemory;
+    private final RefusedNews mRefused;
     private final long mLapseMillis;
     private final long mForgetAt;
     private boolean mToSave;
     private long mToldAt;
     private long mRefreshedAt;
     private long mCompleteSince;
+    private Optional<Set<String>> mServices = Optional.empty();
 
     TargetSpread(
             Peers peers,
@@ -83,12 +89,14 @@
             LongSupplier clock,
             EventLog log,
             RestartMemory memory,
+            RefusedNews refused,
             long reportMillis) {
         mPeers = peers;
         mEntries = entries;
         mClock = clock;
         mLog = log;
         mMemory = memory;
+        mRefused = refused;
         mLapseMillis =
                 Math.max(Math.round(reportMillis * LAPSE_REPORTS), LAPSE_TELLINGS * ALIVE_MILLIS);
         mCompleteSince = clock.getAsLong();
@@ -98,11 +106,32 @@
         memory.targets().forEach(report -> mRegistry.onReport(report, mCompleteSince));
     }
 
-    /** Takes a report that came here. */
-    void onReport(TargetReport report) {
+    /** Takes the services that there are; until it is called, targets of any service are taken. */
+    void onServices(Set<String> names) {
+        mServices = Optional.of(Set.copyOf(names));
+    }
+
+    /**
+     * Takes a report that came here.
+     *
+     * @param report what the target says
+     * @param tellsWeights whether it says which weights it holds, be it none
+     * @throws QuilldykeException {@link ResultCode#REPORT_SERVICE} if no service has its name; a
+     *     target that was known with it before goes on to live. {@link ResultCode#REPORT_INVALID}
+     *     if it says nothing of weights that the target is known to hold
+     */
+    void onReport(TargetReport report, boolean tellsWeights) throws QuilldykeException {
+        Optional<TargetReport> before = mRegistry.report(report.id());
+        boolean holdsSome = before.map(known -> !known.weights().isEmpty()).orElse(false);
+        if (holdsSome && !tellsWeights) {
+            throw QuilldykeException.notRun(ResultCode.REPORT_INVALID, "models");
+        }
+        if (!isOfAService(report, before)) {
+            throw QuilldykeException.notRun(ResultCode.REPORT_SERVICE, report.service());
+        }
         long now = mClock.getAsLong();
         mHeardHere.add(report.id());
-        boolean known = mRegistry.report(report.id()).isPresent();
+        boolean known = before.isPresent();
         if (mRegistry.onReport(report, now)) {
             mLog.write(
                     known ? Event.TARGET_CHANGED : Event.TARGET_JOINED,
@@ -123,6 +152,12 @@
         }
     }
 
+    private boolean isOfAService(TargetReport report, Optional<TargetReport> before) {
+        String name = report.service();
+        return mServices.map(names -> names.contains(name)).orElse(true)
+                || before.map(known -> known.service().equals(name)).orElse(false);
+    }
+
     /** Takes the news that a target is gone, told here. */
     void onLeave(String id) {
         if (mRegistry.onGone(id, mClock.getAsLong())) {
@@ -144,9 +179,7 @@
                     switch (target.getStanding()) {
                         case GONE -> mRegistry.onGone(target.getId(), now);
                         case LAPSED -> false;
-                        default ->
-                                mRegistry.onReport(
-                                        TargetFrames.decode(target), now - target.getAgeMs());
+                        default -> isNews(target, now);
                     };
             if (isNews) {
                 news.addTargets(target);
@@ -161,6 +194,16 @@
         }
     }
 
+    /** One that can't be taken costs the others nothing. */
+    private boolean isNews(Target target, long now) {
+        try {
+            return mRegistry.onReport(TargetFrames.decode(target), now - target.getAgeMs());
+        } catch (QuilldykeException e) {
+            mRefused.onRefused(RefusedNews.Source.INSTANCE, target.getId(), e);
+            return false;
+        }
+    }
+
     /** Returns all that is known, for entries. */
     Targets all() {
         return all(report -> true);
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/dialect/CacheEvents.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/dialect/CacheEvents.java
@@ -23,9 +23,11 @@
  * @param epoch another one than before means that it has restarted and keeps nothing from before
  * @param next where to go on
  * @param gap whether some changes are missing
+ * @param unreadable how many changes couldn't be read and are left out
  * @param changes the changes in order
  */
-public record CacheEvents(long epoch, long next, boolean gap, List<Change> changes) {
+public record CacheEvents(
+        long epoch, long next, boolean gap, int unreadable, List<Change> changes) {
     /** Copies the changes. */
     public CacheEvents {
         changes = List.copyOf(changes);
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/dialect/ControlCall.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/dialect/ControlCall.java
@@ -34,8 +34,13 @@
     /** Names new weights of a model. */
     record NameWeights(String model, long version) implements ControlCall {}
 
-    /** Reports that a target lives. */
-    record Report(TargetReport report) implements ControlCall {}
+    /**
+     * Reports that a target lives.
+     *
+     * @param report what it says of itself
+     * @param tellsWeights whether it says which weights it holds, be it none
+     */
+    record Report(TargetReport report, boolean tellsWeights) implements ControlCall {}
 
     /** Reports that a target is gone. */
     record Leave(String target) implements ControlCall {}
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/dialect/ControlDialect.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/dialect/ControlDialect.java
@@ -28,7 +28,8 @@
      * @param body the body
      * @throws QuilldykeException {@link org.quilldyke.ResultCode#UNKNOWN_PATH} if there is no such
      *     call, {@link org.quilldyke.ResultCode#MANIFEST_INVALID} or {@link
-     *     org.quilldyke.ResultCode#REPORT_INVALID} if its body can't be understood
+     *     org.quilldyke.ResultCode#REPORT_INVALID} or another of a report's codes if its body can't
+     *     be understood
      */
     ControlCall read(String method, String path, byte[] body) throws QuilldykeException;
 
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/engine/EngineOrders.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/engine/EngineOrders.java
@@ -29,8 +29,6 @@
 import java.util.function.LongSupplier;
 import org.quilldyke.QuilldykeException;
 import org.quilldyke.ResultCode;
-import org.quilldyke.daemon.log.Event;
-import org.quilldyke.daemon.log.EventLog;
 import org.quilldyke.gateway.dialect.CacheEvents;
 import org.quilldyke.gateway.dialect.LoadOrder;
 import org.quilldyke.gateway.dialect.TargetDialect;
@@ -54,13 +52,14 @@
     private final EventLoop mLoop;
     private final TargetDialect mDialect;
     private final TargetPool mPool;
-    private final EventLog mLog;
+    private final RefusedNews mRefused;
 
-    private EngineOrders(EventLoop loop, TargetDialect dialect, LongSupplier clock, EventLog log) {
+    private EngineOrders(
+            EventLoop loop, TargetDialect dialect, LongSupplier clock, RefusedNews refused) {
         mLoop = loop;
         mDialect = dialect;
         mPool = TargetPool.create(loop, dialect, clock);
-        mLog = log;
+        mRefused = refused;
     }
 
     /**
@@ -69,11 +68,11 @@
      * @param loop the traffic thread, which does the work
      * @param dialect how engines speak
      * @param clock monotonic milliseconds
-     * @param log where answers go that can't be read
+     * @param refused takes notice of answers that can't be read
      */
     public static EngineOrders create(
-            EventLoop loop, TargetDialect dialect, LongSupplier clock, EventLog log) {
-        return new EngineOrders(loop, dialect, clock, log);
+            EventLoop loop, TargetDialect dialect, LongSupplier clock, RefusedNews refused) {
+        return new EngineOrders(loop, dialect, clock, refused);
     }
 
     /**
@@ -84,7 +83,8 @@
                 address,
                 mDialect.statusRequest(address),
                 TIMEOUT_MILLIS,
-                (status, body) -> done.accept(status == 200 ? read(body) : Optional.empty()));
+                (status, body) ->
+                        done.accept(status == 200 ? read(address, body) : Optional.empty()));
     }
 
     /** Gives an order; {@code done} hears on the traffic thread what became of it. */
@@ -105,14 +105,19 @@
                 address,
                 mDialect.cacheEventsRequest(address, since),
                 CACHE_TIMEOUT_MILLIS,
-                (status, body) -> done.accept(status == 200 ? readEvents(body) : Optional.empty()));
+                (status, body) ->
+                        done.accept(status == 200 ? readEvents(address, body) : Optional.empty()));
     }
 
-    private Optional<CacheEvents> readEvents(byte[] body) {
+    private Optional<CacheEvents> readEvents(String address, byte[] body) {
         try {
-            return Optional.of(mDialect.readCacheEvents(body));
+            CacheEvents events = mDialect.readCacheEvents(body);
+            if (events.unreadable() > 0) {
+                mRefused.onEventsLeftOut(address, events.unreadable());
+            }
+            return Optional.of(events);
         } catch (QuilldykeException e) {
-            mLog.write(Event.WATCH_FAILED, "detail", e.getMessage());
+            mRefused.onRefused(RefusedNews.Source.CACHE, address, e);
             return Optional.empty();
         }
     }
@@ -127,11 +132,11 @@
         };
     }
 
-    private Optional<EngineStatus> read(byte[] body) {
+    private Optional<EngineStatus> read(String address, byte[] body) {
         try {
             return Optional.of(mDialect.readStatus(body));
         } catch (QuilldykeException e) {
-            mLog.write(Event.WATCH_FAILED, "detail", e.getMessage());
+            mRefused.onRefused(RefusedNews.Source.STATUS, address, e);
             return Optional.empty();
         }
     }
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/instance/TargetFrames.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/instance/TargetFrames.java
@@ -17,6 +17,8 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import org.quilldyke.QuilldykeException;
+import org.quilldyke.engine.ReportRules;
 import org.quilldyke.engine.TargetReport;
 import org.quilldyke.gateway.instance.proto.ModelWeights;
 import org.quilldyke.gateway.instance.proto.Target;
@@ -54,20 +56,25 @@
         return Target.newBuilder().setId(id).setStanding(standing).build();
     }
 
-    /** Returns the report of a live target. */
-    public static TargetReport decode(Target target) {
+    /**
+     * Returns the report of a live target.
+     *
+     * @throws QuilldykeException with the code of the first rule that the report breaks
+     */
+    public static TargetReport decode(Target target) throws QuilldykeException {
         Map<String, Long> weights = new HashMap<>();
         target.getWeightsList().forEach(w -> weights.put(w.getModel(), w.getVersion()));
-        return new TargetReport(
-                target.getId(),
-                target.getService(),
-                target.getAddress(),
-                target.getFailureDomain(),
-                target.getSoftwareVersion(),
-                target.getSlots(),
-                target.getLeaving(),
-                target.getColdMs(),
-                weights,
-                target.getSequence());
+        return ReportRules.checked(
+                new TargetReport(
+                        target.getId(),
+                        target.getService(),
+                        target.getAddress(),
+                        target.getFailureDomain(),
+                        target.getSoftwareVersion(),
+                        target.getSlots(),
+                        target.getLeaving(),
+                        target.getColdMs(),
+                        weights,
+                        target.getSequence()));
     }
 }
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/operator/ControlServer.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/operator/ControlServer.java
@@ -15,6 +15,7 @@
  */
 package org.quilldyke.gateway.operator;
 
+import com.codahale.metrics.MetricRegistry;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFutureListener;
@@ -26,6 +27,7 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpServerCodec;
@@ -41,12 +43,13 @@
 import org.quilldyke.ResultCode;
 import org.quilldyke.daemon.json.Json;
 import org.quilldyke.daemon.log.Event;
-import org.quilldyke.daemon.log.EventLog;
 import org.quilldyke.gateway.control.ControlNode;
 import org.quilldyke.gateway.dialect.ControlCall;
 import org.quilldyke.gateway.dialect.ControlDialect;
+import org.quilldyke.gateway.engine.RefusedNews;
 import org.quilldyke.gateway.http.HttpListener;
 import org.quilldyke.gateway.instance.NettyLoop;
+import org.quilldyke.gateway.platform.MetricsText;
 import org.quilldyke.manifest.ManifestRules;
 
 /** Takes operators' calls and targets' reports over HTTP. */
@@ -59,14 +62,20 @@
     private final NettyLoop mControl;
     private final ControlNode mNode;
     private final ControlDialect mDialect;
-    private final EventLog mLog;
+    private final MetricRegistry mMetrics;
+    private final RefusedNews mRefused;
 
     private ControlServer(
-            NettyLoop control, ControlNode node, ControlDialect dialect, EventLog log) {
+            NettyLoop control,
+            ControlNode node,
+            ControlDialect dialect,
+            MetricRegistry metrics,
+            RefusedNews refused) {
         mControl = control;
         mNode = node;
         mDialect = dialect;
-        mLog = log;
+        mMetrics = metrics;
+        mRefused = refused;
     }
 
     /**
@@ -77,7 +86,8 @@
      * @param control the control thread, which decides
      * @param node the control process's state
      * @param dialect how operators and targets speak
-     * @param log where events go
+     * @param metrics served under {@code /metrics}
+     * @param refused takes notice of targets' reports that can't be taken
      * @throws QuilldykeException {@link ResultCode#ADDRESS_IN_USE} if the address can't be bound
      */
     public static void start(
@@ -86,9 +96,10 @@
             NettyLoop control,
             ControlNode node,
             ControlDialect dialect,
-            EventLog log)
+            MetricRegistry metrics,
+            RefusedNews refused)
             throws QuilldykeException {
-        ControlServer server = new ControlServer(control, node, dialect, log);
+        ControlServer server = new ControlServer(control, node, dialect, metrics, refused);
         HttpListener.bind(address, loop, server::initialize);
     }
 
@@ -113,13 +124,21 @@
                             mNode.nameWeights(named.model(), named.version())
                                     .thenApply(done -> ok()));
         } else if (call instanceof ControlCall.Report report) {
-            return onControl(() -> inTouch(mNode.onReport(report.report())));
+            return onControl(() -> onReport(report));
         } else if (call instanceof ControlCall.Leave leave) {
             return onControl(() -> inTouch(mNode.onLeave(leave.target())));
         }
         return onControl(mNode::read);
     }
 
+    private CompletableFuture<byte[]> onReport(ControlCall.Report report) {
+        try {
+            return inTouch(mNode.onReport(report));
+        } catch (QuilldykeException e) {
+            return CompletableFuture.failedFuture(e);
+        }
+    }
+
     /** A process that is out of touch has taken the news, but another one shall hear them too. */
     private static CompletableFuture<byte[]> inTouch(boolean inTouch) {
         return inTouch
@@ -165,6 +184,11 @@
         protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
             boolean keepAlive = HttpUtil.isKeepAlive(request);
             String path = request.uri().split("[?#]", 2)[0];
+            if (path.equals(MetricsText.PATH) && request.method() == HttpMethod.GET) {
+                byte[] text = MetricsText.of(mMetrics).getBytes(StandardCharsets.UTF_8);
+                answer(ctx, HttpResponseStatus.OK, text, keepAlive);
+                return;
+            }
             try {
                 ControlCall call =
                         mDialect.read(
@@ -193,16 +217,16 @@
 
         private void refuse(
                 ChannelHandlerContext ctx, QuilldykeException e, String path, boolean keepAlive) {
-            mLog.write(
-                    e.code() == ResultCode.MANIFEST_INVALID
-                            ? Event.MANIFEST_REFUSED
-                            : Event.CALL_REFUSED,
-                    "path",
-                    path,
-                    "code",
-                    e.code().label(),
-                    "detail",
-                    e.getMessage());
+            if (RefusedNews.concerns(e.code())) {
+                mRefused.onRefused(RefusedNews.Source.REPORT, path, e);
+            } else {
+                mRefused.onCallRefused(
+                        e.code() == ResultCode.MANIFEST_INVALID
+                                ? Event.MANIFEST_REFUSED
+                                : Event.CALL_REFUSED,
+                        path,
+                        e);
+            }
             byte[] body =
                     Json.encode(new Refusal(e.code().label(), String.valueOf(e.getMessage())));
             answer(ctx, HttpResponseStatus.valueOf(e.code().httpStatus()), body, keepAlive);
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/settings/GatewaySettingsReader.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/settings/GatewaySettingsReader.java
@@ -18,16 +18,14 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.List;
 import org.quilldyke.QuilldykeException;
 import org.quilldyke.ResultCode;
 import org.quilldyke.daemon.json.JsonTree;
 import org.quilldyke.daemon.settings.StrictJson;
+import org.quilldyke.engine.SocketAddresses;
 
 /** Reads the settings of a gateway process; each refusal names the key's path and the reason. */
 public final class GatewaySettingsReader {
-    private static final String OCTET = "(25[0-5]|2[0-4]\\d|1\\d\\d|[1-9]?\\d)";
-    private static final String IP = OCTET + "(\\." + OCTET + "){3}";
     private static final int MAX_PORT = 65_535;
 
     private GatewaySettingsReader() {}
@@ -56,7 +54,7 @@
     public static GatewaySettings parse(byte[] text) throws QuilldykeException {
         GatewaySettings settings = decode(text);
         require(!settings.instance().isBlank(), "instance", "is empty");
-        require(settings.ip().matches(IP), "ip", "is no IPv4 address");
+        require(SocketAddresses.isIp(settings.ip()), "ip", "is no IPv4 address");
         require(isPort(settings.firstPort()), "firstPort", "is out of range");
         checkAddress("callers", settings.callers());
         checkAddress("ready", settings.ready());
@@ -147,11 +145,7 @@
         if (address.isEmpty()) {
             return;
         }
-        List<String> parts = List.of(address.split(":", -1));
-        boolean wellFormed =
-                parts.size() == 2 && parts.get(0).matches(IP) && parts.get(1).matches("\\d{1,5}");
-        require(wellFormed, path, "is not IP:port: " + address);
-        require(isPort(Integer.parseInt(parts.get(1))), path, "has a port out of range");
+        require(SocketAddresses.isIpAndPort(address), path, "is not IP:port: " + address);
     }
 
     private static boolean isPort(int port) {
--- a/quilldyke-gateway/src/test/java/org/quilldyke/gateway/control/RestartMemoryTest.java
+++ b/quilldyke-gateway/src/test/java/org/quilldyke/gateway/control/RestartMemoryTest.java
@@ -17,6 +17,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import com.codahale.metrics.MetricRegistry;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.nio.file.Files;
@@ -27,6 +28,7 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.quilldyke.daemon.control.DataFolder;
 import org.quilldyke.daemon.log.EventLog;
+import org.quilldyke.gateway.engine.RefusedNews;
 import org.quilldyke.gateway.instance.NettyLoop;
 import org.quilldyke.gateway.instance.proto.CacheNews;
 
@@ -73,6 +75,10 @@
 
     private RestartMemory memory() throws Exception {
         EventLog log = EventLog.of("test");
-        return RestartMemory.in(DataFolder.open(mFolder), new NettyLoop(mGroup.next()), log);
+        return RestartMemory.in(
+                DataFolder.open(mFolder),
+                new NettyLoop(mGroup.next()),
+                log,
+                RefusedNews.create(new MetricRegistry(), log, () -> 0));
     }
 }
--- a/quilldyke-gateway/src/test/java/org/quilldyke/gateway/control/TargetSpreadTest.java
+++ b/quilldyke-gateway/src/test/java/org/quilldyke/gateway/control/TargetSpreadTest.java
@@ -16,7 +16,9 @@
 package org.quilldyke.gateway.control;
 
 import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import com.codahale.metrics.MetricRegistry;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.nio.file.Files;
@@ -24,13 +26,17 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.quilldyke.QuilldykeException;
+import org.quilldyke.ResultCode;
 import org.quilldyke.daemon.control.DataFolder;
 import org.quilldyke.daemon.log.EventLog;
 import org.quilldyke.engine.TargetReport;
+import org.quilldyke.gateway.engine.RefusedNews;
 import org.quilldyke.gateway.instance.NettyLoop;
 import org.quilldyke.gateway.instance.Peers;
 import org.quilldyke.gateway.instance.TargetFrames;
@@ -46,13 +52,15 @@
             new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final List<Target> mTold = new ArrayList<>();
     private final EventLog mLog = EventLog.of("test");
+    private final MetricRegistry mMetrics = new MetricRegistry();
     private RestartMemory mMemory;
     private TargetSpread mSpread;
 
     @BeforeEach
     void start() throws Exception {
         NettyLoop loop = new NettyLoop(mGroup.next());
-        mMemory = RestartMemory.in(DataFolder.open(mFolder), loop, mLog);
+        RefusedNews refused = RefusedNews.create(mMetrics, mLog, () -> mNow);
+        mMemory = RestartMemory.in(DataFolder.open(mFolder), loop, mLog, refused);
         mSpread =
                 new TargetSpread(
                         Peers.create(loop, () -> mNow, mLog, "127.0.0.1:1"),
@@ -60,6 +68,7 @@
                         () -> mNow,
                         mLog,
                         mMemory,
+                        refused,
                         1000);
     }
 
@@ -71,14 +80,14 @@
 
     /** An entry that had lapsed an engine by mistake once never heard of it again. */
     @Test
-    void targetsThatLiveAreToldAnew() {
-        mSpread.onReport(report(1, false));
+    void targetsThatLiveAreToldAnew() throws Exception {
+        mSpread.onReport(report(1, false), true);
         assertThat(mTold).hasSize(1);
         mTold.clear();
 
         for (mNow = 0; mNow <= TargetSpread.REFRESH_MILLIS; mNow += 50) {
             if (mNow % 1000 == 0) {
-                mSpread.onReport(report(2 + mNow, false));
+                mSpread.onReport(report(2 + mNow, false), true);
             }
             mSpread.tick(true);
         }
@@ -88,8 +97,8 @@
     }
 
     @Test
-    void silentTargetLapsesOnlyWhereOthersAreHeard() {
-        mSpread.onReport(report(1, false));
+    void silentTargetLapsesOnlyWhereOthersAreHeard() throws Exception {
+        mSpread.onReport(report(1, false), true);
         mTold.clear();
         for (mNow = 0; mNow <= 4000; mNow += 50) {
             mSpread.tick(false);
@@ -105,7 +114,7 @@
     }
 
     @Test
-    void whatAnotherProcessToldGoesOnToTheEntriesOnce() {
+    void whatAnotherProcessToldGoesOnToTheEntriesOnce() throws Exception {
         Targets news =
                 Targets.newBuilder().addTargets(TargetFrames.encode(report(5, true), 0)).build();
 
@@ -125,7 +134,7 @@
 
         assertThat(mSpread.all().getTargetsList()).hasSize(1);
         assertThat(mSpread.heard().getTargetsList()).isEmpty();
-        mSpread.onReport(report(1, false));
+        mSpread.onReport(report(1, false), true);
         assertThat(mTold).hasSize(1);
         assertThat(mSpread.heard().getTargetsList()).hasSize(1);
     }
@@ -147,7 +156,7 @@
 
     @Test
     void targetThatHasLeftIsNotRemembered() throws Exception {
-        mSpread.onReport(report(7, false));
+        mSpread.onReport(report(7, false), true);
         mSpread.onLeave("a");
         saveAndRestart();
 
@@ -162,23 +171,109 @@
         assertThat(mSpread.all().getTargetsList()).isEmpty();
     }
 
+    /** A report of another service ended the target that had its address. */
+    @Test
+    void reportOfAnUnknownServiceChangesNothing() throws Exception {
+        mSpread.onServices(Set.of("s"));
+        mSpread.onReport(report(1, false), true);
+        mTold.clear();
+        List<TargetReport> before = mSpread.reports();
+
+        for (String id : new String[] {"a", "b"}) {
+            TargetReport other = report(id, "other", "1.1.1.1:1", 9);
+            QuilldykeException e =
+                    assertThrows(QuilldykeException.class, () -> mSpread.onReport(other, true));
+            assertThat(e.code()).isEqualTo(ResultCode.REPORT_SERVICE);
+        }
+
+        assertThat(mSpread.reports()).isEqualTo(before);
+        assertThat(mTold).isEmpty();
+    }
+
+    /** Its requests end well while it is leaving, though its service is no more. */
+    @Test
+    void knownTargetOutlivesItsServicesName() throws Exception {
+        mSpread.onServices(Set.of("s"));
+        mSpread.onReport(report(1, false), true);
+
+        mSpread.onServices(Set.of("other"));
+        mSpread.onReport(report(2, true), true);
+
+        assertThat(mSpread.reports().get(0).leaving()).isTrue();
+    }
+
+    /** Targets that run no models say nothing of them, and engines always do. */
+    @Test
+    void engineThatSaysNothingOfItsWeightsIsNotBelieved() throws Exception {
+        TargetReport engine = report(1, false).withWeights(Map.of("m", 3L));
+        mSpread.onReport(engine, true);
+
+        assertThrows(QuilldykeException.class, () -> mSpread.onReport(report(2, false), false));
+        assertThat(mSpread.reports()).containsExactly(engine);
+        mSpread.onReport(report(3, false), true);
+        assertThat(mSpread.reports().get(0).weights()).isEmpty();
+    }
+
+    @Test
+    void withoutAManifestAnyServiceMayHaveTargets() throws Exception {
+        mSpread.onReport(report(1, false), true);
+
+        assertThat(mSpread.reports()).hasSize(1);
+    }
+
+    @Test
+    void badTargetOfAnotherInstanceCostsOnlyItself() throws Exception {
+        Target good = TargetFrames.encode(report(1, false), 0);
+        Targets.Builder news = Targets.newBuilder();
+        news.addTargets(good.toBuilder().setId("b").setAddress("x"));
+        news.addTargets(good.toBuilder().setId("").setAddress("1.1.1.2:1"));
+        news.addTargets(good.toBuilder().setId("c").setSlots(-1));
+        news.addTargets(good);
+
+        mSpread.onTargets(news.build());
+
+        assertThat(mTold).containsExactly(good);
+        assertThat(mMetrics.counter("news-refused.instance.QR3012").getCount()).isEqualTo(1);
+        assertThat(mMetrics.counter("news-refused.instance.QR3015").getCount()).isEqualTo(1);
+        assertThat(mMetrics.counter("news-refused.instance.QR3011").getCount()).isEqualTo(1);
+    }
+
+    @Test
+    void badTargetInMemoryCostsOnlyItself() throws Exception {
+        mMemory.saveTargets(List.of(report("a", "s", "x", 1), report("b", "s", "1.1.1.2:1", 1)));
+        awaitSaved();
+        mMemory.close();
+        start();
+
+        assertThat(mSpread.reports().stream().map(TargetReport::id).toList()).containsExactly("b");
+        assertThat(mMetrics.counter("news-refused.memory.QR3012").getCount()).isEqualTo(1);
+    }
+
     private void restartWithMemoryOf(TargetReport report) throws Exception {
-        mSpread.onReport(report);
+        mSpread.onReport(report, true);
         saveAndRestart();
     }
 
     private void saveAndRestart() throws Exception {
         mSpread.tick(true);
+        awaitSaved();
+        mMemory.close();
+        mTold.clear();
+        start();
+    }
+
+    private void awaitSaved() throws InterruptedException {
         long until = System.nanoTime() + SAVED_NANOS;
         while (!Files.exists(mFolder.resolve("hint-targets")) && System.nanoTime() < until) {
             Thread.sleep(5);
         }
-        mMemory.close();
-        mTold.clear();
-        start();
     }
 
     private static TargetReport report(long sequence, boolean leaving) {
         return new TargetReport("a", "s", "1.1.1.1:1", "z", "v", 4, leaving, 0, Map.of(), sequence);
     }
+
+    private static TargetReport report(String id, String service, String address, long sequence) {
+        return new TargetReport(id, service, address, "z", "v", 4, false, 0, Map.of(), sequence);
+    }
 }
