A call to what is no IP:port ends as unsent

Cause: a store's address comes from the manifest as it stands there. One that can't be parsed threw inside the traffic thread: the call never ended, and its holder was never asked again; a host's name would be looked up on that thread.

Change: the pool gives such an attempt up, in a later turn of the loop, as it does with a connection that fails.

Tests: EngineOrdersTest; with the pool as it was before it fails (no answer within 3 s).

--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/engine/TargetPool.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/engine/TargetPool.java
@@ -34,6 +34,7 @@
 import java.util.Map;
 import java.util.function.LongSupplier;
 import org.quilldyke.daemon.settings.Addresses;
+import org.quilldyke.engine.SocketAddresses;
 import org.quilldyke.gateway.dialect.TargetDialect;
 
 /** Connections to targets, kept for the next request. Lives on the traffic thread. */
@@ -137,6 +138,11 @@
         }
 
         void connect(Attempt attempt) {
+            if (!SocketAddresses.isIpAndPort(mAddress)) {
+                // The listener hears nothing before it knows its attempt.
+                mLoop.execute(() -> giveUp(attempt, "not IP:port: " + mAddress));
+                return;
+            }
             TargetConnection connection = new TargetConnection(this, mDialect);
             InetSocketAddress address = Addresses.parse(mAddress);
             ChannelFuture connecting = bootstrap(connection).connect(address);
@@ -176,10 +182,7 @@
         private void onConnected(
                 ChannelFuture connecting, TargetConnection connection, Attempt attempt) {
             if (!connecting.isSuccess()) {
-                if (!attempt.isCancelled()) {
-                    attempt.request().release();
-                    attempt.listener().onUnsent(String.valueOf(connecting.cause()));
-                }
+                giveUp(attempt, String.valueOf(connecting.cause()));
                 return;
             }
             mOpen.add(connection);
@@ -190,6 +193,13 @@
             }
         }
 
+        private void giveUp(Attempt attempt, String why) {
+            if (!attempt.isCancelled()) {
+                attempt.request().release();
+                attempt.listener().onUnsent(why);
+            }
+        }
+
         private Bootstrap bootstrap(TargetConnection connection) {
             return new Bootstrap()
                     .group(mLoop)
