--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/ControlNode.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/ControlNode.java
@@ -23,6 +23,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
 import org.quilldyke.QuilldykeException;
 import org.quilldyke.ResultCode;
 import org.quilldyke.control.Membership;
@@ -34,9 +35,10 @@
 import org.quilldyke.daemon.instance.Wire;
 import org.quilldyke.daemon.log.Event;
 import org.quilldyke.daemon.log.EventLog;
-import org.quilldyke.engine.TargetReport;
+import org.quilldyke.gateway.dialect.ControlCall;
 import org.quilldyke.gateway.dialect.ControlDialect;
 import org.quilldyke.gateway.engine.EngineOrders;
+import org.quilldyke.gateway.engine.RefusedNews;
 import org.quilldyke.gateway.instance.Compression;
 import org.quilldyke.gateway.instance.NettyLoop;
 import org.quilldyke.gateway.instance.Peers;
@@ -49,6 +51,8 @@
 import org.quilldyke.manifest.FleetCommand;
 import org.quilldyke.manifest.FleetResult;
 import org.quilldyke.manifest.FleetState;
+import org.quilldyke.manifest.Manifest;
+import org.quilldyke.manifest.Service;
 import org.quilldyke.weights.EngineFleet;
 
 /** One control process: its replica, its peers, its entries. Lives on the control thread. */
@@ -94,6 +98,7 @@
             EventLog log,
             EngineOrders orders,
             ControlDialect dialect,
+            RefusedNews refused,
             long startedAt)
             throws QuilldykeException {
         mLoop = loop;
@@ -106,7 +111,7 @@
         mMachine = new FleetMachine(this::onState);
         SplittableRandom random = new SplittableRandom(System.nanoTime() ^ mAddress.hashCode());
         DataFolder folder = DataFolder.open(Path.of(settings.dataFolder()));
-        mMemory = RestartMemory.in(folder, loop, log);
+        mMemory = RestartMemory.in(folder, loop, log, refused);
         ReplicaIdentity.Opened opened =
                 ReplicaIdentity.open(folder, settings, mAddress, random, log);
         mGroup = new Group(opened.identity().id(), mPeers);
@@ -123,14 +128,7 @@
         mGroup.onNode(node);
         mConfirmations = new Confirmations(mGroup, mPeers, clock);
         mProposals = new Proposals(mGroup, mPeers, loop, clock);
-        mTargets =
-                new TargetSpread(
-                        mPeers,
-                        mEntries::onTargets,
-                        clock,
-                        log,
-                        mMemory,
-                        settings.timings().targetReport());
+        mTargets = spread(settings.timings().targetReport(), refused);
         mEntries.connect(mConfirmations, mTargets);
         mMembership =
                 new MembershipKeeper(mGroup, mPeers, mAddress, clock, settings.toleratedLosses());
@@ -151,6 +149,11 @@
         onState(mMachine.state());
     }
 
+    private TargetSpread spread(long reportMillis, RefusedNews refused) {
+        return new TargetSpread(
+                mPeers, mEntries::onTargets, mClock, mLog, mMemory, refused, reportMillis);
+    }
+
     /**
      * Starts a control process's part of the group; call it on the control thread.
      *
@@ -160,6 +163,8 @@
      * @param log where events go
      * @param orders speaks to engines
      * @param dialect reads manifests
+     * @param refused takes notice of what can't be taken of what others say of targets
+     * @param startedAt when the process began
      * @throws QuilldykeException if the data folder can't be read
      */
     public static ControlNode start(
@@ -169,9 +174,11 @@
             EventLog log,
             EngineOrders orders,
             ControlDialect dialect,
+            RefusedNews refused,
             long startedAt)
             throws QuilldykeException {
-        ControlNode node = new ControlNode(settings, loop, clock, log, orders, dialect, startedAt);
+        ControlNode node =
+                new ControlNode(settings, loop, clock, log, orders, dialect, refused, startedAt);
         node.mLog.write(
                 Event.IDENTITY,
                 "id",
@@ -275,9 +282,14 @@
         return result;
     }
 
-    /** Takes a target's report; returns whether this process is in touch with the others. */
-    public boolean onReport(TargetReport report) {
-        mTargets.onReport(report);
+    /**
+     * Takes a target's report; returns whether this process is in touch with the others.
+     *
+     * @throws QuilldykeException {@link ResultCode#REPORT_SERVICE} if no service has its name,
+     *     {@link ResultCode#REPORT_INVALID} if it says nothing of weights that the target holds
+     */
+    public boolean onReport(ControlCall.Report call) throws QuilldykeException {
+        mTargets.onReport(call.report(), call.tellsWeights());
         return isInTouch();
     }
 
@@ -396,7 +408,10 @@
             return;
         }
         try {
-            mCaches.onManifest(mDialect.readManifest(Compression.expand(state.document())));
+            Manifest manifest = mDialect.readManifest(Compression.expand(state.document()));
+            mCaches.onManifest(manifest);
+            mTargets.onServices(
+                    manifest.services().stream().map(Service::name).collect(Collectors.toSet()));
         } catch (QuilldykeException e) {
             mLog.write(Event.INVARIANT, "detail", e.getMessage());
         }
