Incarnations of targets: an id with its birth, and which of one id is the latest

Cause: an engine may start again under the id that it had, and knows nothing of before then; until now each start had an id of its own.

--- /dev/null
+++ b/quilldyke-core/src/main/java/org/quilldyke/engine/LatestIncarnations.java
@@ -0,0 +1,70 @@
+/*
+ * Copyright 2026 The quilldyke authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.quilldyke.engine;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * The latest incarnation of each id that was ever heard of: what is told of an earlier one comes
+ * too late, also when the latest is silent or gone.
+ */
+public final class LatestIncarnations {
+    /** Many times the targets of today's sites; the ids that were used longest ago yield. */
+    static final int MAX_IDS = 4096;
+
+    private static final float LOAD_FACTOR = 0.75f;
+
+    private final Map<String, Incarnation> mLatest =
+            new LinkedHashMap<>(MAX_IDS / 16, LOAD_FACTOR, true) {
+                @Override
+                protected boolean removeEldestEntry(Map.Entry<String, Incarnation> eldest) {
+                    return size() > MAX_IDS;
+                }
+            };
+
+    private LatestIncarnations() {}
+
+    /** Returns an order that has heard of no target. */
+    public static LatestIncarnations create() {
+        return new LatestIncarnations();
+    }
+
+    /** Returns whether a later incarnation of the same id is known. */
+    public boolean isPast(Incarnation incarnation) {
+        Incarnation latest = mLatest.get(incarnation.id());
+        return latest != null && latest.born() > incarnation.born();
+    }
+
+    /**
+     * Takes note of an incarnation.
+     *
+     * @return the one that it puts an end to, if that was known
+     */
+    public Optional<Incarnation> note(Incarnation incarnation) {
+        if (isPast(incarnation)) {
+            return Optional.empty();
+        }
+        Incarnation before = mLatest.put(incarnation.id(), incarnation);
+        return Optional.ofNullable(before).filter(known -> known.born() < incarnation.born());
+    }
+
+    /** Returns the latest incarnation of an id. */
+    public Optional<Incarnation> of(String id) {
+        return Optional.ofNullable(mLatest.get(id));
+    }
+}
