Engines may start again under their id: what is believed of one is bound to its incarnation

Cause: an engine's id named one start of it. One that starts again under its id was taken for the one before: its first heartbeats were late by their count, its cache, load, weights, suspicion and predictions went on, an answer of the start before confirmed an order to the present one, and requests open at the start before waited until reports lapsed. Change: the adapter decodes born (heartbeats, leaves, /report, /kv-events, answers to orders) and names an engine by its incarnation's key; the wire gets the plain id. TargetRegistry ends earlier incarnations at once and never takes one back; entries lose what is open there and retry as the request's kind allows. LoadPlanner, OrderOutcome and CacheReader (drawn out of CacheWatch) believe an answer only of the incarnation that was asked; CacheMirror keeps nothing of an earlier one. Without born all is as before; a born that is no whole number makes the word invalid. Ruled out: to end an incarnation by a later born in an answer alone: the answer doesn't say whose id it is, and the address may have passed on; only what was cached is taken for lost then. To spare requests at an earlier incarnation that still send: nothing tells which start sends. A leave without born that a peer relays for an id it doesn't know ends no incarnation: it is told again for minutes, and would end a later one.

--- a/quilldyke-core/src/main/java/org/quilldyke/engine/TargetRegistry.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/engine/TargetRegistry.java
@@ -28,6 +28,9 @@
  * <p>Reports may come late and in any order: the highest sequence counts, and after a target has
  * said that it is gone, nothing that it said before does. A target that is silent for too long
  * lapses, and is back with its next report.
+ *
+ * <p>Targets are named by their incarnation's key. A later incarnation ends the earlier ones of its
+ * id at once, wherever they stand and whenever they were heard; nothing told of those counts then.
  */
 public final class TargetRegistry {
     /** For how long a late report of a target that is gone is still known as such. */
@@ -37,6 +40,8 @@
     private final Map<String, Long> mGone = new HashMap<>();
     private final Map<String, Displaced> mDisplaced = new HashMap<>();
     private final Map<String, Lapsed> mLapsed = new HashMap<>();
+    private final LatestIncarnations mLatest = LatestIncarnations.create();
+    private final List<String> mEnded = new ArrayList<>();
     private final boolean mJudges;
 
     private TargetRegistry(boolean judges) {
@@ -60,7 +65,7 @@
      * @return whether it tells something new, other than that the target lives
      */
     public boolean onReport(TargetReport report, long heardAt) {
-        if (mGone.containsKey(report.id())) {
+        if (mGone.containsKey(report.id()) || mLatest.isPast(report.incarnation())) {
             return false;
         }
         Entry known = mEntries.get(report.id());
@@ -71,6 +76,7 @@
         if (mJudges && isOfAnEndedTarget(report.id(), heardAt)) {
             return false;
         }
+        endEarlier(report.incarnation());
         displaceOthers(report, heardAt);
         if (known == null) {
             mEntries.put(report.id(), new Entry(report, heardAt));
@@ -102,6 +108,40 @@
         return false;
     }
 
+    /** Whatever was known of earlier incarnations ends with the first word of a later one. */
+    private void endEarlier(Incarnation incarnation) {
+        mLatest.note(incarnation)
+                .map(Incarnation::key)
+                .ifPresent(
+                        ended -> {
+                            mEntries.remove(ended);
+                            mLapsed.remove(ended);
+                            mDisplaced.remove(ended);
+                            mEnded.add(ended);
+                        });
+    }
+
+    /**
+     * Returns the incarnations that a later one has ended since this was asked last: what is open
+     * there is lost.
+     */
+    public List<String> takeEnded() {
+        List<String> ended = List.copyOf(mEnded);
+        mEnded.clear();
+        return ended;
+    }
+
+    /**
+     * Returns who is meant by a word that needn't tell a birth: without one, the latest that is
+     * known under the id now.
+     */
+    public String present(String told) {
+        Incarnation incarnation = Incarnation.ofKey(told);
+        return incarnation.tellsBirth()
+                ? told
+                : mLatest.of(incarnation.id()).orElse(incarnation).key();
+    }
+
     /** An address belongs to one target at a time: whoever had it before has ended. */
     private void displaceOthers(TargetReport report, long heardAt) {
         List<Entry> ended =
@@ -146,6 +186,7 @@
         boolean news = !mGone.containsKey(id);
         mGone.put(id, now);
         mEntries.remove(id);
+        endEarlier(Incarnation.ofKey(id));
         return news;
     }
 
--- a/quilldyke-core/src/main/java/org/quilldyke/engine/TargetReport.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/engine/TargetReport.java
@@ -20,7 +20,7 @@
 /**
  * What a target says of itself.
  *
- * @param id names this start of the target; a restarted target has another id
+ * @param id names this start of the target: {@link Incarnation#key()}
  * @param service the service that it belongs to
  * @param address where it takes requests
  * @param failureDomain where it stands
@@ -50,6 +50,11 @@
         weights = Map.copyOf(weights);
     }
 
+    /** Returns which start of which target reports. */
+    public Incarnation incarnation() {
+        return Incarnation.ofKey(id);
+    }
+
     /** Returns whether another report tells the same, but for when it was made. */
     public boolean tellsTheSame(TargetReport other) {
         return id.equals(other.id)
--- a/quilldyke-core/src/main/java/org/quilldyke/weights/LoadPlanner.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/weights/LoadPlanner.java
@@ -22,6 +22,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.quilldyke.engine.Incarnation;
 import org.quilldyke.engine.TargetReport;
 
 /**
@@ -97,12 +98,15 @@
         return actions;
     }
 
-    /** Takes an engine's status. */
+    /** Takes an engine's status; one of another incarnation of it is as good as none. */
     public List<LoadAction> onStatus(String target, EngineStatus status, long now) {
         Job job = mJobs.get(target);
         if (job == null) {
             return List.of();
         }
+        if (!Incarnation.ofKey(target).mayHaveSaid(status.born())) {
+            return onNoStatus(target, now);
+        }
         job.mAsking = false;
         job.mUnanswered = 0;
         long held = status.weights().getOrDefault(job.mModel, 0L);
--- a/quilldyke-core/src/main/java/org/quilldyke/weights/OrderOutcome.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/weights/OrderOutcome.java
@@ -15,6 +15,8 @@
  */
 package org.quilldyke.weights;
 
+import org.quilldyke.engine.Incarnation;
+
 /** What an engine answered to an order. */
 public enum OrderOutcome {
     /** It carries the order out. */
@@ -26,5 +28,16 @@
     /** It didn't take the order, for another reason. */
     REFUSED,
     /** It gave no answer: it may carry the order out, even seconds later. */
-    UNKNOWN
+    UNKNOWN;
+
+    /**
+     * Returns what this answer says of the engine that was ordered: nothing if another incarnation
+     * gave it.
+     *
+     * @param ordered the key of the incarnation that was ordered
+     * @param answeredBorn the birth that the answer tells, {@link Incarnation#UNTOLD} if none
+     */
+    public OrderOutcome of(String ordered, long answeredBorn) {
+        return Incarnation.ofKey(ordered).mayHaveSaid(answeredBorn) ? this : UNKNOWN;
+    }
 }
--- a/quilldyke-core/src/test/java/org/quilldyke/engine/TargetRegistryTest.java
+++ b/quilldyke-core/src/test/java/org/quilldyke/engine/TargetRegistryTest.java
@@ -132,6 +132,102 @@
         assertThat(mRegistry.report("a").get().weights()).containsExactly("m", 3L);
     }
 
+    /** Its counts start anew, and it may stand elsewhere. */
+    @Test
+    void laterIncarnationEndsTheEarlierAtOnce() {
+        mRegistry.onReport(report("a#5", "1:1", 50, false), 100);
+
+        assertThat(mRegistry.onReport(report("a#7", "1:2", 1, false), 100)).isTrue();
+
+        assertThat(ids(mRegistry.reports())).containsExactly("a#7");
+        assertThat(mRegistry.takeEnded()).containsExactly("a#5");
+        assertThat(mRegistry.takeEnded()).isEmpty();
+    }
+
+    @Test
+    void lateWordsOfAnEarlierIncarnationNeverCount() {
+        mRegistry.onReport(report("a#7", "1:1", 1, false), 100);
+
+        assertThat(mRegistry.onReport(report("a#5", "1:1", 50, false), 200)).isFalse();
+        assertThat(mRegistry.onReport(report("a#5", "1:2", 51, false), 300)).isFalse();
+        assertThat(mRegistry.onReport(report("a", "1:2", 52, false), 300)).isFalse();
+        mRegistry.onAlive("a#5", 400);
+        mRegistry.onWeights("a#5", "m", 9);
+        mRegistry.onLapsed("a#5");
+        mRegistry.onGone("a#5", 500);
+
+        assertThat(ids(mRegistry.reports())).containsExactly("a#7");
+        assertThat(mRegistry.heardAt("a#7")).isEqualTo(100);
+        assertThat(mRegistry.report("a#7").get().weights()).doesNotContainEntry("m", 9L);
+        assertThat(mRegistry.takeEnded()).isEmpty();
+    }
+
+    @Test
+    void earlierIncarnationStaysEndedWhenTheLaterIsSilentOrGone() {
+        mRegistry.onReport(report("a#7", "1:1", 1, false), 0);
+        mRegistry.lapse(500, 1000);
+        assertThat(mRegistry.onReport(report("a#5", "1:1", 50, false), 1000)).isFalse();
+
+        mRegistry.onGone("a#7", 1100);
+        long later = 1100 + 2 * TargetRegistry.GONE_KEPT_MILLIS;
+        mRegistry.lapse(500, later);
+        assertThat(mRegistry.onReport(report("a#5", "1:1", 51, false), later)).isFalse();
+        assertThat(mRegistry.reports()).isEmpty();
+    }
+
+    /** Other processes tell of the end only, or remember what was before. */
+    @Test
+    void endOfALaterIncarnationIsAlsoThatOfTheEarlier() {
+        TargetRegistry follower = TargetRegistry.following();
+        follower.onReport(report("a#5", "1:1", 50, false), 0);
+
+        follower.onGone("a#7", 10);
+
+        assertThat(follower.reports()).isEmpty();
+        assertThat(follower.takeEnded()).containsExactly("a#5");
+        assertThat(follower.onReport(report("a#5", "1:1", 9, false).remembered(), 20)).isFalse();
+    }
+
+    @Test
+    void rememberedIncarnationIsNotConfirmedByALaterOne() {
+        mRegistry.onReport(report("a#5", "1:1", 50, false).remembered(), 0);
+
+        mRegistry.onReport(report("a#7", "1:1", 1, false), 10);
+
+        assertThat(ids(mRegistry.reports())).containsExactly("a#7");
+        assertThat(mRegistry.takeEnded()).containsExactly("a#5");
+    }
+
+    /**
+     * Whoever answers still, though its reports have ended, ends with the word of its successor.
+     */
+    @Test
+    void lapsedIncarnationIsEndedToo() {
+        TargetRegistry follower = TargetRegistry.following();
+        follower.onReport(report("a#5", "1:1", 50, false), 0);
+        follower.onLapsed("a#5");
+
+        follower.onReport(report("a#7", "1:1", 1, false), 10);
+
+        assertThat(follower.takeEnded()).containsExactly("a#5");
+    }
+
+    @Test
+    void leaveWithoutABirthEndsWhatIsKnownThen() {
+        assertThat(mRegistry.present("a")).isEqualTo("a");
+        mRegistry.onReport(report("a#5", "1:1", 50, false), 0);
+        assertThat(mRegistry.present("a")).isEqualTo("a#5");
+        assertThat(mRegistry.present("a#4")).isEqualTo("a#4");
+
+        mRegistry.onGone(mRegistry.present("a"), 10);
+        assertThat(mRegistry.reports()).isEmpty();
+        assertThat(mRegistry.onReport(report("a#5", "1:1", 51, false), 20)).isFalse();
+        assertThat(mRegistry.onReport(report("a#7", "1:1", 1, false), 20)).isTrue();
+        mRegistry.onGone("a", 30);
+
+        assertThat(ids(mRegistry.reports())).containsExactly("a#7");
+    }
+
     private static List<String> ids(List<TargetReport> reports) {
         return reports.stream().map(TargetReport::id).toList();
     }
--- a/quilldyke-core/src/test/java/org/quilldyke/weights/LoadPlannerTest.java
+++ b/quilldyke-core/src/test/java/org/quilldyke/weights/LoadPlannerTest.java
@@ -22,6 +22,7 @@
 import java.util.Map;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
+import org.quilldyke.engine.Incarnation;
 import org.quilldyke.engine.TargetReport;
 
 class LoadPlannerTest {
@@ -136,6 +137,32 @@
                 .containsExactly(new LoadAction.Release("e0", "m", 0));
     }
 
+    @Test
+    void statusOfAnotherIncarnationIsAsGoodAsNone() {
+        List<TargetReport> engines = List.of(engine("e#7", 1));
+        startLoading(engines);
+        EngineStatus done = new EngineStatus(false, 9, Map.of("m", 2L), 5);
+
+        assertThat(mPlanner.onStatus("e#7", done, 55)).isEmpty();
+        mPlanner.tick(fleet(engines, Set.of()), WANTED, 600);
+        assertThat(mPlanner.onStatus("e#7", done, 610))
+                .containsExactly(new LoadAction.Release("e#7", "m", 0));
+    }
+
+    @Test
+    void engineThatStartedAgainIsTakenUpAnewAtItsOwnRevision() {
+        startLoading(List.of(engine("e#5", 1)));
+        mPlanner.onStatus("e#5", new EngineStatus(false, 4, Map.of("m", 1L), 5), 55);
+
+        List<TargetReport> again = List.of(engine("e#7", 1));
+        assertThat(mPlanner.tick(fleet(again, Set.of()), WANTED, 100))
+                .containsExactly(new LoadAction.Announce("e#7"));
+        assertThat(mPlanner.onOrdered("e#5", OrderOutcome.HOLDS, 110)).isEmpty();
+        mPlanner.tick(fleet(again, Set.of()), WANTED, 150);
+        assertThat(mPlanner.onStatus("e#7", new EngineStatus(false, 0, Map.of("m", 1L), 7), 155))
+                .containsExactly(new LoadAction.Order("e#7", "m", 2, 0));
+    }
+
     /** Has the first engine announced at 0 and asked at 50. */
     private void startLoading(List<TargetReport> engines) {
         mPlanner.tick(fleet(engines, Set.of()), WANTED, 0);
@@ -147,7 +174,7 @@
     }
 
     private static EngineStatus status(boolean busy, long revision, long version) {
-        return new EngineStatus(busy, revision, Map.of("m", version));
+        return new EngineStatus(busy, revision, Map.of("m", version), Incarnation.UNTOLD);
     }
 
     private static EngineFleet fleet(List<TargetReport> engines, Set<String> silent) {
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/EntrySubscriber.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/EntrySubscriber.java
@@ -193,6 +193,7 @@
                         mLog.write(Event.TARGET_CHANGED, "target", id, "gone", true);
                         mEntry.loop().execute(() -> mEntry.onTargetLost(id, false));
                     }
+                    endEarlier();
                 }
                 case LAPSED -> {
                     if (mRegistry.onLapsed(id)) {
@@ -221,6 +222,15 @@
                     report.sequence());
             mEntry.loop().execute(() -> mEntry.onReport(report));
         }
+        // What was open at an earlier incarnation may go on at the one that has just reported.
+        endEarlier();
+    }
+
+    private void endEarlier() {
+        for (String id : mRegistry.takeEnded()) {
+            mLog.write(Event.TARGET_CHANGED, "target", id, "ended", true);
+            mEntry.loop().execute(() -> mEntry.onTargetEnded(id));
+        }
     }
 
     private void onCache(org.quilldyke.gateway.instance.proto.CacheNews news) {
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Entry.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Entry.java
@@ -88,13 +88,27 @@
             mLoop.schedule(() -> checkLapsing(target), HEARD_CHECK_MILLIS, TimeUnit.MILLISECONDS);
             return;
         }
+        forget(target);
+        if (silent) {
+            loseOpen(target, "the target is silent");
+        }
+    }
+
+    /** Notes that a target has started again: this start of it has ended, whatever it sent. */
+    public void onTargetEnded(String target) {
+        forget(target);
+        loseOpen(target, "the target has started again");
+    }
+
+    private void forget(String target) {
         mLapsing.remove(target);
         mBook.onGone(target);
         mPool.forget(target);
-        if (silent) {
-            List<Exchange> open = new ArrayList<>(mExchanges.getOrDefault(target, Set.of()));
-            open.forEach(Exchange::onTargetLost);
-        }
+    }
+
+    private void loseOpen(String target, String why) {
+        List<Exchange> open = new ArrayList<>(mExchanges.getOrDefault(target, Set.of()));
+        open.forEach(exchange -> exchange.onTargetLost(why));
     }
 
     /** Takes what a target reports. */
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Exchange.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Exchange.java
@@ -131,10 +131,10 @@
         }
     }
 
-    void onTargetLost() {
+    void onTargetLost(String why) {
         if (mAttempt != null && !mEnded) {
             cancelAttempt();
-            onBroken(ResultCode.TARGET_LOST, "the target is silent");
+            onBroken(ResultCode.TARGET_LOST, why);
         }
     }
 
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/CacheMirror.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/CacheMirror.java
@@ -22,20 +22,27 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.quilldyke.engine.Incarnation;
+import org.quilldyke.engine.LatestIncarnations;
 import org.quilldyke.gateway.instance.proto.CacheNews;
 
 /**
  * What engines and stores keep, as a control process has heard it: for entries that have just
- * started, and so that others are told only what is new to them.
+ * started, and so that others are told only what is new to them. Of an engine that has started
+ * again nothing is kept that an earlier incarnation kept.
  */
 final class CacheMirror {
     /** More parts than any engine of today's sites keeps; the oldest are forgotten beyond. */
     private static final int MAX_PARTS = 8192;
 
+    private final LatestIncarnations mLatest = LatestIncarnations.create();
     private final Map<String, Holder> mHolders = new HashMap<>();
 
     /** Takes news; returns what of them is new. */
     Optional<CacheNews> apply(CacheNews news) {
+        if (!onHolder(news.getHolder())) {
+            return Optional.empty();
+        }
         Holder holder = mHolders.computeIfAbsent(news.getHolder(), id -> new Holder());
         CacheNews.Builder out =
                 CacheNews.newBuilder()
@@ -60,8 +67,20 @@
         return told ? Optional.of(out.build()) : Optional.empty();
     }
 
-    /** Forgets a holder. */
+    /**
+     * Notes that a holder is known, and forgets its earlier incarnations.
+     *
+     * @return whether it is the latest of its id
+     */
+    boolean onHolder(String id) {
+        Incarnation incarnation = Incarnation.ofKey(id);
+        mLatest.note(incarnation).map(Incarnation::key).ifPresent(mHolders::remove);
+        return !mLatest.isPast(incarnation);
+    }
+
+    /** Forgets a holder that is gone, and its earlier incarnations. */
     void forget(String id) {
+        onHolder(id);
         mHolders.remove(id);
     }
 
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/CacheWatch.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/CacheWatch.java
@@ -17,13 +17,11 @@
 
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
-import org.quilldyke.daemon.log.Event;
 import org.quilldyke.daemon.log.EventLog;
 import org.quilldyke.engine.TargetReport;
 import org.quilldyke.gateway.dialect.CacheEvents;
@@ -32,7 +30,6 @@
 import org.quilldyke.gateway.instance.proto.CacheNews;
 import org.quilldyke.manifest.Manifest;
 import org.quilldyke.manifest.Service;
-import org.quilldyke.routing.CacheKeys;
 
 /**
  * Watches what engines and stores keep of prompts, and tells it to all instances in short form.
@@ -48,7 +45,7 @@
     private final NettyLoop mLoop;
     private final EventLog mLog;
     private final Consumer<CacheNews> mTell;
-    private final Map<String, Watch> mWatches = new HashMap<>();
+    private final Map<String, CacheReader> mReaders = new HashMap<>();
     private Map<String, Service> mServices = Map.of();
     private boolean mLeads;
 
@@ -70,7 +67,7 @@
     void tick(boolean leads, List<TargetReport> targets) {
         mLeads = leads;
         if (!leads) {
-            mWatches.clear();
+            mReaders.clear();
             return;
         }
         Set<String> wanted = new HashSet<>();
@@ -89,98 +86,45 @@
                                 watch(store.address(), store.address());
                             });
         }
-        mWatches.keySet().retainAll(wanted);
+        mReaders.keySet().retainAll(wanted);
     }
 
     /** Returns the holders that don't answer just now. */
     Set<String> silent() {
         Set<String> silent = new HashSet<>();
-        mWatches.values().stream().filter(w -> !w.mUp).forEach(w -> silent.add(w.mHolder));
+        mReaders.values().stream()
+                .filter(reader -> !reader.isUp())
+                .forEach(reader -> silent.add(reader.holder()));
         return silent;
     }
 
     private void watch(String holder, String address) {
-        if (!mWatches.containsKey(holder)) {
-            Watch watch = new Watch(holder, address);
-            mWatches.put(holder, watch);
-            ask(watch);
+        if (!mReaders.containsKey(holder)) {
+            CacheReader reader = new CacheReader(holder, address, mLog);
+            mReaders.put(holder, reader);
+            ask(reader);
         }
     }
 
-    private void ask(Watch watch) {
-        if (!mLeads || mWatches.get(watch.mHolder) != watch) {
+    private void ask(CacheReader reader) {
+        if (!mLeads || mReaders.get(reader.holder()) != reader) {
             return;
         }
         mEngines.watchCache(
-                watch.mAddress,
-                watch.mNext,
-                events -> mLoop.execute(() -> onEvents(watch, events)));
+                reader.address(),
+                reader.next(),
+                events -> mLoop.execute(() -> onAnswer(reader, events)));
     }
 
-    private void onEvents(Watch watch, Optional<CacheEvents> answer) {
-        if (!mLeads || mWatches.get(watch.mHolder) != watch) {
+    private void onAnswer(CacheReader reader, Optional<CacheEvents> answer) {
+        if (!mLeads || mReaders.get(reader.holder()) != reader) {
             return;
         }
-        if (answer.isEmpty()) {
-            onNoAnswer(watch);
-            return;
-        }
-        CacheEvents events = answer.get();
-        boolean restarted = watch.mEpoch != 0 && watch.mEpoch != events.epoch();
-        if (restarted || events.gap()) {
-            mLog.write(
-                    Event.INDEX_RESYNCED,
-                    "holder",
-                    watch.mHolder,
-                    "restarted",
-                    restarted,
-                    "gap",
-                    events.gap());
-        }
-        CacheNews.Builder news =
-                CacheNews.newBuilder().setHolder(watch.mHolder).setUp(true).setRestarted(restarted);
-        Map<Long, Boolean> kept = new LinkedHashMap<>();
-        for (CacheEvents.Change change : events.changes()) {
-            kept.put(CacheKeys.of(change.salt(), change.part()), change.added());
-        }
-        kept.forEach(
-                (key, added) -> {
-                    if (added) {
-                        news.addAdded(key);
-                    } else {
-                        news.addRemoved(key);
-                    }
-                });
-        boolean first = watch.mEpoch == 0;
-        if (first || restarted || !watch.mUp || !events.changes().isEmpty()) {
-            mTell.accept(news.build());
-        }
-        watch.mUp = true;
-        watch.mEpoch = events.epoch();
-        watch.mNext = events.next();
-        ask(watch);
-    }
-
-    private void onNoAnswer(Watch watch) {
-        if (watch.mUp) {
-            mLog.write(Event.WATCH_LOST, "holder", watch.mHolder);
-            mTell.accept(CacheNews.newBuilder().setHolder(watch.mHolder).setUp(false).build());
-        }
-        watch.mUp = false;
-        mLoop.schedule(RETRY_MILLIS, () -> ask(watch));
-    }
-
-    /** How far one holder's events are read. */
-    private static final class Watch {
-        final String mHolder;
-        final String mAddress;
-        boolean mUp = true;
-        long mEpoch;
-        long mNext;
-
-        Watch(String holder, String address) {
-            mHolder = holder;
-            mAddress = address;
+        reader.onAnswer(answer).ifPresent(mTell);
+        if (reader.wasAnswered()) {
+            ask(reader);
+        } else {
+            mLoop.schedule(RETRY_MILLIS, () -> ask(reader));
         }
     }
 }
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/EntrySessions.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/EntrySessions.java
@@ -118,9 +118,13 @@
 
     /** Tells targets to all. */
     void onTargets(Targets targets) {
-        targets.getTargetsList().stream()
-                .filter(target -> target.getStanding() == Target.Standing.GONE)
-                .forEach(target -> mCaches.forget(target.getId()));
+        for (Target target : targets.getTargetsList()) {
+            if (target.getStanding() == Target.Standing.GONE) {
+                mCaches.forget(target.getId());
+            } else if (target.getStanding() == Target.Standing.LIVE) {
+                mCaches.onHolder(target.getId());
+            }
+        }
         tellAll(ControlFrame.newBuilder().setTargets(targets).build());
     }
 
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/TargetSpread.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/TargetSpread.java
@@ -121,10 +121,12 @@
             mToSave = true;
             tell(Targets.newBuilder().addTargets(TargetFrames.encode(report, 0)).build());
         }
+        noteEnded();
     }
 
-    /** Takes the news that a target is gone, told here. */
-    void onLeave(String id) {
+    /** Takes the news that a target is gone, told here; without a birth, whoever has its id now. */
+    void onLeave(String told) {
+        String id = mRegistry.present(told);
         if (mRegistry.onGone(id, mClock.getAsLong())) {
             mLog.write(Event.TARGET_CHANGED, "target", id, "gone", true);
             mToSave = true;
@@ -133,6 +135,7 @@
                             .addTargets(TargetFrames.encode(id, Target.Standing.GONE))
                             .build());
         }
+        noteEnded();
     }
 
     /** Takes what another instance knows; news go on to the entries here. */
@@ -152,6 +155,7 @@
                 news.addTargets(target);
             }
         }
+        noteEnded();
         for (Alive alive : targets.getAliveList()) {
             mRegistry.onAlive(alive.getId(), now - alive.getAgeMs());
         }
@@ -161,6 +165,13 @@
         }
     }
 
+    private void noteEnded() {
+        for (String id : mRegistry.takeEnded()) {
+            mLog.write(Event.TARGET_CHANGED, "target", id, "ended", true);
+            mToSave = true;
+        }
+    }
+
     /** Returns all that is known, for entries. */
     Targets all() {
         return all(report -> true);
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/dialect/CacheEvents.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/dialect/CacheEvents.java
@@ -24,8 +24,10 @@
  * @param next where to go on
  * @param gap whether some changes are missing
  * @param changes the changes in order
+ * @param born the birth that the engine tells, {@link org.quilldyke.engine.Incarnation#UNTOLD} if
+ *     none
  */
-public record CacheEvents(long epoch, long next, boolean gap, List<Change> changes) {
+public record CacheEvents(long epoch, long next, boolean gap, List<Change> changes, long born) {
     /** Copies the changes. */
     public CacheEvents {
         changes = List.copyOf(changes);
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/dialect/ControlCall.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/dialect/ControlCall.java
@@ -37,6 +37,6 @@
     /** Reports that a target lives. */
     record Report(TargetReport report) implements ControlCall {}
 
-    /** Reports that a target is gone. */
+    /** Reports that a target is gone; without a birth, the one that is known under the id. */
     record Leave(String target) implements ControlCall {}
 }
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/dialect/LoadOrder.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/dialect/LoadOrder.java
@@ -18,7 +18,7 @@
 /**
  * An order to an engine to load weights.
  *
- * @param target the engine that shall take it; another one refuses it
+ * @param target the key of the engine that shall take it; one of another id refuses it
  * @param model the model
  * @param version the version of its weights
  * @param holder who gives the order
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/dialect/TargetDialect.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/dialect/TargetDialect.java
@@ -56,4 +56,13 @@
 
     /** Returns the request that gives an engine an order. */
     FullHttpRequest orderRequest(String address, LoadOrder order);
+
+    /**
+     * Returns the birth that an answer to an order tells, {@link
+     * org.quilldyke.engine.Incarnation#UNTOLD} if none.
+     *
+     * @throws QuilldykeException {@link org.quilldyke.ResultCode#REPORT_INVALID} if it tells
+     *     something else as its birth
+     */
+    long readOrdered(byte[] body) throws QuilldykeException;
 }
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/engine/EngineOrders.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/engine/EngineOrders.java
@@ -93,7 +93,7 @@
                 address,
                 mDialect.orderRequest(address, order),
                 TIMEOUT_MILLIS,
-                (status, body) -> done.accept(outcome(status)));
+                (status, body) -> done.accept(outcome(order.target(), status, body)));
     }
 
     /**
@@ -117,6 +117,15 @@
         }
     }
 
+    private OrderOutcome outcome(String target, int status, byte[] body) {
+        try {
+            return outcome(status).of(target, mDialect.readOrdered(body));
+        } catch (QuilldykeException e) {
+            mLog.write(Event.WATCH_FAILED, "detail", e.getMessage());
+            return OrderOutcome.UNKNOWN;
+        }
+    }
+
     private static OrderOutcome outcome(int status) {
         return switch (status) {
             case 0 -> OrderOutcome.UNKNOWN;
--- a/quilldyke-gateway/src/test/java/org/quilldyke/gateway/control/CacheMirrorTest.java
+++ b/quilldyke-gateway/src/test/java/org/quilldyke/gateway/control/CacheMirrorTest.java
@@ -63,7 +63,42 @@
         assertThat(mMirror.whole().get(0).getAddedList()).isEqualTo(List.of());
     }
 
+    @Test
+    void nothingIsKeptOfAnEarlierIncarnation() {
+        mMirror.apply(news("i-1#5").addAdded(1).addAdded(2).build());
+
+        mMirror.apply(news("i-1#7").addAdded(3).build());
+
+        assertThat(mMirror.whole()).hasSize(1);
+        assertThat(mMirror.whole().get(0).getHolder()).isEqualTo("i-1#7");
+        assertThat(mMirror.whole().get(0).getAddedList()).containsExactly(3L);
+    }
+
+    @Test
+    void lateNewsOfAnEarlierIncarnationGoNoFurther() {
+        mMirror.apply(news("i-1#5").addAdded(1).build());
+        assertThat(mMirror.onHolder("i-1#7")).isTrue();
+        assertThat(mMirror.whole()).isEmpty();
+
+        assertThat(mMirror.apply(news("i-1#5").addAdded(2).build())).isEmpty();
+        assertThat(mMirror.onHolder("i-1#5")).isFalse();
+        assertThat(mMirror.whole()).isEmpty();
+    }
+
+    @Test
+    void endOfALaterIncarnationIsAlsoThatOfTheEarlier() {
+        mMirror.apply(news("i-1#5").addAdded(1).build());
+
+        mMirror.forget("i-1#7");
+
+        assertThat(mMirror.whole()).isEmpty();
+    }
+
+    private static CacheNews.Builder news(String holder) {
+        return CacheNews.newBuilder().setHolder(holder).setUp(true);
+    }
+
     private static CacheNews.Builder news() {
-        return CacheNews.newBuilder().setHolder("i-1").setUp(true);
+        return news("i-1");
     }
 }
--- /dev/null
+++ b/quilldyke-gateway/src/test/java/org/quilldyke/gateway/control/CacheReaderTest.java
@@ -0,0 +1,100 @@
+/*
+ * Copyright 2026 The quilldyke authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.quilldyke.gateway.control;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.quilldyke.daemon.log.EventLog;
+import org.quilldyke.engine.Incarnation;
+import org.quilldyke.gateway.dialect.CacheEvents;
+import org.quilldyke.gateway.instance.proto.CacheNews;
+import org.quilldyke.routing.CacheKeys;
+
+class CacheReaderTest {
+    private static final long PART = 77;
+
+    private final CacheReader mReader = new CacheReader("i-1#7", "1:1", EventLog.of("test"));
+
+    @Test
+    void eventsAreToldOnceAndReadOn() {
+        CacheNews news = mReader.onAnswer(events(7, 100, 4)).get();
+
+        assertThat(news.getHolder()).isEqualTo("i-1#7");
+        assertThat(news.getUp()).isTrue();
+        assertThat(news.getAddedList()).containsExactly(CacheKeys.of("s", PART));
+        assertThat(mReader.next()).isEqualTo(4);
+        assertThat(mReader.wasAnswered()).isTrue();
+        assertThat(mReader.onAnswer(nothing(7, 100, 4))).isEmpty();
+    }
+
+    @Test
+    void silenceIsToldOnceAndItsEndToo() {
+        mReader.onAnswer(nothing(7, 100, 4));
+
+        assertThat(mReader.onAnswer(Optional.empty()).get().getUp()).isFalse();
+        assertThat(mReader.onAnswer(Optional.empty())).isEmpty();
+        assertThat(mReader.isUp()).isFalse();
+        assertThat(mReader.onAnswer(nothing(7, 100, 4)).get().getUp()).isTrue();
+    }
+
+    @Test
+    void restartWithoutABirthShowsInTheEpoch() {
+        mReader.onAnswer(events(Incarnation.UNTOLD, 100, 4));
+
+        assertThat(mReader.onAnswer(events(Incarnation.UNTOLD, 101, 1)).get().getRestarted())
+                .isTrue();
+    }
+
+    @Test
+    void lateAnswerOfAnEarlierIncarnationChangesNothing() {
+        mReader.onAnswer(events(7, 100, 4));
+
+        assertThat(mReader.onAnswer(events(5, 99, 50))).isEmpty();
+
+        assertThat(mReader.isUp()).isTrue();
+        assertThat(mReader.wasAnswered()).isFalse();
+        assertThat(mReader.next()).isEqualTo(4);
+        assertThat(mReader.onAnswer(nothing(7, 100, 4))).isEmpty();
+    }
+
+    /** Its parts may not be believed of the one that is read, nor those of this one any more. */
+    @Test
+    void answerOfALaterIncarnationEndsWhatWasKept() {
+        mReader.onAnswer(events(7, 100, 4));
+
+        CacheNews news = mReader.onAnswer(events(9, 100, 5)).get();
+
+        assertThat(news.getHolder()).isEqualTo("i-1#7");
+        assertThat(news.getUp()).isFalse();
+        assertThat(news.getRestarted()).isTrue();
+        assertThat(news.getAddedList()).isEmpty();
+        assertThat(mReader.isUp()).isFalse();
+        assertThat(mReader.next()).isEqualTo(0);
+        assertThat(mReader.onAnswer(events(9, 100, 6))).isEmpty();
+    }
+
+    private static Optional<CacheEvents> events(long born, long epoch, long next) {
+        List<CacheEvents.Change> changes = List.of(new CacheEvents.Change(true, "s", PART));
+        return Optional.of(new CacheEvents(epoch, next, false, changes, born));
+    }
+
+    private static Optional<CacheEvents> nothing(long born, long epoch, long next) {
+        return Optional.of(new CacheEvents(epoch, next, false, List.of(), born));
+    }
+}
--- a/quilldyke-gateway/src/test/java/org/quilldyke/gateway/control/RestartMemoryTest.java
+++ b/quilldyke-gateway/src/test/java/org/quilldyke/gateway/control/RestartMemoryTest.java
@@ -64,6 +64,26 @@
         assertThat(after.whole().get(0).getAddedList()).containsExactly(7L, 9L);
     }
 
+    /** The engine has started again while the process was down. */
+    @Test
+    void whatAnEarlierIncarnationKeptIsNotOfTheLater() throws Exception {
+        CacheMirror before = new CacheMirror();
+        before.apply(CacheNews.newBuilder().setHolder("i-1#5").setUp(true).addAdded(7).build());
+        RestartMemory memory = memory();
+        memory.saveCaches(before.whole());
+        long until = System.nanoTime() + SAVED_NANOS;
+        while (!Files.exists(mFolder.resolve("hint-caches")) && System.nanoTime() < until) {
+            Thread.sleep(5);
+        }
+        memory.close();
+
+        CacheMirror after = new CacheMirror();
+        after.onHolder("i-1#7");
+        memory().caches().forEach(after::apply);
+
+        assertThat(after.whole()).isEmpty();
+    }
+
     @Test
     void damagedMemoryIsTakenForNone() throws Exception {
         Files.write(mFolder.resolve("hint-caches"), new byte[] {1, 2, 3, 4, 5, 6});
--- a/quilldyke-gateway/src/test/java/org/quilldyke/gateway/control/TargetSpreadTest.java
+++ b/quilldyke-gateway/src/test/java/org/quilldyke/gateway/control/TargetSpreadTest.java
@@ -162,6 +162,57 @@
         assertThat(mSpread.all().getTargetsList()).isEmpty();
     }
 
+    @Test
+    void whatAnotherProcessTellsOfAnEarlierIncarnationGoesNoFurther() {
+        mSpread.onReport(report("a#7", 1));
+        mTold.clear();
+        Targets late =
+                Targets.newBuilder()
+                        .addTargets(TargetFrames.encode(report("a#5", 50), 0))
+                        .addTargets(TargetFrames.encode(report("a", 50), 0))
+                        .build();
+
+        mSpread.onTargets(late);
+
+        assertThat(mTold).isEmpty();
+        assertThat(mSpread.reports()).containsExactly(report("a#7", 1));
+    }
+
+    @Test
+    void leaveWithoutABirthEndsWhatIsKnownAndNothingThatComesAfter() {
+        mSpread.onReport(report("a#5", 50));
+
+        mSpread.onLeave("a");
+        assertThat(mSpread.reports()).isEmpty();
+        assertThat(mTold.get(1).getId()).isEqualTo("a#5");
+        assertThat(mTold.get(1).getStanding()).isEqualTo(Target.Standing.GONE);
+        mSpread.onReport(report("a#7", 1));
+        mSpread.onTargets(
+                Targets.newBuilder()
+                        .addTargets(TargetFrames.encode("a#5", Target.Standing.GONE))
+                        .addTargets(TargetFrames.encode("a", Target.Standing.GONE))
+                        .build());
+        mSpread.onLeave("a#5");
+
+        assertThat(mSpread.reports()).containsExactly(report("a#7", 1));
+    }
+
+    @Test
+    void whatIsRememberedOfAnEarlierIncarnationIsNotOfTheLater() throws Exception {
+        mSpread.onReport(report("a#5", 50));
+        saveAndRestart();
+        assertThat(mSpread.all().getTargetsList()).hasSize(1);
+
+        mSpread.onReport(report("a#7", 1));
+
+        assertThat(mSpread.reports()).containsExactly(report("a#7", 1));
+        assertThat(mSpread.heard().getTargetsList()).hasSize(1);
+    }
+
+    private static TargetReport report(String key, long sequence) {
+        return new TargetReport(key, "s", "1.1.1.1:1", "z", "v", 4, false, 0, Map.of(), sequence);
+    }
+
     private void restartWithMemoryOf(TargetReport report) throws Exception {
         mSpread.onReport(report);
         saveAndRestart();
