A late leave without born doesn't end the successor of who sent it

Cause: a leave that tells no birth ended the latest incarnation that was known under its id. Words come seconds late: that of an engine which has started again meanwhile ended the living one for good, since who is gone never comes back. Change: within 10 s after an incarnation took its predecessor's place such a leave ends the plain id only. An incarnation that leaves so early without its birth is known until it lapses. Ruled out: to take a target back that reports on after its leave: every process that has heard of its end would have to unlearn it.

Tests: mvn verify passed (core 165, testkit 38, daemon 46, tools 34, gateway 42, platform 40). On a scratch copy without the rule TargetRegistryTest.lateLeaveWithoutABirthDoesNotEndTheSuccessor fails, its other 17 pass.

--- a/quilldyke-core/src/main/java/org/quilldyke/engine/TargetRegistry.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/engine/TargetRegistry.java
@@ -36,6 +36,9 @@
     /** For how long a late report of a target that is gone is still known as such. */
     static final long GONE_KEPT_MILLIS = 120_000;
 
+    /** Words of targets come seconds late, and they go on for some seconds after their leave. */
+    static final long LATE_LEAVE_MILLIS = 10_000;
+
     private final Map<String, Entry> mEntries = new HashMap<>();
     private final Map<String, Long> mGone = new HashMap<>();
     private final Map<String, Displaced> mDisplaced = new HashMap<>();
@@ -76,10 +79,10 @@
         if (mJudges && isOfAnEndedTarget(report.id(), heardAt)) {
             return false;
         }
-        endEarlier(report.incarnation());
+        boolean succeeds = endEarlier(report.incarnation());
         displaceOthers(report, heardAt);
         if (known == null) {
-            mEntries.put(report.id(), new Entry(report, heardAt));
+            mEntries.put(report.id(), new Entry(report, heardAt, succeeds));
             return true;
         }
         boolean news = known.mReport.isRemembered() || !known.mReport.tellsTheSame(report);
@@ -108,17 +111,20 @@
         return false;
     }
 
-    /** Whatever was known of earlier incarnations ends with the first word of a later one. */
-    private void endEarlier(Incarnation incarnation) {
-        mLatest.note(incarnation)
-                .map(Incarnation::key)
-                .ifPresent(
-                        ended -> {
-                            mEntries.remove(ended);
-                            mLapsed.remove(ended);
-                            mDisplaced.remove(ended);
-                            mEnded.add(ended);
-                        });
+    /**
+     * Whatever was known of earlier incarnations ends with the first word of a later one; returns
+     * whether there was one.
+     */
+    private boolean endEarlier(Incarnation incarnation) {
+        Optional<String> earlier = mLatest.note(incarnation).map(Incarnation::key);
+        earlier.ifPresent(
+                ended -> {
+                    mEntries.remove(ended);
+                    mLapsed.remove(ended);
+                    mDisplaced.remove(ended);
+                    mEnded.add(ended);
+                });
+        return earlier.isPresent();
     }
 
     /**
@@ -132,14 +138,19 @@
     }
 
     /**
-     * Returns who is meant by a word that needn't tell a birth: without one, the latest that is
-     * known under the id now.
+     * Returns who leaves with a word that needn't tell a birth: without one, the latest that is
+     * known under the id now. But one that has just taken the place of another doesn't: it is most
+     * likely the late word of its predecessor, and who is gone never comes back.
      */
-    public String present(String told) {
+    public String leaver(String told, long now) {
         Incarnation incarnation = Incarnation.ofKey(told);
-        return incarnation.tellsBirth()
-                ? told
-                : mLatest.of(incarnation.id()).orElse(incarnation).key();
+        if (incarnation.tellsBirth()) {
+            return told;
+        }
+        String latest = mLatest.of(incarnation.id()).orElse(incarnation).key();
+        Entry known = mEntries.get(latest);
+        boolean isNew = known != null && known.mSucceeds && now - known.mSince < LATE_LEAVE_MILLIS;
+        return isNew ? told : latest;
     }
 
     /** An address belongs to one target at a time: whoever had it before has ended. */
@@ -262,10 +273,14 @@
     }
 
     private static final class Entry {
+        final boolean mSucceeds;
+        final long mSince;
         TargetReport mReport;
         long mHeardAt;
 
-        Entry(TargetReport report, long heardAt) {
+        Entry(TargetReport report, long heardAt, boolean succeeds) {
+            mSucceeds = succeeds;
+            mSince = heardAt;
             mReport = report;
             mHeardAt = heardAt;
         }
--- a/quilldyke-core/src/test/java/org/quilldyke/engine/TargetRegistryTest.java
+++ b/quilldyke-core/src/test/java/org/quilldyke/engine/TargetRegistryTest.java
@@ -214,12 +214,12 @@
 
     @Test
     void leaveWithoutABirthEndsWhatIsKnownThen() {
-        assertThat(mRegistry.present("a")).isEqualTo("a");
+        assertThat(mRegistry.leaver("a", 0)).isEqualTo("a");
         mRegistry.onReport(report("a#5", "1:1", 50, false), 0);
-        assertThat(mRegistry.present("a")).isEqualTo("a#5");
-        assertThat(mRegistry.present("a#4")).isEqualTo("a#4");
+        assertThat(mRegistry.leaver("a", 0)).isEqualTo("a#5");
+        assertThat(mRegistry.leaver("a#4", 0)).isEqualTo("a#4");
 
-        mRegistry.onGone(mRegistry.present("a"), 10);
+        mRegistry.onGone(mRegistry.leaver("a", 10), 10);
         assertThat(mRegistry.reports()).isEmpty();
         assertThat(mRegistry.onReport(report("a#5", "1:1", 51, false), 20)).isFalse();
         assertThat(mRegistry.onReport(report("a#7", "1:1", 1, false), 20)).isTrue();
@@ -228,6 +228,21 @@
         assertThat(ids(mRegistry.reports())).containsExactly("a#7");
     }
 
+    /** Who is gone never comes back: a living engine would be lost for good. */
+    @Test
+    void lateLeaveWithoutABirthDoesNotEndTheSuccessor() {
+        mRegistry.onReport(report("a#5", "1:1", 50, false), 0);
+        mRegistry.onReport(report("a#7", "1:1", 1, false), 100);
+        long late = 100 + TargetRegistry.LATE_LEAVE_MILLIS - 1;
+
+        mRegistry.onGone(mRegistry.leaver("a", late), late);
+        assertThat(ids(mRegistry.reports())).containsExactly("a#7");
+        assertThat(mRegistry.leaver("a#7", late)).isEqualTo("a#7");
+
+        mRegistry.onGone(mRegistry.leaver("a", late + 1), late + 1);
+        assertThat(mRegistry.reports()).isEmpty();
+    }
+
     private static List<String> ids(List<TargetReport> reports) {
         return reports.stream().map(TargetReport::id).toList();
     }
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/TargetSpread.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/TargetSpread.java
@@ -126,8 +126,9 @@
 
     /** Takes the news that a target is gone, told here; without a birth, whoever has its id now. */
     void onLeave(String told) {
-        String id = mRegistry.present(told);
-        if (mRegistry.onGone(id, mClock.getAsLong())) {
+        long now = mClock.getAsLong();
+        String id = mRegistry.leaver(told, now);
+        if (mRegistry.onGone(id, now)) {
             mLog.write(Event.TARGET_CHANGED, "target", id, "gone", true);
             mToSave = true;
             tell(
