--- a/quilldyke-core/src/main/java/org/quilldyke/engine/ReportRules.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/engine/ReportRules.java
@@ -55,7 +55,7 @@
 
     /** Returns the first rule that a report breaks. */
     public static Optional<ResultCode> objection(TargetReport report) {
-        if (!isId(report.id())) {
+        if (!isId(Incarnation.ofKey(report.id()).id())) {
             return Optional.of(ResultCode.REPORT_ID);
         }
         if (!SocketAddresses.isIpAndPort(report.address())) {
--- a/quilldyke-core/src/main/java/org/quilldyke/engine/TargetRegistry.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/engine/TargetRegistry.java
@@ -28,15 +28,23 @@
  * <p>Reports may come late and in any order: the highest sequence counts, and after a target has
  * said that it is gone, nothing that it said before does. A target that is silent for too long
  * lapses, and is back with its next report.
+ *
+ * <p>Targets are named by their incarnation's key. A later incarnation ends the earlier ones of its
+ * id at once, wherever they stand and whenever they were heard; nothing told of those counts then.
  */
 public final class TargetRegistry {
     /** For how long a late report of a target that is gone is still known as such. */
     static final long GONE_KEPT_MILLIS = 120_000;
 
+    /** Words of targets come seconds late, and they go on for some seconds after their leave. */
+    static final long LATE_LEAVE_MILLIS = 10_000;
+
     private final Map<String, Entry> mEntries = new HashMap<>();
     private final Map<String, Long> mGone = new HashMap<>();
     private final Map<String, Displaced> mDisplaced = new HashMap<>();
     private final Map<String, Lapsed> mLapsed = new HashMap<>();
+    private final LatestIncarnations mLatest = LatestIncarnations.create();
+    private final List<String> mEnded = new ArrayList<>();
     private final boolean mJudges;
 
     private TargetRegistry(boolean judges) {
@@ -60,7 +68,7 @@
      * @return whether it tells something new, other than that the target lives
      */
     public boolean onReport(TargetReport report, long heardAt) {
-        if (mGone.containsKey(report.id())) {
+        if (mGone.containsKey(report.id()) || mLatest.isPast(report.incarnation())) {
             return false;
         }
         Entry known = mEntries.get(report.id());
@@ -71,9 +79,10 @@
         if (mJudges && isOfAnEndedTarget(report.id(), heardAt)) {
             return false;
         }
+        boolean succeeds = endEarlier(report.incarnation());
         displaceOthers(report, heardAt);
         if (known == null) {
-            mEntries.put(report.id(), new Entry(report, heardAt));
+            mEntries.put(report.id(), new Entry(report, heardAt, succeeds));
             return true;
         }
         boolean news = known.mReport.isRemembered() || !known.mReport.tellsTheSame(report);
@@ -102,6 +111,48 @@
         return false;
     }
 
+    /**
+     * Whatever was known of earlier incarnations ends with the first word of a later one; returns
+     * whether there was one.
+     */
+    private boolean endEarlier(Incarnation incarnation) {
+        Optional<String> earlier = mLatest.note(incarnation).map(Incarnation::key);
+        earlier.ifPresent(
+                ended -> {
+                    mEntries.remove(ended);
+                    mLapsed.remove(ended);
+                    mDisplaced.remove(ended);
+                    mEnded.add(ended);
+                });
+        return earlier.isPresent();
+    }
+
+    /**
+     * Returns the incarnations that a later one has ended since this was asked last: what is open
+     * there is lost.
+     */
+    public List<String> takeEnded() {
+        List<String> ended = List.copyOf(mEnded);
+        mEnded.clear();
+        return ended;
+    }
+
+    /**
+     * Returns who leaves with a word that needn't tell a birth: without one, the latest that is
+     * known under the id now. But one that has just taken the place of another doesn't: it is most
+     * likely the late word of its predecessor, and who is gone never comes back.
+     */
+    public String leaver(String told, long now) {
+        Incarnation incarnation = Incarnation.ofKey(told);
+        if (incarnation.tellsBirth()) {
+            return told;
+        }
+        String latest = mLatest.of(incarnation.id()).orElse(incarnation).key();
+        Entry known = mEntries.get(latest);
+        boolean isNew = known != null && known.mSucceeds && now - known.mSince < LATE_LEAVE_MILLIS;
+        return isNew ? told : latest;
+    }
+
     /** An address belongs to one target at a time: whoever had it before has ended. */
     private void displaceOthers(TargetReport report, long heardAt) {
         List<Entry> ended =
@@ -146,6 +197,7 @@
         boolean news = !mGone.containsKey(id);
         mGone.put(id, now);
         mEntries.remove(id);
+        endEarlier(Incarnation.ofKey(id));
         return news;
     }
 
@@ -221,10 +273,14 @@
     }
 
     private static final class Entry {
+        final boolean mSucceeds;
+        final long mSince;
         TargetReport mReport;
         long mHeardAt;
 
-        Entry(TargetReport report, long heardAt) {
+        Entry(TargetReport report, long heardAt, boolean succeeds) {
+            mSucceeds = succeeds;
+            mSince = heardAt;
             mReport = report;
             mHeardAt = heardAt;
         }
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/TargetSpread.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/TargetSpread.java
@@ -150,6 +150,7 @@
             mToSave = true;
             tell(Targets.newBuilder().addTargets(TargetFrames.encode(report, 0)).build());
         }
+        noteEnded();
     }
 
     private boolean isOfAService(TargetReport report, Optional<TargetReport> before) {
@@ -158,9 +159,11 @@
                 || before.map(known -> known.service().equals(name)).orElse(false);
     }
 
-    /** Takes the news that a target is gone, told here. */
-    void onLeave(String id) {
-        if (mRegistry.onGone(id, mClock.getAsLong())) {
+    /** Takes the news that a target is gone, told here; without a birth, whoever has its id now. */
+    void onLeave(String told) {
+        long now = mClock.getAsLong();
+        String id = mRegistry.leaver(told, now);
+        if (mRegistry.onGone(id, now)) {
             mLog.write(Event.TARGET_CHANGED, "target", id, "gone", true);
             mToSave = true;
             tell(
@@ -168,6 +171,7 @@
                             .addTargets(TargetFrames.encode(id, Target.Standing.GONE))
                             .build());
         }
+        noteEnded();
     }
 
     /** Takes what another instance knows; news go on to the entries here. */
@@ -185,6 +189,7 @@
                 news.addTargets(target);
             }
         }
+        noteEnded();
         for (Alive alive : targets.getAliveList()) {
             mRegistry.onAlive(alive.getId(), now - alive.getAgeMs());
         }
@@ -204,6 +209,13 @@
         }
     }
 
+    private void noteEnded() {
+        for (String id : mRegistry.takeEnded()) {
+            mLog.write(Event.TARGET_CHANGED, "target", id, "ended", true);
+            mToSave = true;
+        }
+    }
+
     /** Returns all that is known, for entries. */
     Targets all() {
         return all(report -> true);
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/dialect/ControlCall.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/dialect/ControlCall.java
@@ -42,6 +42,6 @@
      */
     record Report(TargetReport report, boolean tellsWeights) implements ControlCall {}
 
-    /** Reports that a target is gone. */
+    /** Reports that a target is gone; without a birth, the one that is known under the id. */
     record Leave(String target) implements ControlCall {}
 }
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/engine/RefusedNews.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/engine/RefusedNews.java
@@ -149,6 +149,8 @@
         REPORT,
         /** An engine's answer to the question for its status. */
         STATUS,
+        /** An engine's answer to an order. */
+        ORDER,
         /** Events of what an engine or a store keeps. */
         CACHE,
         /** What another instance passed on. */
