Tests of reports before the first manifest, and of loads after a change of the main control process; three fail

Cause of two red runs of the whole suite. OddNewsTest met 200 where it expects 400: a control process that hasn't applied the manifest takes reports of any service, also one that displaces a known target (withoutAManifest…, whatAnotherInstanceTells…: fail). ShutdownPathTest was refused QR2002 by an idle engine: an entry that changes its main control process twice keeps what the first told of others' loads (entryThatComesBack…: fails, is told 12 for 0). Ruled out for the first: the decoder (the same body is refused once the manifest is there).

--- a/quilldyke-gateway/src/test/java/org/quilldyke/gateway/control/ControlNodeTest.java
+++ b/quilldyke-gateway/src/test/java/org/quilldyke/gateway/control/ControlNodeTest.java
@@ -30,6 +30,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 import java.util.SplittableRandom;
@@ -57,6 +58,7 @@
 import org.quilldyke.gateway.engine.EngineOrders;
 import org.quilldyke.gateway.engine.RefusedNews;
 import org.quilldyke.gateway.instance.NettyLoop;
+import org.quilldyke.gateway.instance.SessionServer;
 import org.quilldyke.gateway.instance.TargetFrames;
 import org.quilldyke.gateway.instance.proto.CacheNews;
 import org.quilldyke.gateway.instance.proto.Caches;
@@ -64,7 +66,10 @@
 import org.quilldyke.gateway.instance.proto.ControlFrame;
 import org.quilldyke.gateway.instance.proto.EntryFrame;
 import org.quilldyke.gateway.instance.proto.Hello;
+import org.quilldyke.gateway.instance.proto.Question;
 import org.quilldyke.gateway.instance.proto.Target;
+import org.quilldyke.gateway.instance.proto.TargetLoad;
+import org.quilldyke.gateway.instance.proto.TargetLoads;
 import org.quilldyke.gateway.instance.proto.Targets;
 import org.quilldyke.gateway.settings.GatewaySettings;
 import org.quilldyke.manifest.FleetCommand;
@@ -84,6 +89,7 @@
     private static final long AGREED_INDEX = 8;
     private static final long HINTED = 9;
     private static final byte[] DOCUMENT = {4, 2};
+    private static final long AWAIT_MILLIS = 5000;
     private static final Membership MEMBERS =
             Membership.ofVoters(
                     List.of(
@@ -111,6 +117,34 @@
         mGroup.shutdownGracefully();
     }
 
+    /**
+     * An entry that comes back is told that nothing is open elsewhere, too.
+     *
+     * <p>What users saw: an entry refused prompts for want of room at engines that nobody used. The
+     * order of events: it hears here what others have open; it hears mainly another control process
+     * for a moment, while the others' requests end; it is back and isn't told, since what it was
+     * told last was forgotten here and nothing is open. The evidence: a test of shutdowns was
+     * refused so by an idle engine, and an entry changes its main process twice in its first
+     * seconds.
+     */
+    @Test
+    void entryThatComesBackHearsThatNothingIsOpenElsewhere() throws Exception {
+        start();
+        Told told = new Told();
+        SessionServer.EntrySession entry = onLoop(() -> mNode.onSubscriber(told));
+        SessionServer.EntrySession other = onLoop(() -> mNode.onSubscriber(new Told()));
+        TargetLoad open = TargetLoad.newBuilder().setTarget("t").setRequests(12).build();
+        tell(entry, hello("a"), question(true));
+        tell(other, hello("b"), question(true), loads(open));
+        awaitLoads(told, List.of(open));
+
+        tell(entry, question(false));
+        tell(other, loads());
+        tell(entry, question(true));
+
+        awaitLoads(told, List.of());
+    }
+
     /** An emptied machine, or one whose folder outlived its log, may hold hints of a later time. */
     @Test
     void hintsWithoutALogMakeNoState() throws Exception {
@@ -300,6 +334,38 @@
                         });
     }
 
+    private static EntryFrame hello(String entry) {
+        return EntryFrame.newBuilder().setHello(Hello.newBuilder().setEntry(entry)).build();
+    }
+
+    private static EntryFrame question(boolean main) {
+        return EntryFrame.newBuilder().setQuestion(Question.newBuilder().setMain(main)).build();
+    }
+
+    private static EntryFrame loads(TargetLoad... open) {
+        return EntryFrame.newBuilder()
+                .setLoads(TargetLoads.newBuilder().addAllTargets(List.of(open)))
+                .build();
+    }
+
+    /** Hands frames of an entry to the node, as its stream does. */
+    private void tell(SessionServer.EntrySession entry, EntryFrame... frames) throws Exception {
+        onLoop(
+                () -> {
+                    List.of(frames).forEach(entry::onFrame);
+                    return null;
+                });
+    }
+
+    /** Waits until an entry was told something of others' loads last. */
+    private static void awaitLoads(Told entry, List<TargetLoad> loads) throws Exception {
+        long until = now() + AWAIT_MILLIS;
+        while (!entry.mOthersLoads.equals(Optional.of(loads)) && now() < until) {
+            Thread.sleep(10);
+        }
+        assertThat(entry.mOthersLoads).hasValue(loads);
+    }
+
     private GatewaySettings settings() {
         return new GatewaySettings(
                 "machine",
@@ -333,9 +399,14 @@
     }
 
     private final class Told implements StreamObserver<ControlFrame> {
+        volatile Optional<List<TargetLoad>> mOthersLoads = Optional.empty();
+
         @Override
         public void onNext(ControlFrame frame) {
             mTold.add(frame);
+            if (frame.hasLoads()) {
+                mOthersLoads = Optional.of(frame.getLoads().getTargetsList());
+            }
         }
 
         @Override
--- a/quilldyke-gateway/src/test/java/org/quilldyke/gateway/control/TargetSpreadTest.java
+++ b/quilldyke-gateway/src/test/java/org/quilldyke/gateway/control/TargetSpreadTest.java
@@ -221,6 +221,56 @@
         assertThat(mSpread.reports()).hasSize(1);
     }
 
+    /**
+     * Before the first manifest nobody knows which services there are.
+     *
+     * <p>What users saw: a machine that had just started took a report of a service that is in no
+     * manifest, under the id of an engine that serves. The order of events: the engine is known, by
+     * its own report or another instance's; the machine hasn't applied the manifest yet; the other
+     * writer's report comes with a higher sequence, or with the engine's address. The cause: as
+     * long as no services are known, all were taken, whatever they displaced. The evidence: the
+     * test of other writers met 200 instead of 400 at a control process that another one had
+     * outrun.
+     */
+    @Test
+    void withoutAManifestNoReportDisplacesAKnownTarget() throws Exception {
+        mSpread.onReport(report(1, false), true);
+        mTold.clear();
+
+        for (String id : new String[] {"a", "b"}) {
+            TargetReport other = report(id, "other", "1.1.1.1:1", 9000);
+            QuilldykeException e =
+                    assertThrows(QuilldykeException.class, () -> mSpread.onReport(other, true));
+            assertThat(e.code()).isEqualTo(ResultCode.REPORT_SERVICE);
+        }
+
+        assertThat(mSpread.reports()).containsExactly(report(1, false));
+        assertThat(mTold).isEmpty();
+        mSpread.onReport(report(2, true), true);
+        assertThat(mSpread.reports()).containsExactly(report(2, true));
+    }
+
+    /** An instance without a manifest hands on what it took; here the services are known. */
+    @Test
+    void whatAnotherInstanceTellsOfAnUnknownServiceDisplacesNobody() throws Exception {
+        mSpread.onServices(Set.of("s"));
+        mSpread.onReport(report(1, false), true);
+        mTold.clear();
+        mNow = 100;
+        Targets news =
+                Targets.newBuilder()
+                        .addTargets(TargetFrames.encode(report("a", "other", "1.1.1.1:1", 9000), 0))
+                        .addTargets(TargetFrames.encode(report("b", "other", "1.1.1.1:1", 9), 0))
+                        .addTargets(TargetFrames.encode(report("c", "other", "1.1.1.3:1", 9), 0))
+                        .build();
+
+        mSpread.onTargets(news);
+
+        assertThat(mSpread.reports())
+                .containsExactly(report(1, false), report("c", "other", "1.1.1.3:1", 9));
+        assertThat(mTold.stream().map(Target::getId).toList()).containsExactly("c");
+    }
+
     @Test
     void badTargetOfAnotherInstanceCostsOnlyItself() throws Exception {
         Target good = TargetFrames.encode(report(1, false), 0);
