Reports before the first manifest displace nobody; an entry that comes back hears all loads anew

Cause, first: as long as a control process knows no services it took every report, and handed it on, so that a report of an unknown service ended the engine whose id or address it bore, also at processes that know the services. Now such a report is taken only if it takes no known target's place. Second: a session that becomes an entry's main one took for granted that the entry held no loads; it tells the present ones anew now, also none. Ruled out: sequence numbers (the refusal comes before them).

--- a/quilldyke-core/src/main/java/org/quilldyke/engine/TargetRegistry.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/engine/TargetRegistry.java
@@ -236,6 +236,20 @@
         return ids;
     }
 
+    /**
+     * Returns whether a report claims what a known target has: the address of another one, or
+     * another service than its own id was known with.
+     */
+    public boolean displaces(TargetReport report) {
+        return mEntries.values().stream()
+                .map(entry -> entry.mReport)
+                .anyMatch(
+                        known ->
+                                known.id().equals(report.id())
+                                        ? !known.service().equals(report.service())
+                                        : known.address().equals(report.address()));
+    }
+
     /** Returns the last report of a target. */
     public Optional<TargetReport> report(String id) {
         return Optional.ofNullable(mEntries.get(id)).map(entry -> entry.mReport);
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/EntrySessions.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/EntrySessions.java
@@ -22,6 +22,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.LongSupplier;
 import java.util.stream.Stream;
@@ -237,7 +238,9 @@
         private String mEntry = "";
         private long mHeardAt = mClock.getAsLong();
         private boolean mMain;
-        private List<TargetLoad> mLoadsTold = List.of();
+
+        /** Nothing at first: what another control process told the entry isn't known here. */
+        private Optional<List<TargetLoad>> mLoadsTold = Optional.empty();
 
         Session(StreamObserver<ControlFrame> out) {
             mOut = out;
@@ -268,8 +271,8 @@
         }
 
         void tellLoads(List<TargetLoad> loads) {
-            if (!loads.equals(mLoadsTold)) {
-                mLoadsTold = loads;
+            if (!mLoadsTold.equals(Optional.of(loads))) {
+                mLoadsTold = Optional.of(loads);
                 TargetLoads news = TargetLoads.newBuilder().addAllTargets(loads).build();
                 send(ControlFrame.newBuilder().setLoads(news).build());
             }
@@ -317,7 +320,7 @@
                 mLoads.onLeft(mEntry);
                 return;
             }
-            mLoadsTold = List.of();
+            mLoadsTold = Optional.empty();
             for (CacheNews cache : mCaches.whole()) {
                 send(ControlFrame.newBuilder().setCache(cache).build());
             }
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/TargetSpread.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/TargetSpread.java
@@ -106,7 +106,10 @@
         memory.targets().forEach(report -> mRegistry.onReport(report, mCompleteSince));
     }
 
-    /** Takes the services that there are; until it is called, targets of any service are taken. */
+    /**
+     * Takes the services that there are; until it is called, targets of any service are taken that
+     * take no known target's place.
+     */
     void onServices(Set<String> names) {
         mServices = Optional.of(Set.copyOf(names));
     }
@@ -126,7 +129,7 @@
         if (holdsSome && !tellsWeights) {
             throw QuilldykeException.notRun(ResultCode.REPORT_INVALID, "models");
         }
-        if (!isOfAService(report, before)) {
+        if (!isOfAService(report) && (mServices.isPresent() || mRegistry.displaces(report))) {
             throw QuilldykeException.notRun(ResultCode.REPORT_SERVICE, report.service());
         }
         long now = mClock.getAsLong();
@@ -153,10 +156,13 @@
         noteEnded();
     }
 
-    private boolean isOfAService(TargetReport report, Optional<TargetReport> before) {
+    private boolean isOfAService(TargetReport report) {
         String name = report.service();
-        return mServices.map(names -> names.contains(name)).orElse(true)
-                || before.map(known -> known.service().equals(name)).orElse(false);
+        return mServices.map(names -> names.contains(name)).orElse(false)
+                || mRegistry
+                        .report(report.id())
+                        .map(known -> known.service().equals(name))
+                        .orElse(false);
     }
 
     /** Takes the news that a target is gone, told here; without a birth, whoever has its id now. */
@@ -199,10 +205,17 @@
         }
     }
 
-    /** One that can't be taken costs the others nothing. */
+    /**
+     * One that can't be taken costs the others nothing; nor does one of a service that isn't known
+     * here: who told it may not know the services either, or know a newer one.
+     */
     private boolean isNews(Target target, long now) {
         try {
-            return mRegistry.onReport(TargetFrames.decode(target), now - target.getAgeMs());
+            TargetReport report = TargetFrames.decode(target);
+            if (!isOfAService(report) && mRegistry.displaces(report)) {
+                throw QuilldykeException.notRun(ResultCode.REPORT_SERVICE, report.service());
+            }
+            return mRegistry.onReport(report, now - target.getAgeMs());
         } catch (QuilldykeException e) {
             mRefused.onRefused(RefusedNews.Source.INSTANCE, target.getId(), e);
             return false;
