An entry takes others' loads from its main control process only, and that one's last word when it becomes the main one

Cause: loads told by any process took the place of those told before, and a process tells only what changes; so after two changes of the main process within a beat an entry kept its own ten requests as others' until something changed.

--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/instance/ControlLink.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/instance/ControlLink.java
@@ -23,14 +23,19 @@
 import org.quilldyke.gateway.instance.proto.ControlFrame;
 import org.quilldyke.gateway.instance.proto.EntryFrame;
 import org.quilldyke.gateway.instance.proto.SessionsGrpc;
+import org.quilldyke.gateway.instance.proto.TargetLoads;
 
 /** The stream on which an entry process hears a control process. */
 final class ControlLink extends StreamLink<EntryFrame, ControlFrame> {
+    private static final ControlFrame NO_LOADS =
+            ControlFrame.newBuilder().setLoads(TargetLoads.getDefaultInstance()).build();
+
     private final LongSupplier mClock;
     private final ControlLinks mOwner;
     private final Map<Long, Long> mAskedAt = new HashMap<>();
     private long mQuestion;
     private long mConfirmedAt;
+    private ControlFrame mOthersLoads = NO_LOADS;
 
     ControlLink(NettyLoop loop, LongSupplier clock, String address, ControlLinks owner) {
         super(loop, clock, address);
@@ -44,6 +49,11 @@
         return mConfirmedAt;
     }
 
+    /** Returns what other entries have open, as was told last on the present stream. */
+    ControlFrame othersLoads() {
+        return mOthersLoads;
+    }
+
     @Override
     StreamObserver<EntryFrame> call(ManagedChannel channel, StreamObserver<ControlFrame> in) {
         return SessionsGrpc.newStub(channel).subscribe(in);
@@ -52,6 +62,7 @@
     @Override
     void onOpened() {
         mAskedAt.clear();
+        mOthersLoads = NO_LOADS;
         send(EntryFrame.newBuilder().setHello(mOwner.hello()).build());
         onBeat();
     }
@@ -73,7 +84,8 @@
                 mOwner.onAnswer(this, frame.getAnswer(), askedAt);
             }
         } else {
-            mOwner.onNews(frame);
+            mOthersLoads = frame.hasLoads() ? frame : mOthersLoads;
+            mOwner.onNews(this, frame);
         }
     }
 
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/instance/ControlLinks.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/instance/ControlLinks.java
@@ -141,8 +141,14 @@
         mSubscriber.onAnswer(answer, askedAt);
     }
 
-    void onNews(ControlFrame frame) {
-        mSubscriber.onNews(frame);
+    /**
+     * Others' loads are taken from the main process only: another one may count this entry's own
+     * among them.
+     */
+    void onNews(ControlLink link, ControlFrame frame) {
+        if (!frame.hasLoads() || link == mMain) {
+            mSubscriber.onNews(frame);
+        }
     }
 
     /**
@@ -154,6 +160,8 @@
         if (replaced || isNear(link) && link.isUp() && !isNear(mMain)) {
             mMain = link;
             mLoadsTold = List.of();
+            // A process that has nothing new to tell tells nothing: what it told last still holds.
+            mSubscriber.onNews(link.othersLoads());
         }
         return mMain == link;
     }
