Test: a stream that broke and can't go on is cut, not left open

What callers would see: the first events of an answer, then neither more nor a close until the connection counts as idle (15 s). Found by reading: a whole answer or a failure of the engine that the stream was to go on at, and a refusal of the entry itself (its lease of the keys is over), are written into the open stream. The encoder takes no head there, so nothing is sent.

--- a/quilldyke-core/src/test/java/org/quilldyke/caller/ForwardingTest.java
+++ b/quilldyke-core/src/test/java/org/quilldyke/caller/ForwardingTest.java
@@ -168,6 +168,39 @@
                 .isEqualTo(new Step.Break(ResultCode.TARGET_LOST));
     }
 
+    /**
+     * A whole answer, or a failure, of the target that a stream was to go on at was passed on into
+     * the open stream, where it is nothing: the caller got neither an end nor a close.
+     */
+    @Test
+    void streamThatGoesOnElsewhereIsCutIfNoStreamComesFromThere() {
+        AnswerHead unreadable = new AnswerHead(400, false, false, false, false);
+        for (AnswerHead head : List.of(FAILED, unreadable, OK)) {
+            Forwarding forwarding = forwarding(RequestKind.STREAMING, 2);
+            sent(forwarding.start(0), forwarding);
+            forwarding.onAnswer(STREAM, 5);
+            forwarding.onEventPassed(7);
+            sent(forwarding.onBroken(ResultCode.TARGET_LOST, 50), forwarding);
+
+            assertThat(forwarding.onAnswer(head, 60))
+                    .isEqualTo(new Step.Break(ResultCode.STREAM_BROKEN));
+        }
+    }
+
+    @Test
+    void streamGoesOnAtAThirdTargetIfTheSecondFails() {
+        Forwarding forwarding = forwarding(RequestKind.STREAMING, 3);
+        String first = sent(forwarding.start(0), forwarding);
+        forwarding.onAnswer(STREAM, 5);
+        forwarding.onEventPassed(7);
+        String second = sent(forwarding.onBroken(ResultCode.TARGET_LOST, 50), forwarding);
+
+        Step next = forwarding.onAnswer(FAILED, 60);
+
+        assertThat(List.of(first, second, sent(next, forwarding))).containsNoDuplicates();
+        assertThat(((Step.Send) next).lastEvent()).isEqualTo(7);
+    }
+
     @Test
     void timeOverIsARefusalOnlyIfNothingWasSent() {
         Forwarding sent = forwarding(RequestKind.NON_IDEMPOTENT, 1);
