A stream that goes on elsewhere is cut if no events come from there

Cause: what a target answers was judged as if nothing had been passed on before: a failure, another status or an answer that is no stream was to be passed on as a whole one behind the first events. Likewise the refusal of an entry whose lease of the keys had ended, which besides promised "not run" (503) for what had run. Now both go by what the caller has: on to a third target where attempts are left, else the stream is cut, or told that it may have run.

--- a/quilldyke-core/src/main/java/org/quilldyke/caller/Forwarding.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/caller/Forwarding.java
@@ -133,6 +133,10 @@
             finishAttempt();
             return sendAgainOr(new Step.Fail(ResultCode.ANSWER_SPOILED), now);
         }
+        if (mHeadPassed && !(head.stream() && head.isSuccess())) {
+            // Nothing but events can follow those that were passed on.
+            return onBroken(ResultCode.STREAM_BROKEN, now);
+        }
         if (head.status() >= 500 && !head.isSuccess()) {
             mBook.onFailure(mChoice.target(), now);
             if (mayRunAgain(now) && takeRetry(now)) {
@@ -197,6 +201,16 @@
                 new Step.Refuse(ResultCode.DEADLINE_PASSED, 0, "no target in time"));
     }
 
+    /**
+     * Returns the step when the caller's key can't be confirmed just as the request was to be sent.
+     *
+     * @param retryAfterMillis when the caller may try again if nothing has run
+     */
+    public Step onUnconfirmed(long retryAfterMillis, String why) {
+        finishAttempt();
+        return giveUp(ResultCode.KEYS_UNCONFIRMED, retryAfterMillis, why);
+    }
+
     /** Returns the step when this instance has to end before the target's answer does. */
     public Step onInstanceEnds() {
         return cutShort(
@@ -213,7 +227,7 @@
         return sent || mMayHaveRun > 0 ? new Step.Fail(code) : unsent;
     }
 
-    /** Notes that nothing more is done: the caller went away, or its key can't be confirmed. */
+    /** Notes that nothing more is done: the caller went away. */
     public void abandon() {
         finishAttempt();
     }
@@ -332,13 +346,17 @@
     }
 
     private Step giveUp(ResultCode code, String why, long now) {
+        return giveUp(code, mBook.retryAfterMillis(mRequest, now), why);
+    }
+
+    private Step giveUp(ResultCode code, long retryAfterMillis, String why) {
         if (mHeadPassed) {
             return new Step.Break(code);
         }
         if (mMayHaveRun > 0) {
             return new Step.Fail(ResultCode.TARGET_LOST);
         }
-        return new Step.Refuse(code, mBook.retryAfterMillis(mRequest, now), why);
+        return new Step.Refuse(code, retryAfterMillis, why);
     }
 
     private void onPromptRead() {
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Exchange.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Exchange.java
@@ -338,9 +338,8 @@
         mChoice = send.choice();
         boolean keyed = !mRequest.route().open() && mEntry.routes().needsKeys();
         if (keyed && !mEntry.isConfirmed()) {
-            mForwarding.abandon();
             String age = "age " + mEntry.lease().age(now());
-            refuse(ResultCode.KEYS_UNCONFIRMED, UNCONFIRMED_RETRY_MILLIS, age);
+            perform(mForwarding.onUnconfirmed(UNCONFIRMED_RETRY_MILLIS, age));
             return;
         }
         mLog.routed(mRequest, mChoice, send.millisLeft());
