Test: an unmarked answer amid a stream, and silence without a second attempt

What callers would see: a stream that neither goes on nor ends (its resumption answered without a mark was to be told by a whole answer), and a stream or answer cut while its engine was at work (it was silent, and nobody asked whether a second attempt was left before it was given up). Found by reading.

--- a/quilldyke-core/src/test/java/org/quilldyke/caller/ForwardingTest.java
+++ b/quilldyke-core/src/test/java/org/quilldyke/caller/ForwardingTest.java
@@ -187,6 +187,19 @@
         }
     }
 
+    /** Its caller was to be told by a whole answer, for which an open stream has no place. */
+    @Test
+    void streamThatGoesOnElsewhereIsCutIfTheAnswerThereBearsNoMark() {
+        Forwarding forwarding = forwarding(RequestKind.STREAMING, 2);
+        sent(forwarding.start(0), forwarding);
+        forwarding.onAnswer(STREAM, 5);
+        forwarding.onEventPassed(7);
+        sent(forwarding.onBroken(ResultCode.TARGET_LOST, 50), forwarding);
+
+        assertThat(forwarding.onAnswer(UNSIGNED, 60))
+                .isEqualTo(new Step.Break(ResultCode.ANSWER_SPOILED));
+    }
+
     @Test
     void streamGoesOnAtAThirdTargetIfTheSecondFails() {
         Forwarding forwarding = forwarding(RequestKind.STREAMING, 3);
@@ -317,6 +330,27 @@
         assertThat(alone.isSilenceTelling(2000)).isFalse();
     }
 
+    /**
+     * What is silent is only left for another target: without a second attempt left, or any time,
+     * an answer was given up whose target was still at work.
+     */
+    @Test
+    void silenceTellsNothingWithoutASecondAttempt() {
+        mRetries = RetryAllowance.create(0, 0, 10_000, 1);
+        Forwarding poor = forwarding(RequestKind.STREAMING, 2);
+        sent(poor.start(0), poor);
+        poor.onAnswer(STREAM, 10);
+        poor.onEventPassed(4);
+
+        assertThat(poor.isSilenceTelling(900)).isFalse();
+
+        mRetries = RetryAllowance.create(0.2, 100, 10_000, 1);
+        Forwarding late = forwarding(RequestKind.IDEMPOTENT, 2);
+        sent(late.start(0), late);
+        assertThat(late.isSilenceTelling(900)).isTrue();
+        assertThat(late.isSilenceTelling(980)).isFalse();
+    }
+
     /** The target that failed was counted as one that might do better, and its answer was lost. */
     @Test
     void failureOfTheOnlyTargetIsPassedOn() {
