--- a/quilldyke-core/src/test/java/org/quilldyke/caller/ShutdownAdmissionTest.java
+++ b/quilldyke-core/src/test/java/org/quilldyke/caller/ShutdownAdmissionTest.java
@@ -85,6 +85,17 @@
         assertThat(mAdmission.admits(stream(SHORT_STREAM, 15_000), 20, 0)).isTrue();
     }
 
+    /** Each was taken for a whole one, and taught that whole ones are short. */
+    @Test
+    void streamsThatGoOnAfterAnEventTeachNothingShort() {
+        for (int i = 0; i < ENOUGH; i++) {
+            mAdmission.onEnded(resumed(LONG_STREAM), 20);
+        }
+        mAdmission.onShutdown(ENDS_AT);
+
+        assertThat(mAdmission.admits(stream(LONG_STREAM, 15_000), 20, 2000)).isFalse();
+    }
+
     @Test
     void slowRunIsForgottenWithTheLastOnesBesideIt() {
         see(1, SHORT_STREAM, 9000);
@@ -126,11 +137,19 @@
         return request(Optional.of(new Prompt("m", 800, maxTokens, List.of())), answerBy);
     }
 
+    private static ForwardRequest resumed(int maxTokens) {
+        return request(Optional.of(new Prompt("m", 800, maxTokens, List.of())), 15_000, 3);
+    }
+
     private static ForwardRequest plain(long answerBy) {
         return request(Optional.empty(), answerBy);
     }
 
     private static ForwardRequest request(Optional<Prompt> prompt, long answerBy) {
+        return request(prompt, answerBy, -1);
+    }
+
+    private static ForwardRequest request(Optional<Prompt> prompt, long answerBy, long lastEvent) {
         Route route =
                 new Route(
                         "r",
@@ -147,6 +166,6 @@
                         true,
                         true);
         return new ForwardRequest(
-                "id", route, "s", Optional.empty(), "", prompt, 0, 0, answerBy, -1);
+                "id", route, "s", Optional.empty(), "", prompt, 0, 0, answerBy, lastEvent);
     }
 }
