A request that waits behind another one keeps its place and its connection

Cause: a connection between an answer and the step that reads what waits was asked only whether a request is answered or read. What waits counts as open now.

Ruled out: a caller that was told of the close and sends on is still dropped, as HTTP has it.

--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/CallerConnection.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/CallerConnection.java
@@ -83,7 +83,8 @@
     public void channelRead(ChannelHandlerContext ctx, Object message) {
         if (mClosing) {
             ReferenceCountUtil.release(message);
-        } else if (mExchange != null) {
+        } else if (mExchange != null || !mWaiting.isEmpty()) {
+            // What waits comes first, also between an answer and the step that reads on.
             mWaiting.add(message);
             if (mWaiting.size() >= MAX_WAITING) {
                 ctx.channel().config().setAutoRead(false);
@@ -125,9 +126,9 @@
         ctx.close();
     }
 
-    /** Returns whether a request is being answered or read, or an answer hasn't left yet. */
+    /** Returns whether a request is answered, read or waits, or an answer hasn't left yet. */
     boolean isBusy() {
-        return mExchange != null || mHead != null || isLeaving();
+        return mExchange != null || mHead != null || !mWaiting.isEmpty() || isLeaving();
     }
 
     /** An answer that has ended may still wait here for a caller that reads slowly. */
@@ -285,7 +286,7 @@
     }
 
     private void markLast(HttpHeaders headers) {
-        mKeepAlive &= !mEntry.isDraining();
+        mKeepAlive &= !endsByShutdown();
         if (!mKeepAlive) {
             headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         }
@@ -311,7 +312,12 @@
      * answered.
      */
     private boolean isLastAnswer() {
-        return !mKeepAlive || mEntry.isDraining() && mWaiting.isEmpty();
+        return !mKeepAlive || endsByShutdown();
+    }
+
+    /** A request that came behind this one was sent before its caller could know of the close. */
+    private boolean endsByShutdown() {
+        return mEntry.isDraining() && mWaiting.isEmpty();
     }
 
     private void readWaiting() {
