An unmarked answer cuts a stream under way; silence gives up only what can be sent again

Causes: the end of a request whose answer bears no mark was a whole answer, also where the head of one had gone to the caller before. And whether a silent target may be given up was asked without whether a second attempt or any time is left: the answer ended, though its engine was at work.

Not changed: a target whose reports have ended too counts as lost.

--- a/quilldyke-core/src/main/java/org/quilldyke/caller/Forwarding.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/caller/Forwarding.java
@@ -131,7 +131,7 @@
         if (!head.isGenuine()) {
             mBook.onSpoiled(mChoice.target(), now);
             finishAttempt();
-            return sendAgainOr(new Step.Fail(ResultCode.ANSWER_SPOILED), now);
+            return sendAgainOr(endOf(ResultCode.ANSWER_SPOILED), now);
         }
         if (mHeadPassed && !(head.stream() && head.isSuccess())) {
             // Nothing but events can follow those that were passed on.
@@ -172,8 +172,7 @@
         mBook.onFailure(mChoice.target(), now);
         countRun();
         finishAttempt();
-        Step end = mHeadPassed ? new Step.Break(why) : new Step.Fail(why);
-        return sendAgainOr(end, now);
+        return sendAgainOr(endOf(why), now);
     }
 
     /**
@@ -245,12 +244,15 @@
     /**
      * Returns whether a target that has been silent on this request may be given up: not while it
      * answers others, since then it is only busy and would read the prompt once more elsewhere; and
-     * not if nobody else could answer, since then waiting is all that is left.
+     * not if nobody else could answer, or the request can't be sent again, since then waiting is
+     * all that is left.
      */
     public boolean isSilenceTelling(long now) {
         int runs = mMayHaveRun + (mRunCounted ? 0 : 1);
         return runs < mRequest.route().maxAttempts()
+                && hasTimeLeft(now)
                 && hasOtherTarget(now)
+                && mRetries.hasRoom(mRequest.service(), 1, now)
                 && !mBook.isAlive(mChoice.target(), now);
     }
 
@@ -269,6 +271,11 @@
         return giveUp(ResultCode.OVERLOADED, "refused by " + mExcluded, now);
     }
 
+    /** Returns the end of a request that has run, or may have. */
+    private Step endOf(ResultCode why) {
+        return mHeadPassed ? new Step.Break(why) : new Step.Fail(why);
+    }
+
     private Step sendAgainOr(Step end, long now) {
         mExcluded.add(mChoice.target());
         if (!mayRunAgain(now) || !takeRetry(now)) {
