A shutdown learns how long answers last from whole ones alone

Cause: each request that ended counted as a run as long as it had lasted: also attempts refused unrun, failures, streams whose callers left or that went on after an event. Forty of these in a row, some milliseconds each, let any stream in during a shutdown. Now only whole answers count as runs seen; one that broke off counts if it lasted longer than all others, as before; one that was refused unrun doesn't count at all. So an entry that has seen few whole ones refuses more.

--- a/quilldyke-core/src/main/java/org/quilldyke/caller/RunTimes.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/caller/RunTimes.java
@@ -22,7 +22,7 @@
     /** Some minutes of one instance's streams; a slow engine is forgotten with them. */
     private static final int KEPT_RUNS = 256;
 
-    /** Before so many runs were seen, nothing is taken as learnt. */
+    /** Before so many whole runs were seen, nothing is taken as learnt. */
     private static final int ENOUGH_RUNS = 40;
 
     /**
@@ -33,23 +33,42 @@
     private static final double MARGIN = 1.5;
 
     private final double[] mMillis = new double[KEPT_RUNS];
-    private int mSeen;
+    private int mKept;
+    private int mWhole;
 
     /** Takes how long a run lasted, in milliseconds of whatever its kind is measured by. */
     void onEnded(double millis) {
-        mMillis[mSeen % KEPT_RUNS] = millis;
-        mSeen++;
+        mWhole++;
+        keep(millis);
+    }
+
+    /**
+     * Takes how long a run lasted until it broke off: one that is shorter than others tells nothing
+     * of how long runs last.
+     */
+    void onBrokenOff(double millis) {
+        if (millis > slowest()) {
+            keep(millis);
+        }
     }
 
     /** Returns how long a run lasts at most; nothing as long as too few were seen. */
     OptionalDouble most() {
-        if (mSeen < ENOUGH_RUNS) {
-            return OptionalDouble.empty();
-        }
+        return mWhole < ENOUGH_RUNS
+                ? OptionalDouble.empty()
+                : OptionalDouble.of(slowest() * MARGIN);
+    }
+
+    private void keep(double millis) {
+        mMillis[mKept % KEPT_RUNS] = millis;
+        mKept++;
+    }
+
+    private double slowest() {
         double slowest = 0;
-        for (int i = 0; i < Math.min(mSeen, KEPT_RUNS); i++) {
+        for (int i = 0; i < Math.min(mKept, KEPT_RUNS); i++) {
             slowest = Math.max(slowest, mMillis[i]);
         }
-        return OptionalDouble.of(slowest * MARGIN);
+        return slowest;
     }
 }
--- a/quilldyke-core/src/main/java/org/quilldyke/caller/ShutdownAdmission.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/caller/ShutdownAdmission.java
@@ -17,6 +17,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.OptionalDouble;
 import org.quilldyke.ResultCode;
 
 /**
@@ -80,32 +81,44 @@
     }
 
     /**
-     * Takes how long an answer lasted, also one that broke off: it would have lasted longer.
+     * Takes how long a whole answer lasted.
      *
      * @param millis from its first event, or from its sending if it is no stream, to its end
      */
     public void onEnded(ForwardRequest request, long millis) {
-        int maxTokens = maxTokens(request);
-        if (maxTokens > 0) {
-            times(mTokens, request).onEnded((double) millis / maxTokens);
+        if (request.lastEvent() >= 0) {
+            // A part of an answer alone, which says of whole ones as much as one that broke off.
+            onBrokenOff(request, millis);
         } else {
-            times(mOthers, request).onEnded(millis);
+            times(request).onEnded(measure(request, millis));
         }
     }
 
+    /** Takes how long an answer lasted until it broke off: it would have lasted longer. */
+    public void onBrokenOff(ForwardRequest request, long millis) {
+        times(request).onBrokenOff(measure(request, millis));
+    }
+
     /** A stream that goes on after an event is taken for a whole one: its rest isn't known. */
     private double mostMillis(ForwardRequest request) {
         int maxTokens = maxTokens(request);
+        OptionalDouble most = times(request).most();
         return maxTokens > 0
-                ? maxTokens * times(mTokens, request).most().orElse(UNKNOWN_TOKEN_MILLIS)
-                : times(mOthers, request).most().orElse(request.route().timeoutMillis());
+                ? maxTokens * most.orElse(UNKNOWN_TOKEN_MILLIS)
+                : most.orElse(request.route().timeoutMillis());
+    }
+
+    /** Streams are measured by the tokens that they may have, others by themselves. */
+    private static double measure(ForwardRequest request, long millis) {
+        return (double) millis / Math.max(1, maxTokens(request));
     }
 
     private static int maxTokens(ForwardRequest request) {
         return request.prompt().map(Prompt::maxOutputTokens).orElse(0);
     }
 
-    private static RunTimes times(Map<String, RunTimes> all, ForwardRequest request) {
+    private RunTimes times(ForwardRequest request) {
+        Map<String, RunTimes> all = maxTokens(request) > 0 ? mTokens : mOthers;
         return all.computeIfAbsent(request.service(), service -> new RunTimes());
     }
 }
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Exchange.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Exchange.java
@@ -75,12 +75,16 @@
     private ScheduledFuture<?> mSilence;
     private ScheduledFuture<?> mWait;
     private long mHeardAt;
+
+    /** When the last attempt that may have run was sent, 0 if there was none. */
     private long mSentAt;
+
     private long mFirstEventMillis = -1;
     private long mEventAt;
     private long mStreamBegunAt;
     private long mLongestPauseMillis;
     private boolean mStreamBegun;
+    private boolean mWhole;
     private boolean mEnded;
 
     Exchange(Entry entry, CallerConnection caller, HttpRequest head, ByteBuf body) {
@@ -204,6 +208,7 @@
         } else if (facts.isNotRun()) {
             mAttempt.ignoreRest();
             closeAttempt();
+            mSentAt = 0;
             logAttempt("refused", "status " + facts.status());
             perform(mForwarding.onAnswer(facts, now()));
         } else if (facts.stream() && facts.isSuccess()) {
@@ -399,6 +404,7 @@
         }
         beginStream();
         mForwarding.onComplete();
+        mWhole = true;
         logAnswered();
         end();
         mCaller.endStream();
@@ -423,6 +429,7 @@
         ByteBuf body = mAnswerBody;
         mAnswerBody = null;
         HttpHeaders headers = HopByHop.passedOn(mAnswerHead.headers(), name -> false);
+        mWhole = mAnswer.head().isSuccess();
         logAnswered();
         end();
         mCaller.answer(mAnswerHead.status(), headers, body);
@@ -513,10 +520,14 @@
 
     /** How long answers last tells what may still be taken when the instance shuts down. */
     private void noteLasted() {
-        if (mStreamBegun) {
-            mEntry.shutdown().onEnded(mRequest, now() - mStreamBegunAt);
-        } else if (mSentAt > 0) {
-            mEntry.shutdown().onEnded(mRequest, now() - mSentAt);
+        if (!mStreamBegun && mSentAt == 0) {
+            return;
+        }
+        long millis = now() - (mStreamBegun ? mStreamBegunAt : mSentAt);
+        if (mWhole) {
+            mEntry.shutdown().onEnded(mRequest, millis);
+        } else {
+            mEntry.shutdown().onBrokenOff(mRequest, millis);
         }
     }
 
