A shutdown waits for the first request of a connection that it has just taken

A shutdown with nothing open lasts up to half a second longer if somebody has just connected. shutdownWaitsForTheFirstRequestOfANewConnection failed, passes.

--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/GatewayProcess.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/GatewayProcess.java
@@ -190,7 +190,7 @@
         mTraffic.execute(mCallers::closeListener);
         do {
             pause(POLL_MILLIS);
-        } while (busyConnections() > 0 && mClock.getAsLong() < end);
+        } while (onTraffic(mCallers::closeIdle) > 0 && mClock.getAsLong() < end);
         int cut = onTraffic(mCallers::onInstanceEnds);
         if (cut > 0) {
             pause(POLL_MILLIS);
@@ -229,14 +229,6 @@
         }
     }
 
-    private int busyConnections() {
-        return onTraffic(
-                () -> {
-                    mCallers.closeIdle();
-                    return mCallers.busyConnections();
-                });
-    }
-
     /** Returns a count of what is open, taken on the traffic thread; 1 if that thread is stuck. */
     private int onTraffic(Supplier<Integer> count) {
         CompletableFuture<Integer> counted = new CompletableFuture<>();
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/CallerServer.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/CallerServer.java
@@ -59,9 +59,14 @@
         mListener.close();
     }
 
-    /** Closes the connections without an open request; call it on the traffic thread. */
-    public void closeIdle() {
+    /**
+     * Closes the connections without an open request; call it on the traffic thread.
+     *
+     * @return how many are left: those with a request open, and new ones that may still send one
+     */
+    public int closeIdle() {
         new ArrayList<>(mConnections).forEach(CallerConnection::closeIfIdle);
+        return mConnections.size();
     }
 
     /**
