Test: a silent target is waited for if nobody else may run its request

What callers would see: 502 (lost target) for a request that may run once, though its engine was at work and answered later.

--- a/quilldyke-core/src/test/java/org/quilldyke/caller/ForwardingTest.java
+++ b/quilldyke-core/src/test/java/org/quilldyke/caller/ForwardingTest.java
@@ -351,6 +351,20 @@
         assertThat(late.isSilenceTelling(980)).isFalse();
     }
 
+    /** What may not go on elsewhere was given up for its target's silence all the same. */
+    @Test
+    void silenceTellsNothingOfWhatMayNotRunElsewhere() {
+        Forwarding unsafe = forwarding(RequestKind.NON_IDEMPOTENT, 2);
+        sent(unsafe.start(0), unsafe);
+        assertThat(unsafe.isSilenceTelling(900)).isFalse();
+
+        Forwarding begun = forwarding(RequestKind.IDEMPOTENT, 2);
+        sent(begun.start(0), begun);
+        begun.onAnswer(STREAM, 10);
+        begun.onEventPassed(1);
+        assertThat(begun.isSilenceTelling(900)).isFalse();
+    }
+
     /** The target that failed was counted as one that might do better, and its answer was lost. */
     @Test
     void failureOfTheOnlyTargetIsPassedOn() {
