A silent target is given up only by requests that can go on elsewhere

Cause: what was open at a target whose reports had ended was ended with it, though an engine's silence is no reason to end an answer sooner: a request that may run once, or without an attempt or allowance left, has nobody else to go to. Likewise a silent idempotent answer under way, which can't go on elsewhere. Both are asked now as a broken answer is. A target that has started again still ends what was open there. The price: where such a target is dead and its connection dark, the caller hears at its time's end (504) rather than at the lapse (502).

--- a/quilldyke-core/src/main/java/org/quilldyke/caller/Forwarding.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/caller/Forwarding.java
@@ -249,9 +249,7 @@
      */
     public boolean isSilenceTelling(long now) {
         int runs = mMayHaveRun + (mRunCounted ? 0 : 1);
-        return runs < mRequest.route().maxAttempts()
-                && hasTimeLeft(now)
-                && hasOtherTarget(now)
+        return mayRunAgain(runs, now)
                 && mRetries.hasRoom(mRequest.service(), 1, now)
                 && !mBook.isAlive(mChoice.target(), now);
     }
@@ -286,10 +284,14 @@
     }
 
     private boolean mayRunAgain(long now) {
+        return mayRunAgain(mMayHaveRun, now);
+    }
+
+    private boolean mayRunAgain(int runs, long now) {
         boolean mayGoOn = !mHeadPassed || mRequest.route().resumable();
         return mRequest.route().mayRunAgain()
                 && mayGoOn
-                && mMayHaveRun < mRequest.route().maxAttempts()
+                && runs < mRequest.route().maxAttempts()
                 && hasTimeLeft(now)
                 && hasOtherTarget(now);
     }
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Entry.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Entry.java
@@ -91,14 +91,14 @@
         }
         forget(target);
         if (silent) {
-            loseOpen(target, "the target is silent");
+            open(target).forEach(Exchange::onTargetSilent);
         }
     }
 
     /** Notes that a target has started again: this start of it has ended, whatever it sent. */
     public void onTargetEnded(String target) {
         forget(target);
-        loseOpen(target, "the target has started again");
+        open(target).forEach(exchange -> exchange.onTargetLost("the target has started again"));
     }
 
     private void forget(String target) {
@@ -107,9 +107,8 @@
         mPool.forget(target);
     }
 
-    private void loseOpen(String target, String why) {
-        List<Exchange> open = new ArrayList<>(mExchanges.getOrDefault(target, Set.of()));
-        open.forEach(exchange -> exchange.onTargetLost(why));
+    private List<Exchange> open(String target) {
+        return new ArrayList<>(mExchanges.getOrDefault(target, Set.of()));
     }
 
     /** Takes what a target reports. */
@@ -135,8 +134,7 @@
             return;
         }
         if (mBook.isHeldUp(target, now())) {
-            List<Exchange> open = new ArrayList<>(mExchanges.getOrDefault(target, Set.of()));
-            open.forEach(Exchange::onTargetWaits);
+            open(target).forEach(Exchange::onTargetWaits);
         }
         mLoop.schedule(() -> checkHeldUp(target), HELD_UP_CHECK_MILLIS, TimeUnit.MILLISECONDS);
     }
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Exchange.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Exchange.java
@@ -149,6 +149,13 @@
         }
     }
 
+    /** The target is silent to all: what can't go on elsewhere waits for it until its time ends. */
+    void onTargetSilent() {
+        if (mAttempt != null && !mEnded && mForwarding.isSilenceTelling(now())) {
+            onTargetLost("the target is silent");
+        }
+    }
+
     void onTargetLost(String why) {
         if (mAttempt != null && !mEnded) {
             cancelAttempt();
