--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/GatewayProcess.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/GatewayProcess.java
@@ -186,7 +186,7 @@
     private int endEntry(long start) {
         long end = start + mSettings.timings().grace() - EXIT_MARGIN_MILLIS;
         mTraffic.execute(() -> mEntry.drain(end));
-        pause(OUT_OF_ROTATION_MILLIS);
+        pause(Math.min(OUT_OF_ROTATION_MILLIS, Math.max(0, end - mClock.getAsLong())));
         mTraffic.execute(mCallers::closeListener);
         do {
             pause(POLL_MILLIS);
