What isn't read for a slow caller is no silence of its target

Cause: the silence of a target was counted also while the entry itself didn't read from it, since its caller took no more. It is counted from when reading goes on.

--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Exchange.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Exchange.java
@@ -83,6 +83,7 @@
     private long mEventAt;
     private long mStreamBegunAt;
     private long mLongestPauseMillis;
+    private boolean mPaused;
     private boolean mStreamBegun;
     private boolean mWhole;
     private boolean mEnded;
@@ -143,7 +144,10 @@
         perform(step);
     }
 
+    /** While the caller doesn't read, the target isn't read either: that is no silence of it. */
     void onWritable(boolean writable) {
+        mPaused = !writable;
+        mHeardAt = now();
         if (mAttempt != null) {
             mAttempt.setReading(writable);
         }
@@ -470,7 +474,7 @@
         if (mEnded || mAttempt == null) {
             return;
         }
-        if (now() - mHeardAt < millis || !mForwarding.isSilenceTelling(now())) {
+        if (mPaused || now() - mHeardAt < millis || !mForwarding.isSilenceTelling(now())) {
             watchSilence(Math.max(millis, now() - mHeardAt + SILENCE_STEP_MILLIS));
             return;
         }
