--- a/quilldyke-core/src/main/java/org/quilldyke/caller/Forwarding.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/caller/Forwarding.java
@@ -131,7 +131,11 @@
         if (!head.isGenuine()) {
             mBook.onSpoiled(mChoice.target(), now);
             finishAttempt();
-            return sendAgainOr(new Step.Fail(ResultCode.ANSWER_SPOILED), now);
+            return sendAgainOr(endOf(ResultCode.ANSWER_SPOILED), now);
+        }
+        if (mHeadPassed && !(head.stream() && head.isSuccess())) {
+            // Nothing but events can follow those that were passed on.
+            return onBroken(ResultCode.STREAM_BROKEN, now);
         }
         if (head.status() >= 500 && !head.isSuccess()) {
             mBook.onFailure(mChoice.target(), now);
@@ -168,8 +172,7 @@
         mBook.onFailure(mChoice.target(), now);
         countRun();
         finishAttempt();
-        Step end = mHeadPassed ? new Step.Break(why) : new Step.Fail(why);
-        return sendAgainOr(end, now);
+        return sendAgainOr(endOf(why), now);
     }
 
     /**
@@ -197,6 +200,16 @@
                 new Step.Refuse(ResultCode.DEADLINE_PASSED, 0, "no target in time"));
     }
 
+    /**
+     * Returns the step when the caller's key can't be confirmed just as the request was to be sent.
+     *
+     * @param retryAfterMillis when the caller may try again if nothing has run
+     */
+    public Step onUnconfirmed(long retryAfterMillis, String why) {
+        finishAttempt();
+        return giveUp(ResultCode.KEYS_UNCONFIRMED, retryAfterMillis, why);
+    }
+
     /** Returns the step when this instance has to end before the target's answer does. */
     public Step onInstanceEnds() {
         return cutShort(
@@ -213,7 +226,7 @@
         return sent || mMayHaveRun > 0 ? new Step.Fail(code) : unsent;
     }
 
-    /** Notes that nothing more is done: the caller went away, or its key can't be confirmed. */
+    /** Notes that nothing more is done: the caller went away. */
     public void abandon() {
         finishAttempt();
     }
@@ -231,12 +244,13 @@
     /**
      * Returns whether a target that has been silent on this request may be given up: not while it
      * answers others, since then it is only busy and would read the prompt once more elsewhere; and
-     * not if nobody else could answer, since then waiting is all that is left.
+     * not if nobody else could answer, or the request can't be sent again, since then waiting is
+     * all that is left.
      */
     public boolean isSilenceTelling(long now) {
         int runs = mMayHaveRun + (mRunCounted ? 0 : 1);
-        return runs < mRequest.route().maxAttempts()
-                && hasOtherTarget(now)
+        return mayRunAgain(runs, now)
+                && mRetries.hasRoom(mRequest.service(), 1, now)
                 && !mBook.isAlive(mChoice.target(), now);
     }
 
@@ -255,6 +269,11 @@
         return giveUp(ResultCode.OVERLOADED, "refused by " + mExcluded, now);
     }
 
+    /** Returns the end of a request that has run, or may have. */
+    private Step endOf(ResultCode why) {
+        return mHeadPassed ? new Step.Break(why) : new Step.Fail(why);
+    }
+
     private Step sendAgainOr(Step end, long now) {
         mExcluded.add(mChoice.target());
         if (!mayRunAgain(now) || !takeRetry(now)) {
@@ -265,10 +284,14 @@
     }
 
     private boolean mayRunAgain(long now) {
+        return mayRunAgain(mMayHaveRun, now);
+    }
+
+    private boolean mayRunAgain(int runs, long now) {
         boolean mayGoOn = !mHeadPassed || mRequest.route().resumable();
         return mRequest.route().mayRunAgain()
                 && mayGoOn
-                && mMayHaveRun < mRequest.route().maxAttempts()
+                && runs < mRequest.route().maxAttempts()
                 && hasTimeLeft(now)
                 && hasOtherTarget(now);
     }
@@ -332,13 +355,17 @@
     }
 
     private Step giveUp(ResultCode code, String why, long now) {
+        return giveUp(code, mBook.retryAfterMillis(mRequest, now), why);
+    }
+
+    private Step giveUp(ResultCode code, long retryAfterMillis, String why) {
         if (mHeadPassed) {
             return new Step.Break(code);
         }
         if (mMayHaveRun > 0) {
             return new Step.Fail(ResultCode.TARGET_LOST);
         }
-        return new Step.Refuse(code, mBook.retryAfterMillis(mRequest, now), why);
+        return new Step.Refuse(code, retryAfterMillis, why);
     }
 
     private void onPromptRead() {
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/GatewayProcess.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/GatewayProcess.java
@@ -186,11 +186,11 @@
     private int endEntry(long start) {
         long end = start + mSettings.timings().grace() - EXIT_MARGIN_MILLIS;
         mTraffic.execute(() -> mEntry.drain(end));
-        pause(OUT_OF_ROTATION_MILLIS);
+        pause(Math.min(OUT_OF_ROTATION_MILLIS, Math.max(0, end - mClock.getAsLong())));
         mTraffic.execute(mCallers::closeListener);
         do {
             pause(POLL_MILLIS);
-        } while (busyConnections() > 0 && mClock.getAsLong() < end);
+        } while (onTraffic(mCallers::closeIdle) > 0 && mClock.getAsLong() < end);
         int cut = onTraffic(mCallers::onInstanceEnds);
         if (cut > 0) {
             pause(POLL_MILLIS);
@@ -229,14 +229,6 @@
         }
     }
 
-    private int busyConnections() {
-        return onTraffic(
-                () -> {
-                    mCallers.closeIdle();
-                    return mCallers.busyConnections();
-                });
-    }
-
     /** Returns a count of what is open, taken on the traffic thread; 1 if that thread is stuck. */
     private int onTraffic(Supplier<Integer> count) {
         CompletableFuture<Integer> counted = new CompletableFuture<>();
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Exchange.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Exchange.java
@@ -75,12 +75,17 @@
     private ScheduledFuture<?> mSilence;
     private ScheduledFuture<?> mWait;
     private long mHeardAt;
+
+    /** When the last attempt that may have run was sent, 0 if there was none. */
     private long mSentAt;
+
     private long mFirstEventMillis = -1;
     private long mEventAt;
     private long mStreamBegunAt;
     private long mLongestPauseMillis;
+    private boolean mPaused;
     private boolean mStreamBegun;
+    private boolean mWhole;
     private boolean mEnded;
 
     Exchange(Entry entry, CallerConnection caller, HttpRequest head, ByteBuf body) {
@@ -139,12 +144,22 @@
         perform(step);
     }
 
+    /** While the caller doesn't read, the target isn't read either: that is no silence of it. */
     void onWritable(boolean writable) {
+        mPaused = !writable;
+        mHeardAt = now();
         if (mAttempt != null) {
             mAttempt.setReading(writable);
         }
     }
 
+    /** The target is silent to all: what can't go on elsewhere waits for it until its time ends. */
+    void onTargetSilent() {
+        if (mAttempt != null && !mEnded && mForwarding.isSilenceTelling(now())) {
+            onTargetLost("the target is silent");
+        }
+    }
+
     void onTargetLost(String why) {
         if (mAttempt != null && !mEnded) {
             cancelAttempt();
@@ -204,6 +219,7 @@
         } else if (facts.isNotRun()) {
             mAttempt.ignoreRest();
             closeAttempt();
+            mSentAt = 0;
             logAttempt("refused", "status " + facts.status());
             perform(mForwarding.onAnswer(facts, now()));
         } else if (facts.stream() && facts.isSuccess()) {
@@ -338,9 +354,8 @@
         mChoice = send.choice();
         boolean keyed = !mRequest.route().open() && mEntry.routes().needsKeys();
         if (keyed && !mEntry.isConfirmed()) {
-            mForwarding.abandon();
             String age = "age " + mEntry.lease().age(now());
-            refuse(ResultCode.KEYS_UNCONFIRMED, UNCONFIRMED_RETRY_MILLIS, age);
+            perform(mForwarding.onUnconfirmed(UNCONFIRMED_RETRY_MILLIS, age));
             return;
         }
         mLog.routed(mRequest, mChoice, send.millisLeft());
@@ -400,6 +415,7 @@
         }
         beginStream();
         mForwarding.onComplete();
+        mWhole = true;
         logAnswered();
         end();
         mCaller.endStream();
@@ -424,6 +440,7 @@
         ByteBuf body = mAnswerBody;
         mAnswerBody = null;
         HttpHeaders headers = HopByHop.passedOn(mAnswerHead.headers(), name -> false);
+        mWhole = mAnswer.head().isSuccess();
         logAnswered();
         end();
         mCaller.answer(mAnswerHead.status(), headers, body);
@@ -457,7 +474,7 @@
         if (mEnded || mAttempt == null) {
             return;
         }
-        if (now() - mHeardAt < millis || !mForwarding.isSilenceTelling(now())) {
+        if (mPaused || now() - mHeardAt < millis || !mForwarding.isSilenceTelling(now())) {
             watchSilence(Math.max(millis, now() - mHeardAt + SILENCE_STEP_MILLIS));
             return;
         }
@@ -514,10 +531,14 @@
 
     /** How long answers last tells what may still be taken when the instance shuts down. */
     private void noteLasted() {
-        if (mStreamBegun) {
-            mEntry.shutdown().onEnded(mRequest, now() - mStreamBegunAt);
-        } else if (mSentAt > 0) {
-            mEntry.shutdown().onEnded(mRequest, now() - mSentAt);
+        if (!mStreamBegun && mSentAt == 0) {
+            return;
+        }
+        long millis = now() - (mStreamBegun ? mStreamBegunAt : mSentAt);
+        if (mWhole) {
+            mEntry.shutdown().onEnded(mRequest, millis);
+        } else {
+            mEntry.shutdown().onBrokenOff(mRequest, millis);
         }
     }
 
