--- a/quilldyke-gateway/src/test/java/org/quilldyke/gateway/control/LossMachine.java
+++ b/quilldyke-gateway/src/test/java/org/quilldyke/gateway/control/LossMachine.java
@@ -95,6 +95,11 @@
         return isUp() && mNode.isLeader();
     }
 
+    /** Returns whether this machine votes, as far as it knows. */
+    boolean votes() {
+        return isUp() && mNode.replica().membership().isVoter(mId);
+    }
+
     boolean canAct() {
         return isUp() && mPausedUntil <= mRun.now();
     }
--- a/quilldyke-gateway/src/test/java/org/quilldyke/gateway/control/LossRun.java
+++ b/quilldyke-gateway/src/test/java/org/quilldyke/gateway/control/LossRun.java
@@ -97,6 +97,23 @@
         return run.mReport;
     }
 
+    /**
+     * Plays a group that loses disks as soon as it has acknowledged anything, while it still grows.
+     *
+     * @param machines how many have a disk
+     * @param tolerated how many of them may lose it at once
+     * @param seed draws everything
+     */
+    static CheckReport playFirst(int machines, int tolerated, long seed) {
+        LossRun run = new LossRun(machines, tolerated, seed);
+        run.awaitFirstAcknowledgement();
+        if (run.mReport.isGood()) {
+            run.loseFirst();
+            run.recover();
+        }
+        return run.mReport;
+    }
+
     long now() {
         return mNow;
     }
@@ -239,6 +256,35 @@
         }
     }
 
+    /** Has an operator send changes from the start on, until one is acknowledged. */
+    private void awaitFirstAcknowledgement() {
+        mNetwork.setLoss(mRandom.nextBoolean() ? 20 : 0);
+        while (mAckedVersion < 0 && mNow < STARTED_BY && mReport.isGood()) {
+            advance();
+            if (mRandom.nextInt(20) == 0) {
+                publish();
+            }
+        }
+        mReport.check(mAckedVersion >= 0, "the first change is taken in time", "" + describe());
+        mReport.count("first acknowledgement within " + (mNow / 500 + 1) * 500 + " ms");
+    }
+
+    /** Loses disks, often those of voters, and mostly all others' power, within milliseconds. */
+    private void loseFirst() {
+        pass(mRandom.nextInt(mRandom.nextInt(3) == 0 ? 500 : 5));
+        List<LossMachine> order = new ArrayList<>(mMachines);
+        Collections.shuffle(order, mRandom);
+        if (mRandom.nextInt(3) > 0) {
+            order.sort(Comparator.comparing(machine -> !machine.votes()));
+        }
+        boolean powerToo = mRandom.nextInt(4) > 0;
+        mReport.count(powerToo ? "loss of disks and of power" : "loss of disks alone");
+        order.subList(0, mTolerated).forEach(this::loseDisk);
+        if (powerToo) {
+            order.subList(mTolerated, order.size()).forEach(this::losePower);
+        }
+    }
+
     private void afterAcknowledgement() {
         long acked = mAckedVersion;
         publish();
--- a/quilldyke-gateway/src/test/java/org/quilldyke/gateway/control/LossRunTest.java
+++ b/quilldyke-gateway/src/test/java/org/quilldyke/gateway/control/LossRunTest.java
@@ -18,8 +18,10 @@
 import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
 
+import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.function.IntFunction;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -30,6 +32,12 @@
     private static final int SEEDS = Integer.getInteger("quilldyke.loss.seeds", 100);
     private static final int FIRST_SEED = Integer.getInteger("quilldyke.loss.first", 1);
 
+    private static final List<String> LOSSES =
+            List.of(
+                    "loss of disks alone",
+                    "loss of disks and of power",
+                    "checked what was acknowledged is there");
+
     @Test
     void groupOfFourBearsTheLossOfOneDisk() {
         play(4, 1);
@@ -47,13 +55,28 @@
         play(8, 2);
     }
 
+    /**
+     * A manifest that was acknowledged within a second of the first start is gone after two disks
+     * are lost, or no manifest is taken ever again. A site that must bear two lost disks starts
+     * with three voters and grows to five; before, two disks that held a change were enough for its
+     * acknowledgement. If these were lost, it was gone; with any two of the three, no voter could
+     * be elected, for good, since a machine with a new disk is a new replica. Found by reasoning,
+     * then by this test: 70 of 100 seeds with five machines, none with four that bear one loss.
+     */
+    @Test
+    void firstAcknowledgementIsBorneWhileTheGroupStillGrows() {
+        assertThat(playFirst(4, 1).keySet()).containsAtLeastElementsIn(LOSSES);
+        assertThat(playFirst(5, 2).keySet()).containsAtLeastElementsIn(LOSSES);
+        assertThat(playFirst(8, 2).keySet()).containsAtLeastElementsIn(LOSSES);
+    }
+
+    private static Map<String, Long> playFirst(int machines, int tolerated) {
+        return playAll(machines, seed -> LossRun.playFirst(machines, tolerated, seed));
+    }
+
     private static void play(int machines, int tolerated) {
-        Map<String, Long> counts = new TreeMap<>();
-        for (int seed = FIRST_SEED; seed < FIRST_SEED + SEEDS; seed++) {
-            CheckReport report = LossRun.play(machines, tolerated, seed);
-            assertGood(machines, seed, report);
-            report.counts().forEach((name, count) -> counts.merge(name, count, Long::sum));
-        }
+        Map<String, Long> counts =
+                playAll(machines, seed -> LossRun.play(machines, tolerated, seed));
         assertThat(counts.keySet())
                 .containsAtLeast(
                         "loss of disks alone",
@@ -67,6 +90,22 @@
                         "checked a read gives what was acknowledged before it");
     }
 
+    private static Map<String, Long> playAll(int machines, IntFunction<CheckReport> play) {
+        Map<String, Long> counts = new TreeMap<>();
+        Map<Integer, List<String>> broken = new TreeMap<>();
+        for (int seed = FIRST_SEED; seed < FIRST_SEED + SEEDS; seed++) {
+            CheckReport report = play.apply(seed);
+            if (!report.isGood()) {
+                broken.put(seed, report.violations());
+            }
+            report.counts().forEach((name, count) -> counts.merge(name, count, Long::sum));
+        }
+        assertWithMessage("%s machines: %s of %s seeds broken", machines, broken.size(), SEEDS)
+                .that(broken)
+                .isEmpty();
+        return counts;
+    }
+
     private static void assertGood(int machines, int seed, CheckReport report) {
         assertWithMessage(machines + " machines, seed " + seed).that(report.violations()).isEmpty();
     }
