A leader takes commands only once enough replicas vote

Cause: with two disks to be borne, three seeds vote at the first start, and two of them were enough for an acknowledgement. Both may lose their disks; and with any two of three lost, no voter can be elected any more. Now commands wait until the membership in force has 2f+1 voters. Whatever follows that entry is committed by a majority of it, so an acknowledgement is on f+1 synced disks whose owners can elect one of them.

Ruled out: waiting for standbys' copies too (the entry is there, but no one can be elected); holding back acknowledgements only (a follower tells a version that it holds as accepted, and reads give it).

--- a/quilldyke-core/src/main/java/org/quilldyke/control/Replica.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/control/Replica.java
@@ -44,6 +44,7 @@
     private final VoteCount mVotes = new VoteCount();
     private final StateSurvey mSurvey;
     private final Candidacy mCandidacy;
+    private final VoterWait mVoterWait;
     private final IncomingSnapshot mIncoming = new IncomingSnapshot();
     private List<ReplicaAction> mActions = new ArrayList<>();
     private Ballot mBallot;
@@ -65,6 +66,7 @@
         mLog = mStored.log();
         mSurvey = new StateSurvey(settings.self(), mLog);
         mCandidacy = new Candidacy(settings.self(), mStored);
+        mVoterWait = new VoterWait(settings.votersNeeded());
         // A lease that this replica granted before its restart may still be running.
         mLeaderHeardAt = startedAt + settings.startUpPromiseMillis() - settings.electionMillis();
     }
@@ -130,10 +132,10 @@
     /**
      * Appends a command to the log if this replica leads. Call {@link #flush} after one or several.
      *
-     * @return the entry's index, or -1 if this replica doesn't lead
+     * @return the entry's index, or -1 if this replica doesn't lead, or too few replicas vote yet
      */
     public long propose(byte[] payload) {
-        if (mRole != Role.LEADER) {
+        if (mRole != Role.LEADER || !mVoterWait.isOver(mLog.membership())) {
             return -1;
         }
         mStored.append(new LogEntry(mBallot.term(), payload));
@@ -331,6 +333,7 @@
     }
 
     private void tickLeader(long now) {
+        mVoterWait.tick(now);
         if (now - leaderSeenAt(now) >= 2 * mSettings.electionMillis()) {
             stepDown(mBallot.term(), now);
             return;
@@ -429,6 +432,7 @@
         mLeader = mSettings.self();
         mLeaderHeardAt = now;
         mTimer.restartWithLeader(now);
+        mVoterWait.onElected(now);
         mFollowers = Followers.of(mSettings, mLog, mBallot.term());
         mActions.add(new ReplicaAction.LeadershipWon(mBallot.term()));
         // All that was ever committed is committed again, at the latest, with the opening entry.
--- a/quilldyke-core/src/main/java/org/quilldyke/control/ReplicaSettings.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/control/ReplicaSettings.java
@@ -29,6 +29,7 @@
  *     electionMillis} by more than clocks drift in that time
  * @param batchBytes how many bytes of entries a message carries at most
  * @param pieceBytes how many bytes of a snapshot a message carries at most
+ * @param votersNeeded how many voters there must be before a leader takes commands
  */
 public record ReplicaSettings(
         String self,
@@ -37,7 +38,8 @@
         long electionMillis,
         long leaseMillis,
         int batchBytes,
-        int pieceBytes) {
+        int pieceBytes,
+        int votersNeeded) {
     private static final int BATCH_BYTES = 256 << 10;
 
     /** Clocks of two machines drift by less than one part in this; real ones by some 20,000th. */
@@ -52,7 +54,7 @@
 
     /** Returns settings with the usual times. */
     public static ReplicaSettings of(String self, Membership initial) {
-        return new ReplicaSettings(self, initial, 50, 300, 250, BATCH_BYTES, BATCH_BYTES);
+        return new ReplicaSettings(self, initial, 50, 300, 250, BATCH_BYTES, BATCH_BYTES, 1);
     }
 
     /**
@@ -69,12 +71,32 @@
     /** Returns settings with other times. */
     public ReplicaSettings withTimes(long heartbeat, long election, long lease) {
         return new ReplicaSettings(
-                self, initial, heartbeat, election, lease, batchBytes, pieceBytes);
+                self, initial, heartbeat, election, lease, batchBytes, pieceBytes, votersNeeded);
     }
 
     /** Returns settings with other sizes of messages. */
     public ReplicaSettings withSizes(int batch, int piece) {
         return new ReplicaSettings(
-                self, initial, heartbeatMillis, electionMillis, leaseMillis, batch, piece);
+                self,
+                initial,
+                heartbeatMillis,
+                electionMillis,
+                leaseMillis,
+                batch,
+                piece,
+                votersNeeded);
+    }
+
+    /** Returns settings of a group that must bear the loss of so many disks at once. */
+    public ReplicaSettings withToleratedLosses(int tolerated) {
+        return new ReplicaSettings(
+                self,
+                initial,
+                heartbeatMillis,
+                electionMillis,
+                leaseMillis,
+                batchBytes,
+                pieceBytes,
+                2 * tolerated + 1);
     }
 }
--- /dev/null
+++ b/quilldyke-core/src/main/java/org/quilldyke/control/VoterWait.java
@@ -0,0 +1,57 @@
+/*
+ * Copyright 2026 The quilldyke authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.quilldyke.control;
+
+/**
+ * Whether a leader takes commands yet: once so many replicas vote that whatever it commits survives
+ * the losses that the group must bear.
+ *
+ * <p>A group that must bear the loss of {@code f} disks needs {@code 2f + 1} voters, but may start
+ * with fewer. What a majority of those commits may be held by lost disks only, and with more than a
+ * minority of them lost no leader comes again. A membership is in force from its entry on, so all
+ * that follows the entry of a large enough one is committed by a majority of that one, and never by
+ * a smaller.
+ *
+ * <p>A machine that doesn't come is itself one of the losses to be borne, so the wait has an end.
+ */
+final class VoterWait {
+    /** A machine counts as lost for up to so long after its start, in milliseconds (sheets). */
+    static final long LONGEST_MILLIS = 6000;
+
+    private final int mNeeded;
+    private long mSince;
+    private boolean mIsTooLong;
+
+    VoterWait(int needed) {
+        mNeeded = needed;
+    }
+
+    /** Notes that this replica leads from now on. */
+    void onElected(long now) {
+        mSince = now;
+        mIsTooLong = false;
+    }
+
+    /** Notes that this replica still leads. */
+    void tick(long now) {
+        mIsTooLong = now - mSince >= LONGEST_MILLIS;
+    }
+
+    /** Returns whether commands may follow an entry with the given membership in force. */
+    boolean isOver(Membership membership) {
+        return membership.voters().size() >= mNeeded || mIsTooLong;
+    }
+}
--- /dev/null
+++ b/quilldyke-core/src/test/java/org/quilldyke/control/VoterWaitTest.java
@@ -0,0 +1,74 @@
+/*
+ * Copyright 2026 The quilldyke authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.quilldyke.control;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+
+/**
+ * A manifest that three voters acknowledged was gone once the two lost their disks that the group
+ * must bear to lose.
+ */
+class VoterWaitTest {
+    private static final Membership THREE = Membership.ofIds(List.of("a", "b", "c"));
+    private static final Membership FIVE = Membership.ofIds(List.of("a", "b", "c", "d", "e"));
+
+    @Test
+    void enoughVotersAreWaitedFor() {
+        VoterWait wait = new VoterWait(5);
+        wait.onElected(1000);
+        wait.tick(1000 + VoterWait.LONGEST_MILLIS - 1);
+
+        assertThat(wait.isOver(THREE)).isFalse();
+        assertThat(wait.isOver(FIVE)).isTrue();
+    }
+
+    /** Machines that don't come are lost, and the rest of the group goes on. */
+    @Test
+    void waitEndsWithoutTheMachinesThatDontCome() {
+        VoterWait wait = new VoterWait(5);
+        wait.onElected(1000);
+        wait.tick(1000 + VoterWait.LONGEST_MILLIS);
+
+        assertThat(wait.isOver(THREE)).isTrue();
+
+        wait.onElected(9000);
+        assertThat(wait.isOver(THREE)).isFalse();
+    }
+
+    /** A replica alone leads at once, and takes no command before it has waited. */
+    @Test
+    void leaderTakesNoCommandBefore() throws Exception {
+        ReplicaSettings settings =
+                ReplicaSettings.of("a", Membership.ofIds(List.of("a"))).withToleratedLosses(1);
+        DurableState disk =
+                new DurableState(
+                        new Ballot(0, "", true), 0, 0, new byte[0], Membership.empty(), List.of());
+        Replica replica = Replica.restore(settings, disk, new SplittableRandom(1), 0, 0);
+        long now = 0;
+        while (!replica.isLeader()) {
+            replica.tick(now++);
+        }
+
+        assertThat(replica.propose(new byte[] {1})).isEqualTo(-1);
+
+        replica.tick(now + VoterWait.LONGEST_MILLIS);
+        assertThat(replica.propose(new byte[] {1})).isGreaterThan(0);
+    }
+}
--- a/quilldyke-daemon/src/main/java/org/quilldyke/daemon/control/ReplicaNode.java
+++ b/quilldyke-daemon/src/main/java/org/quilldyke/daemon/control/ReplicaNode.java
@@ -166,7 +166,8 @@
      * Proposes a command.
      *
      * @return the result once it is applied; fails with {@link ResultCode#NO_LEADER} if this
-     *     replica doesn't lead, or leads no longer before the result is known
+     *     replica doesn't lead, leads no longer before the result is known, or too few replicas
+     *     vote yet
      */
     public CompletableFuture<R> propose(byte[] command) {
         CompletableFuture<R> future = new CompletableFuture<>();
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/ControlNode.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/ControlNode.java
@@ -115,7 +115,8 @@
         ReplicaIdentity.Opened opened =
                 ReplicaIdentity.open(folder, settings, mAddress, random, log);
         mGroup = new Group(opened.identity().id(), mPeers);
-        Replica replica = restore(opened, random, startedAt, clock.getAsLong());
+        Replica replica =
+                restore(opened, settings.toleratedLosses(), random, startedAt, clock.getAsLong());
         ReplicaNode<FleetResult> node =
                 ReplicaNode.of(
                         new ReplicaNode.Environment(loop, clock, log),
@@ -196,10 +197,15 @@
 
     /** Returns a replica of this fleet in the state that its disk holds. */
     static Replica restore(
-            ReplicaIdentity.Opened opened, RandomGenerator random, long startedAt, long now) {
+            ReplicaIdentity.Opened opened,
+            int toleratedLosses,
+            RandomGenerator random,
+            long startedAt,
+            long now) {
         ReplicaSettings settings =
                 ReplicaSettings.of(opened.identity().id(), opened.identity().initial())
-                        .withTimes(HEARTBEAT_MILLIS, ELECTION_MILLIS, LEASE_MILLIS);
+                        .withTimes(HEARTBEAT_MILLIS, ELECTION_MILLIS, LEASE_MILLIS)
+                        .withToleratedLosses(toleratedLosses);
         return Replica.restore(settings, opened.disk(), random, startedAt, now);
     }
 
--- a/quilldyke-gateway/src/test/java/org/quilldyke/gateway/control/LossMachine.java
+++ b/quilldyke-gateway/src/test/java/org/quilldyke/gateway/control/LossMachine.java
@@ -224,7 +224,7 @@
                         environment,
                         folder,
                         opened.disk(),
-                        ControlNode.restore(opened, random, clock(), clock()),
+                        ControlNode.restore(opened, mTolerated, random, clock(), clock()),
                         this,
                         (to, message) -> mRun.send(this, to, message),
                         leads -> mRun.onLeadership(this, leads));
