--- a/quilldyke-core/src/main/java/org/quilldyke/control/Followers.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/control/Followers.java
@@ -29,16 +29,18 @@
     private final ReplicaSettings mSettings;
     private final ReplicatedLog mLog;
     private final long mTerm;
+    private final VoterWait mVoterWait;
     private final Map<String, Progress> mProgress = new HashMap<>();
 
-    private Followers(ReplicaSettings settings, ReplicatedLog log, long term) {
+    private Followers(ReplicaSettings settings, ReplicatedLog log, long term, long now) {
         mSettings = settings;
         mLog = log;
         mTerm = term;
+        mVoterWait = new VoterWait(settings.votersNeeded(), now);
     }
 
-    static Followers of(ReplicaSettings settings, ReplicatedLog log, long term) {
-        Followers followers = new Followers(settings, log, term);
+    static Followers of(ReplicaSettings settings, ReplicatedLog log, long term, long now) {
+        Followers followers = new Followers(settings, log, term, now);
         followers.onMembership();
         return followers;
     }
@@ -52,6 +54,11 @@
         }
     }
 
+    /** Returns whether commands may be appended, see {@link VoterWait}. */
+    boolean mayTakeCommands() {
+        return mVoterWait.isOver(mLog.membership());
+    }
+
     boolean follows(String id) {
         return mProgress.containsKey(id);
     }
@@ -79,6 +86,7 @@
 
     /** Sends entries, or none, to each follower that was sent nothing for a heartbeat's time. */
     List<ReplicaAction> sendHeartbeats(byte[] snapshot, long commitIndex, long now) {
+        mVoterWait.tick(now);
         List<ReplicaAction> actions = new ArrayList<>();
         mProgress.forEach(
                 (id, progress) -> {
--- a/quilldyke-core/src/main/java/org/quilldyke/control/Replica.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/control/Replica.java
@@ -44,7 +44,6 @@
     private final VoteCount mVotes = new VoteCount();
     private final StateSurvey mSurvey;
     private final Candidacy mCandidacy;
-    private final VoterWait mVoterWait;
     private final IncomingSnapshot mIncoming = new IncomingSnapshot();
     private List<ReplicaAction> mActions = new ArrayList<>();
     private Ballot mBallot;
@@ -66,7 +65,6 @@
         mLog = mStored.log();
         mSurvey = new StateSurvey(settings.self(), mLog);
         mCandidacy = new Candidacy(settings.self(), mStored);
-        mVoterWait = new VoterWait(settings.votersNeeded());
         // A lease that this replica granted before its restart may still be running.
         mLeaderHeardAt = startedAt + settings.startUpPromiseMillis() - settings.electionMillis();
     }
@@ -135,7 +133,7 @@
      * @return the entry's index, or -1 if this replica doesn't lead, or too few replicas vote yet
      */
     public long propose(byte[] payload) {
-        if (mRole != Role.LEADER || !mVoterWait.isOver(mLog.membership())) {
+        if (mRole != Role.LEADER || !mFollowers.mayTakeCommands()) {
             return -1;
         }
         mStored.append(new LogEntry(mBallot.term(), payload));
@@ -333,7 +331,6 @@
     }
 
     private void tickLeader(long now) {
-        mVoterWait.tick(now);
         if (now - leaderSeenAt(now) >= 2 * mSettings.electionMillis()) {
             stepDown(mBallot.term(), now);
             return;
@@ -432,8 +429,7 @@
         mLeader = mSettings.self();
         mLeaderHeardAt = now;
         mTimer.restartWithLeader(now);
-        mVoterWait.onElected(now);
-        mFollowers = Followers.of(mSettings, mLog, mBallot.term());
+        mFollowers = Followers.of(mSettings, mLog, mBallot.term(), now);
         mActions.add(new ReplicaAction.LeadershipWon(mBallot.term()));
         // All that was ever committed is committed again, at the latest, with the opening entry.
         mHeardCommit = mLog.lastIndex() + 1;
--- a/quilldyke-core/src/main/java/org/quilldyke/control/VoterWait.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/control/VoterWait.java
@@ -32,22 +32,17 @@
     static final long LONGEST_MILLIS = 6000;
 
     private final int mNeeded;
-    private long mSince;
+    private final long mElectedAt;
     private boolean mIsTooLong;
 
-    VoterWait(int needed) {
+    VoterWait(int needed, long electedAt) {
         mNeeded = needed;
+        mElectedAt = electedAt;
     }
 
-    /** Notes that this replica leads from now on. */
-    void onElected(long now) {
-        mSince = now;
-        mIsTooLong = false;
-    }
-
-    /** Notes that this replica still leads. */
+    /** Notes the present time. */
     void tick(long now) {
-        mIsTooLong = now - mSince >= LONGEST_MILLIS;
+        mIsTooLong = now - mElectedAt >= LONGEST_MILLIS;
     }
 
     /** Returns whether commands may follow an entry with the given membership in force. */
--- a/quilldyke-core/src/test/java/org/quilldyke/control/VoterWaitTest.java
+++ b/quilldyke-core/src/test/java/org/quilldyke/control/VoterWaitTest.java
@@ -31,8 +31,7 @@
 
     @Test
     void enoughVotersAreWaitedFor() {
-        VoterWait wait = new VoterWait(5);
-        wait.onElected(1000);
+        VoterWait wait = new VoterWait(5, 1000);
         wait.tick(1000 + VoterWait.LONGEST_MILLIS - 1);
 
         assertThat(wait.isOver(THREE)).isFalse();
@@ -42,14 +41,10 @@
     /** Machines that don't come are lost, and the rest of the group goes on. */
     @Test
     void waitEndsWithoutTheMachinesThatDontCome() {
-        VoterWait wait = new VoterWait(5);
-        wait.onElected(1000);
+        VoterWait wait = new VoterWait(5, 1000);
         wait.tick(1000 + VoterWait.LONGEST_MILLIS);
 
         assertThat(wait.isOver(THREE)).isTrue();
-
-        wait.onElected(9000);
-        assertThat(wait.isOver(THREE)).isFalse();
     }
 
     /** A replica alone leads at once, and takes no command before it has waited. */
