--- a/quilldyke-daemon/src/main/java/org/quilldyke/daemon/control/DiskQueue.java
+++ b/quilldyke-daemon/src/main/java/org/quilldyke/daemon/control/DiskQueue.java
@@ -15,8 +15,11 @@
  */
 package org.quilldyke.daemon.control;
 
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import org.quilldyke.QuilldykeException;
 import org.quilldyke.daemon.log.Event;
@@ -34,7 +37,9 @@
     private final ControlLoop mLoop;
     private final EventLog mLog;
     private final ExecutorService mThread;
+    private final Deque<Job> mJobs = new ArrayDeque<>();
     private volatile boolean mClosed;
+    private boolean mFailed;
 
     private DiskQueue(ExecutorService thread, ControlLoop loop, EventLog log) {
         mThread = thread;
@@ -65,12 +70,14 @@
      * @param write may be called several times
      */
     public void submit(Write write, Runnable done) {
-        mThread.execute(
-                () -> {
-                    if (writeUntilDone(write)) {
-                        mLoop.execute(done);
-                    }
-                });
+        boolean idle;
+        synchronized (mJobs) {
+            idle = mJobs.isEmpty();
+            mJobs.add(new Job(write, done));
+        }
+        if (idle) {
+            carryOutFirst();
+        }
     }
 
     /** Stops; waits a little for the write that is under way. */
@@ -86,32 +93,56 @@
         }
     }
 
-    private boolean writeUntilDone(Write write) {
-        boolean failed = false;
-        while (!mClosed) {
-            try {
-                write.run();
-                if (failed) {
-                    mLog.write(Event.DISK_RECOVERED);
-                }
-                return true;
-            } catch (QuilldykeException e) {
-                if (!failed) {
-                    mLog.write(Event.DISK_FAILED, "detail", e.getMessage());
-                }
-                failed = true;
-            }
-            pause();
+    private void carryOutFirst() {
+        if (mClosed) {
+            return;
+        }
+        try {
+            mThread.execute(this::tryFirst);
+        } catch (RejectedExecutionException e) {
+            // The queue was closed in between: what is left stays unwritten, as after a kill.
         }
-        return false;
     }
 
-    private void pause() {
+    /** Tries the first write, on the disk's thread; the others wait until it is done. */
+    private void tryFirst() {
+        if (mClosed) {
+            return;
+        }
+        Job job;
+        synchronized (mJobs) {
+            job = mJobs.element();
+        }
         try {
-            TimeUnit.MILLISECONDS.sleep(RETRY_MILLIS);
-        } catch (InterruptedException e) {
-            // Only close() interrupts; the loop ends then.
-            Thread.currentThread().interrupt();
+            job.write().run();
+        } catch (QuilldykeException e) {
+            onFailure(e);
+            return;
+        }
+        if (mFailed) {
+            mFailed = false;
+            mLog.write(Event.DISK_RECOVERED);
+        }
+        mLoop.execute(job.done());
+        onDone();
+    }
+
+    private void onFailure(QuilldykeException e) {
+        if (!mFailed) {
+            mLog.write(Event.DISK_FAILED, "detail", e.getMessage());
+        }
+        mFailed = true;
+        mLoop.execute(() -> mLoop.schedule(RETRY_MILLIS, this::carryOutFirst));
+    }
+
+    private void onDone() {
+        boolean more;
+        synchronized (mJobs) {
+            mJobs.remove();
+            more = !mJobs.isEmpty();
+        }
+        if (more) {
+            carryOutFirst();
         }
     }
 
@@ -120,4 +151,6 @@
         /** Writes and syncs. */
         void run() throws QuilldykeException;
     }
+
+    private record Job(Write write, Runnable done) {}
 }
--- a/quilldyke-daemon/src/main/java/org/quilldyke/daemon/control/ReplicaNode.java
+++ b/quilldyke-daemon/src/main/java/org/quilldyke/daemon/control/ReplicaNode.java
@@ -437,7 +437,8 @@
     private void compactIfLong() {
         long entries = mReplica.appliedIndex() - mReplica.snapshotIndex();
         boolean isLong =
-                entries >= ENTRIES_BEFORE_SNAPSHOT || mBytesSinceSnapshot >= BYTES_BEFORE_SNAPSHOT;
+                entries >= ENTRIES_BEFORE_SNAPSHOT
+                        || mBytesSinceSnapshot >= mEnvironment.bytesBeforeSnapshot();
         if (mStopped || entries == 0 || !isLong) {
             return;
         }
@@ -484,11 +485,17 @@
      * @param clock monotonic milliseconds
      * @param log where events go
      * @param disk carries out its writes; it is closed with the replica
+     * @param bytesBeforeSnapshot a log of this size is replaced by a snapshot
      */
-    public record Environment(ControlLoop loop, LongSupplier clock, EventLog log, DiskQueue disk) {
+    public record Environment(
+            ControlLoop loop,
+            LongSupplier clock,
+            EventLog log,
+            DiskQueue disk,
+            long bytesBeforeSnapshot) {
         /** Creates an environment whose writes have a thread of their own. */
         public Environment(ControlLoop loop, LongSupplier clock, EventLog log) {
-            this(loop, clock, log, DiskQueue.create(loop, log));
+            this(loop, clock, log, DiskQueue.create(loop, log), BYTES_BEFORE_SNAPSHOT);
         }
 
         /** Returns the present time in monotonic milliseconds. */
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/ControlNode.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/ControlNode.java
@@ -22,7 +22,6 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.LongSupplier;
-import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
 import org.quilldyke.QuilldykeException;
 import org.quilldyke.ResultCode;
@@ -116,7 +115,12 @@
                 ReplicaIdentity.open(folder, settings, mAddress, random, log);
         mGroup = new Group(opened.identity().id(), mPeers);
         Replica replica =
-                restore(opened, settings.toleratedLosses(), random, startedAt, clock.getAsLong());
+                Replica.restore(
+                        settingsOf(opened.identity(), settings.toleratedLosses()),
+                        opened.disk(),
+                        random,
+                        startedAt,
+                        clock.getAsLong());
         ReplicaNode<FleetResult> node =
                 ReplicaNode.of(
                         new ReplicaNode.Environment(loop, clock, log),
@@ -195,18 +199,11 @@
         return node;
     }
 
-    /** Returns a replica of this fleet in the state that its disk holds. */
-    static Replica restore(
-            ReplicaIdentity.Opened opened,
-            int toleratedLosses,
-            RandomGenerator random,
-            long startedAt,
-            long now) {
-        ReplicaSettings settings =
-                ReplicaSettings.of(opened.identity().id(), opened.identity().initial())
-                        .withTimes(HEARTBEAT_MILLIS, ELECTION_MILLIS, LEASE_MILLIS)
-                        .withToleratedLosses(toleratedLosses);
-        return Replica.restore(settings, opened.disk(), random, startedAt, now);
+    /** Returns how a replica of this fleet takes part. */
+    static ReplicaSettings settingsOf(ReplicaIdentity identity, int toleratedLosses) {
+        return ReplicaSettings.of(identity.id(), identity.initial())
+                .withTimes(HEARTBEAT_MILLIS, ELECTION_MILLIS, LEASE_MILLIS)
+                .withToleratedLosses(toleratedLosses);
     }
 
     /** Takes seeds that the settings name now. */
--- a/quilldyke-gateway/src/test/java/org/quilldyke/gateway/control/LossMachine.java
+++ b/quilldyke-gateway/src/test/java/org/quilldyke/gateway/control/LossMachine.java
@@ -21,8 +21,11 @@
 import java.util.Random;
 import java.util.SplittableRandom;
 import org.quilldyke.QuilldykeException;
+import org.quilldyke.ResultCode;
 import org.quilldyke.control.Membership;
 import org.quilldyke.control.MembershipPlanner;
+import org.quilldyke.control.Replica;
+import org.quilldyke.control.ReplicaSettings;
 import org.quilldyke.daemon.control.DataFolder;
 import org.quilldyke.daemon.control.DiskQueue;
 import org.quilldyke.daemon.control.ReplicaNode;
@@ -44,9 +47,18 @@
     private static final int JOIN_MILLIS = 500;
     private static final int READ_MILLIS = 900;
 
+    /** As large as the replica's files usually grow. */
+    private static final long BYTES_BEFORE_SNAPSHOT = 4 << 20;
+
+    /** A snapshot every few changes, each in several pieces. */
+    private static final long FEW_BYTES_BEFORE_SNAPSHOT = 48 << 10;
+
+    private static final int SMALL_MESSAGE_BYTES = 8 << 10;
+
     private final String mAddress;
     private final int mNumber;
     private final int mTolerated;
+    private final boolean mManySnapshots;
     private final LossRun mRun;
     private final CheckReport mReport;
     private final Random mRandom;
@@ -65,9 +77,16 @@
     private long mPausedUntil;
     private long mJoinedAt;
 
-    LossMachine(int number, int tolerated, LossRun run, CheckReport report, Random random) {
+    LossMachine(
+            int number,
+            int tolerated,
+            boolean manySnapshots,
+            LossRun run,
+            CheckReport report,
+            Random random) {
         mNumber = number;
         mTolerated = tolerated;
+        mManySnapshots = manySnapshots;
         mRun = run;
         mReport = report;
         mRandom = random;
@@ -124,6 +143,24 @@
         mPausedUntil = until;
     }
 
+    /** Has the disk take so many bytes more, and no write after them. */
+    void fillDiskAfter(long bytes) {
+        mDisk.fillUpAfter(bytes);
+    }
+
+    /** Has no write of the present process go on before the given time. */
+    void stallDiskUntil(long until) {
+        if (isUp()) {
+            mWrites.stallUntil(until);
+        }
+    }
+
+    /** Has the disk work again. */
+    void mendDisk() {
+        mDisk.makeRoom();
+        stallDiskUntil(0);
+    }
+
     /** Takes the wish of a replica to be a member. */
     void onJoin(Membership.Member joiner) {
         mPlanner.onJoin(joiner);
@@ -185,6 +222,9 @@
 
     @Override
     public void restore(byte[] snapshot) throws QuilldykeException {
+        if (isUp()) {
+            mReport.count("snapshot installed");
+        }
         mState.restore(snapshot);
         mRun.checkContent(mId, mState.state());
     }
@@ -200,15 +240,26 @@
             mNode = null;
             mStartAt = mRun.now() + mRandom.nextInt(300);
         } catch (QuilldykeException e) {
-            mReport.violation("a start fails: " + mAddress + " " + e);
+            onFailedStart(e);
         }
         mDisk.failAfter(Long.MAX_VALUE);
     }
 
+    /** Tries again later if the disk is full; it is the only reason for a start to fail. */
+    private void onFailedStart(QuilldykeException e) {
+        mNode = null;
+        mStartAt = mRun.now() + mRandom.nextInt(300);
+        if (mDisk.isFillingUp() && e.code() == ResultCode.DISK_FAILED) {
+            mReport.count("fault a start on a full disk");
+        } else {
+            mReport.violation("a start fails: " + mAddress + " " + e);
+        }
+    }
+
     private void open() throws QuilldykeException {
         mLog = EventLog.of(mAddress);
         mLoop = new VirtualLoop(this::clock);
-        mWrites = new VirtualDisk(mDisk, mRandom);
+        mWrites = new VirtualDisk(mDisk, mRandom, mReport);
         mPlanner = MembershipPlanner.create(mTolerated);
         mState = new FleetMachine(state -> {});
         SplittableRandom random = new SplittableRandom(mRandom.nextLong());
@@ -218,13 +269,18 @@
         mId = opened.identity().id();
         ReplicaNode.Environment environment =
                 new ReplicaNode.Environment(
-                        mLoop, this::clock, mLog, DiskQueue.on(mWrites, mLoop, mLog));
+                        mLoop,
+                        this::clock,
+                        mLog,
+                        DiskQueue.on(mWrites, mLoop, mLog),
+                        mManySnapshots ? FEW_BYTES_BEFORE_SNAPSHOT : BYTES_BEFORE_SNAPSHOT);
         mNode =
                 ReplicaNode.of(
                         environment,
                         folder,
                         opened.disk(),
-                        ControlNode.restore(opened, mTolerated, random, clock(), clock()),
+                        Replica.restore(
+                                replicaSettings(opened), opened.disk(), random, clock(), clock()),
                         this,
                         (to, message) -> mRun.send(this, to, message),
                         leads -> mRun.onLeadership(this, leads));
@@ -232,6 +288,13 @@
         keepMembership();
     }
 
+    private ReplicaSettings replicaSettings(ReplicaIdentity.Opened opened) {
+        ReplicaSettings settings = ControlNode.settingsOf(opened.identity(), mTolerated);
+        return mManySnapshots
+                ? settings.withSizes(SMALL_MESSAGE_BYTES, SMALL_MESSAGE_BYTES)
+                : settings;
+    }
+
     private GatewaySettings settings() {
         List<String> seeds = new ArrayList<>();
         for (int i = 0; i < SEEDS; i++) {
--- a/quilldyke-gateway/src/test/java/org/quilldyke/gateway/control/LossRun.java
+++ b/quilldyke-gateway/src/test/java/org/quilldyke/gateway/control/LossRun.java
@@ -46,15 +46,16 @@
  */
 final class LossRun {
     private static final int ROUNDS = 3;
+    private static final String PIECES = "piece of a snapshot sent";
     private static final long STARTED_BY = 8000;
     private static final long RECOVERED_WITHIN = 12_000;
-    private static final int BIG_DOCUMENT = 1 << 20;
+    private static final int LARGEST_DOCUMENT = 24 << 10;
 
     private final int mTolerated;
     private final Random mRandom;
     private final CheckReport mReport;
     private final FakeNetwork mNetwork;
-    private final boolean mBig;
+    private final Kind mKind;
     private final List<LossMachine> mMachines = new ArrayList<>();
     private final Map<Long, byte[]> mApplied = new HashMap<>();
     private final Map<Long, String> mLeaders = new HashMap<>();
@@ -65,15 +66,18 @@
     private long mAckedVersion = -1;
     private boolean mCalm = true;
 
-    private LossRun(int machines, int tolerated, long seed) {
+    private LossRun(int machines, int tolerated, Kind kind, long seed) {
         mTolerated = tolerated;
+        mKind = kind;
         mRandom = new Random(seed);
         mReport = new CheckReport("losses", seed);
         mNetwork = new FakeNetwork(mRandom, mReport);
-        // Enough for a snapshot every few changes.
-        mBig = mRandom.nextInt(4) == 0;
+        // The first number of neighbouring seeds hardly differs, so nothing is drawn from it.
+        mRandom.nextInt();
         for (int i = 0; i < machines; i++) {
-            LossMachine machine = new LossMachine(i, tolerated, this, mReport, mRandom);
+            boolean manySnapshots = kind == Kind.MANY_SNAPSHOTS;
+            LossMachine machine =
+                    new LossMachine(i, tolerated, manySnapshots, this, mReport, mRandom);
             machine.startAt(1 + mRandom.nextInt(300));
             mMachines.add(machine);
         }
@@ -84,10 +88,11 @@
      *
      * @param machines how many have a disk
      * @param tolerated how many of them may lose it at once
+     * @param kind what is frequent
      * @param seed draws everything
      */
-    static CheckReport play(int machines, int tolerated, long seed) {
-        LossRun run = new LossRun(machines, tolerated, seed);
+    static CheckReport play(int machines, int tolerated, Kind kind, long seed) {
+        LossRun run = new LossRun(machines, tolerated, kind, seed);
         run.awaitComplete(STARTED_BY, "the group is complete after its start");
         for (int round = 0; round < ROUNDS && run.mReport.isGood(); round++) {
             run.live();
@@ -105,7 +110,7 @@
      * @param seed draws everything
      */
     static CheckReport playFirst(int machines, int tolerated, long seed) {
-        LossRun run = new LossRun(machines, tolerated, seed);
+        LossRun run = new LossRun(machines, tolerated, Kind.PLAIN, seed);
         run.awaitFirstAcknowledgement();
         if (run.mReport.isGood()) {
             run.loseFirst();
@@ -119,6 +124,9 @@
     }
 
     void send(LossMachine from, String to, PeerMessage message) {
+        if (message instanceof PeerMessage.SnapshotRequest) {
+            mReport.count(PIECES);
+        }
         mNetwork.send(from.id(), to, message, mNow);
     }
 
@@ -165,6 +173,9 @@
         if (!mCalm && mRandom.nextInt(2000) == 0) {
             disturb();
         }
+        if (mKind == Kind.BAD_DISKS && !mCalm && mRandom.nextInt(300) == 0) {
+            disturbDisk(mMachines.get(mRandom.nextInt(mMachines.size())));
+        }
     }
 
     private void deliver(FakeNetwork.Packet packet) {
@@ -191,11 +202,26 @@
         }
     }
 
+    private void disturbDisk(LossMachine machine) {
+        switch (mRandom.nextInt(3)) {
+            case 0 -> {
+                mReport.count("fault disk full");
+                machine.fillDiskAfter(mRandom.nextInt(2000));
+            }
+            case 1 -> {
+                mReport.count("fault disk stalled");
+                machine.stallDiskUntil(mNow + mRandom.nextInt(3000));
+            }
+            default -> machine.mendDisk();
+        }
+    }
+
     private void calm() {
         mCalm = true;
         mNetwork.heal();
         mNetwork.setLoss(0);
         mMachines.forEach(machine -> machine.pauseUntil(0));
+        mMachines.forEach(LossMachine::mendDisk);
     }
 
     /** Has operators publish for a while, on a network with faults now and then. */
@@ -205,7 +231,7 @@
         long until = mNow + 100 + mRandom.nextInt(1500);
         while (mNow < until && mReport.isGood()) {
             advance();
-            if (mRandom.nextInt(mBig ? 150 : 30) == 0) {
+            if (mRandom.nextInt(30) == 0) {
                 publish();
             }
         }
@@ -213,6 +239,19 @@
 
     /** Waits for the moment of the loss, and loses. */
     private void lose() {
+        if (mKind == Kind.PLAIN || mRandom.nextBoolean()) {
+            awaitMoment();
+        } else if (mKind == Kind.BAD_DISKS) {
+            besideBadDisks();
+        } else if (mRandom.nextBoolean()) {
+            duringSnapshot();
+        } else {
+            duringTransfer();
+        }
+        loseNow();
+    }
+
+    private void awaitMoment() {
         switch (mRandom.nextInt(6)) {
             case 0 -> afterAcknowledgement();
             case 4 -> afterRestart();
@@ -224,6 +263,9 @@
             case 3 -> duringSnapshot();
             default -> pass(mRandom.nextInt(300));
         }
+    }
+
+    private void loseNow() {
         List<LossMachine> order = new ArrayList<>(mMachines);
         Collections.shuffle(order, mRandom);
         if (mRandom.nextBoolean()) {
@@ -339,7 +381,7 @@
 
     private void duringSnapshot() {
         long before = snapshots();
-        long until = mNow + (mBig ? 2000 : 100);
+        long until = mNow + (mKind == Kind.MANY_SNAPSHOTS ? 2000 : 100);
         while (snapshots() <= before && mNow < until) {
             advance();
             if (mRandom.nextInt(50) == 0) {
@@ -349,6 +391,41 @@
         pass(mRandom.nextInt(10));
     }
 
+    /** Has a machine be away until its peers' logs begin with a snapshot, which is sent to it. */
+    private void duringTransfer() {
+        List<LossMachine> others = new ArrayList<>(mMachines);
+        others.removeIf(LossMachine::leads);
+        LossMachine behind = others.get(mRandom.nextInt(others.size()));
+        losePower(behind);
+        behind.startAt(mNow + 500 + mRandom.nextInt(500));
+        long before = mReport.counts().getOrDefault(PIECES, 0L);
+        int pieces = 1 + mRandom.nextInt(6);
+        long until = mNow + 2500;
+        while (mReport.counts().getOrDefault(PIECES, 0L) < before + pieces && mNow < until) {
+            advance();
+            if (mRandom.nextInt(50) == 0) {
+                publish();
+            }
+        }
+        pass(mRandom.nextInt(30));
+    }
+
+    /** Has as many disks refuse or hold up writes as the group must bear, and others store. */
+    private void besideBadDisks() {
+        List<LossMachine> order = new ArrayList<>(mMachines);
+        Collections.shuffle(order, mRandom);
+        for (LossMachine bad : order.subList(0, mTolerated)) {
+            if (mRandom.nextBoolean()) {
+                mReport.count("fault disk full");
+                bad.fillDiskAfter(mRandom.nextInt(500));
+            } else {
+                mReport.count("fault disk stalled");
+                bad.stallDiskUntil(mNow + 3000);
+            }
+        }
+        afterAcknowledgement();
+    }
+
     private long snapshots() {
         return mMachines.stream().mapToLong(LossMachine::snapshots).sum();
     }
@@ -455,7 +532,7 @@
     /** Publishes a new version, and names weights now and then, at whoever leads. */
     private long publish() {
         long version = ++mVersion;
-        byte[] document = new byte[mBig ? BIG_DOCUMENT : 40 + mRandom.nextInt(200)];
+        byte[] document = new byte[documentSize()];
         new Random(version).nextBytes(document);
         mDocuments.put(version, document);
         for (LossMachine machine : mMachines) {
@@ -472,7 +549,24 @@
         return version;
     }
 
+    private int documentSize() {
+        return mKind == Kind.MANY_SNAPSHOTS
+                ? mRandom.nextInt(LARGEST_DOCUMENT)
+                : 40 + mRandom.nextInt(200);
+    }
+
     private static CompletableFuture<?> propose(LossMachine machine, FleetCommand command) {
         return machine.node().propose(FleetJson.encode(command));
     }
+
+    /** What a run has more of than others. */
+    enum Kind {
+        PLAIN,
+
+        /** Documents so large that logs are replaced by snapshots again and again. */
+        MANY_SNAPSHOTS,
+
+        /** Disks that are full, or hold up writes for seconds. */
+        BAD_DISKS
+    }
 }
--- a/quilldyke-gateway/src/test/java/org/quilldyke/gateway/control/LossRunTest.java
+++ b/quilldyke-gateway/src/test/java/org/quilldyke/gateway/control/LossRunTest.java
@@ -30,6 +30,10 @@
 /** What was acknowledged survives each loss of disks and power that a site may see. */
 class LossRunTest {
     private static final int SEEDS = Integer.getInteger("quilldyke.loss.seeds", 100);
+
+    /** Their seeds take longer, so that there are fewer: some ten seconds on a busy machine. */
+    private static final int SEEDS_OF_KINDS = (SEEDS + 1) / 2;
+
     private static final int FIRST_SEED = Integer.getInteger("quilldyke.loss.first", 1);
 
     private static final List<String> LOSSES =
@@ -40,19 +44,36 @@
 
     @Test
     void groupOfFourBearsTheLossOfOneDisk() {
-        play(4, 1);
+        play(4, 1, LossRun.Kind.PLAIN);
     }
 
     /** Where no leader came again, and where entries of a killed process were lost. */
     @ParameterizedTest
     @ValueSource(ints = {687, 1381})
     void seedsThatOnceFailedAreBorne(int seed) {
-        assertGood(4, seed, LossRun.play(4, 1, seed));
+        assertGood(4, seed, LossRun.play(4, 1, LossRun.Kind.PLAIN, seed));
     }
 
     @Test
     void groupOfEightBearsTheLossOfTwoDisks() {
-        play(8, 2);
+        play(8, 2, LossRun.Kind.PLAIN);
+    }
+
+    @Test
+    void lossesAmidSnapshotsAreBorne() {
+        List<String> seen =
+                List.of("piece of a snapshot sent", "snapshot installed", "fault end amid a write");
+        assertThat(play(4, 1, LossRun.Kind.MANY_SNAPSHOTS).keySet())
+                .containsAtLeastElementsIn(seen);
+        assertThat(play(8, 2, LossRun.Kind.MANY_SNAPSHOTS).keySet())
+                .containsAtLeastElementsIn(seen);
+    }
+
+    @Test
+    void lossesBesideFullAndStalledDisksAreBorne() {
+        List<String> seen = List.of("fault disk full", "fault disk stalled");
+        assertThat(play(4, 1, LossRun.Kind.BAD_DISKS).keySet()).containsAtLeastElementsIn(seen);
+        assertThat(play(8, 2, LossRun.Kind.BAD_DISKS).keySet()).containsAtLeastElementsIn(seen);
     }
 
     /**
@@ -71,12 +92,15 @@
     }
 
     private static Map<String, Long> playFirst(int machines, int tolerated) {
-        return playAll(machines, seed -> LossRun.playFirst(machines, tolerated, seed));
+        return playAll(machines, SEEDS, seed -> LossRun.playFirst(machines, tolerated, seed));
     }
 
-    private static void play(int machines, int tolerated) {
+    private static Map<String, Long> play(int machines, int tolerated, LossRun.Kind kind) {
         Map<String, Long> counts =
-                playAll(machines, seed -> LossRun.play(machines, tolerated, seed));
+                playAll(
+                        machines,
+                        kind == LossRun.Kind.PLAIN ? SEEDS : SEEDS_OF_KINDS,
+                        seed -> LossRun.play(machines, tolerated, kind, seed));
         assertThat(counts.keySet())
                 .containsAtLeast(
                         "loss of disks alone",
@@ -88,19 +112,21 @@
                         "checked what was acknowledged is there",
                         "checked named weights are there",
                         "checked a read gives what was acknowledged before it");
+        return counts;
     }
 
-    private static Map<String, Long> playAll(int machines, IntFunction<CheckReport> play) {
+    private static Map<String, Long> playAll(
+            int machines, int seeds, IntFunction<CheckReport> play) {
         Map<String, Long> counts = new TreeMap<>();
         Map<Integer, List<String>> broken = new TreeMap<>();
-        for (int seed = FIRST_SEED; seed < FIRST_SEED + SEEDS; seed++) {
+        for (int seed = FIRST_SEED; seed < FIRST_SEED + seeds; seed++) {
             CheckReport report = play.apply(seed);
             if (!report.isGood()) {
                 broken.put(seed, report.violations());
             }
             report.counts().forEach((name, count) -> counts.merge(name, count, Long::sum));
         }
-        assertWithMessage("%s machines: %s of %s seeds broken", machines, broken.size(), SEEDS)
+        assertWithMessage("%s machines: %s of %s seeds broken", machines, broken.size(), seeds)
                 .that(broken)
                 .isEmpty();
         return counts;
--- a/quilldyke-gateway/src/test/java/org/quilldyke/gateway/control/VirtualDisk.java
+++ b/quilldyke-gateway/src/test/java/org/quilldyke/gateway/control/VirtualDisk.java
@@ -21,6 +21,7 @@
 import java.util.Random;
 import java.util.concurrent.AbstractExecutorService;
 import java.util.concurrent.TimeUnit;
+import org.quilldyke.testkit.check.CheckReport;
 import org.quilldyke.testkit.disk.PowerLossDisk;
 import org.quilldyke.testkit.disk.PowerLostException;
 
@@ -36,11 +37,14 @@
     private final Deque<Runnable> mWrites = new ArrayDeque<>();
     private final PowerLossDisk mDisk;
     private final Random mRandom;
+    private final CheckReport mReport;
     private long mDueAt = -1;
+    private long mStalledUntil;
 
-    VirtualDisk(PowerLossDisk disk, Random random) {
+    VirtualDisk(PowerLossDisk disk, Random random, CheckReport report) {
         mDisk = disk;
         mRandom = random;
+        mReport = report;
     }
 
     @Override
@@ -50,7 +54,7 @@
 
     /** Carries out the write that is due, if one is. */
     void run(long now) {
-        if (mWrites.isEmpty()) {
+        if (mWrites.isEmpty() || now < mStalledUntil) {
             return;
         }
         if (mDueAt < 0) {
@@ -63,6 +67,11 @@
         }
     }
 
+    /** Has no write go on before the given time. */
+    void stallUntil(long until) {
+        mStalledUntil = until;
+    }
+
     /** Gets as far with its writes as an end of the process at any operation allows. */
     void breakOff() {
         mDisk.failAfter(mRandom.nextInt(MAX_OPERATIONS));
@@ -71,7 +80,7 @@
                 mWrites.remove().run();
             }
         } catch (PowerLostException e) {
-            // So far it got.
+            mReport.count("fault end amid a write");
         }
         mWrites.clear();
         mDisk.failAfter(Long.MAX_VALUE);
--- a/quilldyke-testkit/src/main/java/org/quilldyke/testkit/disk/DiskChannel.java
+++ b/quilldyke-testkit/src/main/java/org/quilldyke/testkit/disk/DiskChannel.java
@@ -15,6 +15,7 @@
  */
 package org.quilldyke.testkit.disk;
 
+import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.MappedByteBuffer;
 import java.nio.channels.FileChannel;
@@ -53,15 +54,18 @@
     }
 
     @Override
-    public int write(ByteBuffer in) {
+    public int write(ByteBuffer in) throws IOException {
         int written = write(in, mPosition);
         mPosition += written;
         return written;
     }
 
     @Override
-    public int write(ByteBuffer in, long position) {
-        byte[] bytes = new byte[in.remaining()];
+    public int write(ByteBuffer in, long position) throws IOException {
+        byte[] bytes = new byte[mDisk.takeRoom(in.remaining())];
+        if (bytes.length == 0 && in.hasRemaining()) {
+            throw new IOException("No space left on device");
+        }
         in.get(bytes);
         mDisk.operate(() -> mFile.write((int) position, bytes));
         return bytes.length;
--- a/quilldyke-testkit/src/main/java/org/quilldyke/testkit/disk/PowerLossDisk.java
+++ b/quilldyke-testkit/src/main/java/org/quilldyke/testkit/disk/PowerLossDisk.java
@@ -28,7 +28,8 @@
  * <p>After a loss of power a file holds what its last sync covered, and each later write is there,
  * torn or missing; sometimes all later ones are gone. A new file's name is durable with the file's
  * own sync, other names once the folder is synced; until then each change of a name is kept or lost
- * by itself. When a program merely ends, all stays as it was.
+ * by itself. When a program merely ends, all stays as it was. A disk that fills up takes a part of
+ * one write and refuses all after it.
  */
 public final class PowerLossDisk {
     private static final int DROP_ALL_IN = 4;
@@ -39,6 +40,7 @@
     private Map<String, DiskFile> mNames = new TreeMap<>();
     private Map<String, DiskFile> mSyncedNames = new TreeMap<>();
     private long mOperationsLeft = NO_LIMIT;
+    private long mRoom = NO_LIMIT;
 
     /** Returns an empty disk. */
     public static PowerLossDisk create() {
@@ -55,6 +57,24 @@
         mOperationsLeft = operations;
     }
 
+    /**
+     * Has the disk take so many bytes more and refuse each write after them; what is removed makes
+     * no room.
+     */
+    public void fillUpAfter(long bytes) {
+        mRoom = bytes;
+    }
+
+    /** Has the disk take all writes again. */
+    public void makeRoom() {
+        mRoom = NO_LIMIT;
+    }
+
+    /** Returns whether the disk refuses writes, or soon will. */
+    public boolean isFillingUp() {
+        return mRoom != NO_LIMIT;
+    }
+
     /** Takes the power away and gives it back: what wasn't synced is there in part. */
     public void losePower(Random random) {
         boolean dropAll = random.nextInt(DROP_ALL_IN) == 0;
@@ -75,6 +95,7 @@
         mNames.clear();
         mSyncedNames.clear();
         mOperationsLeft = NO_LIMIT;
+        mRoom = NO_LIMIT;
     }
 
     /** Returns whether there is no file. */
@@ -116,6 +137,13 @@
                 });
     }
 
+    /** Returns how many of the wanted bytes there is room for, and takes it. */
+    int takeRoom(int wanted) {
+        int taken = (int) Math.min(wanted, mRoom);
+        mRoom -= mRoom == NO_LIMIT ? 0 : taken;
+        return taken;
+    }
+
     /** Does what changes the disk; the power may go before or after it. */
     void operate(Runnable operation) {
         usePower();
