--- a/quilldyke-gateway/src/test/java/org/quilldyke/gateway/control/RestartMemoryTest.java
+++ b/quilldyke-gateway/src/test/java/org/quilldyke/gateway/control/RestartMemoryTest.java
@@ -23,11 +23,13 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Map;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.quilldyke.daemon.control.DataFolder;
 import org.quilldyke.daemon.log.EventLog;
+import org.quilldyke.engine.TargetReport;
 import org.quilldyke.gateway.engine.RefusedNews;
 import org.quilldyke.gateway.instance.NettyLoop;
 import org.quilldyke.gateway.instance.proto.CacheNews;
@@ -93,6 +95,37 @@
         assertThat(memory().caches()).isEqualTo(List.of());
     }
 
+    /**
+     * A file of targets under the name of the caches told entries that a target's cache is down, or
+     * keeps parts: both begin with an id, and texts of eight or sixteen letters were taken for keys
+     * of parts. By test only.
+     */
+    @Test
+    void memoryOfAnotherKindIsTakenForNone() throws Exception {
+        RestartMemory memory = memory();
+        TargetReport report =
+                new TargetReport(
+                        "i-1",
+                        "s",
+                        "10.10.10.10:8080",
+                        "vault-01",
+                        "v",
+                        4,
+                        false,
+                        0,
+                        Map.of("m", 7L),
+                        3);
+        memory.saveTargets(List.of(report));
+        long until = System.nanoTime() + SAVED_NANOS;
+        while (!Files.exists(mFolder.resolve("hint-targets")) && System.nanoTime() < until) {
+            Thread.sleep(5);
+        }
+        memory.close();
+        Files.copy(mFolder.resolve("hint-targets"), mFolder.resolve("hint-caches"));
+
+        assertThat(memory().caches()).isEmpty();
+    }
+
     private RestartMemory memory() throws Exception {
         EventLog log = EventLog.of("test");
         return RestartMemory.in(
