--- a/quilldyke-daemon/src/main/java/org/quilldyke/daemon/control/ReplicaNode.java
+++ b/quilldyke-daemon/src/main/java/org/quilldyke/daemon/control/ReplicaNode.java
@@ -114,7 +114,11 @@
             environment.log().write(Event.LOG_CUT, "bytes", storage.cutBytes());
         }
         machine.restore(disk.snapshot());
-        return new ReplicaNode<>(environment, storage, replica, machine, send, listener);
+        ReplicaNode<R> node =
+                new ReplicaNode<>(environment, storage, replica, machine, send, listener);
+        // Else a log grows for good whose processes end before each has written enough.
+        node.countBytes(disk.entries());
+        return node;
     }
 
     /**
@@ -330,7 +334,7 @@
                 noteTrust(save.ballot());
             } else if (action instanceof ReplicaAction.AppendLog append) {
                 writes.add(action);
-                append.entries().forEach(e -> mBytesSinceSnapshot += e.payload().length);
+                countBytes(append.entries());
             } else if (action instanceof ReplicaAction.TruncateLog
                     || action instanceof ReplicaAction.InstallSnapshot) {
                 writes.add(action);
@@ -347,6 +351,10 @@
         mDisk.submit(() -> write(writes), () -> onStored(job));
     }
 
+    private void countBytes(List<LogEntry> entries) {
+        entries.forEach(entry -> mBytesSinceSnapshot += entry.payload().length);
+    }
+
     /** Writes and syncs, on the disk's thread. */
     private void write(List<ReplicaAction> writes) throws QuilldykeException {
         boolean toSync = false;
@@ -442,8 +450,9 @@
         if (mStopped || entries == 0 || !isLong) {
             return;
         }
-        mBytesSinceSnapshot = 0;
         Compaction compaction = mReplica.compact(mMachine.snapshot());
+        mBytesSinceSnapshot = 0;
+        countBytes(compaction.keep());
         mEnvironment
                 .log()
                 .write(
