What is remembered for speed says what it is and whose

Cause: a file of targets under the name of the caches could be read as caches, since the messages' first fields are alike and others are skipped: a target was told as a holder of parts. Ruled out: torn files, and those of agreed state (their checksum or their form refuses them already).

Now a memory begins with its kind and with the address of its process, under the same checksum; another one is refused and counted with refused news. A folder that was emptied of its log keeps its memory, as before.

--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/ControlNode.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/ControlNode.java
@@ -110,7 +110,7 @@
         mMachine = new FleetMachine(this::onState);
         SplittableRandom random = new SplittableRandom(System.nanoTime() ^ mAddress.hashCode());
         DataFolder folder = DataFolder.open(Path.of(settings.dataFolder()));
-        mMemory = RestartMemory.in(folder, loop, log, refused);
+        mMemory = RestartMemory.in(folder, loop, log, refused, mAddress);
         ReplicaIdentity.Opened opened =
                 ReplicaIdentity.open(folder, settings, mAddress, random, log);
         mGroup = new Group(opened.identity().id(), mPeers);
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/RestartMemory.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/RestartMemory.java
@@ -18,11 +18,15 @@
 import com.google.protobuf.InvalidProtocolBufferException;
 import com.google.protobuf.MessageLite;
 import com.google.protobuf.Parser;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
 import org.quilldyke.QuilldykeException;
+import org.quilldyke.ResultCode;
 import org.quilldyke.daemon.control.ControlLoop;
 import org.quilldyke.daemon.control.DataFolder;
 import org.quilldyke.daemon.control.DiskQueue;
@@ -40,6 +44,9 @@
  * What a control process knew before its restart, kept on its disk: targets, and what they cached.
  * Best effort: a write that is under way or fails holds up nothing.
  *
+ * <p>What is stored begins with its kind and the address of the process that stored it, so that
+ * nothing is taken for what it isn't: files of another kind, or of another machine's folder.
+ *
  * <p>While all processes are down no request reaches an engine, so what caches kept just before is
  * what they keep after it.
  */
@@ -51,19 +58,32 @@
     private final DiskQueue mDisk;
     private final EventLog mLog;
     private final RefusedNews mRefused;
+    private final String mOwner;
     private final Set<String> mSaving = new HashSet<>();
 
-    private RestartMemory(DataFolder folder, DiskQueue disk, EventLog log, RefusedNews refused) {
+    private RestartMemory(
+            DataFolder folder, DiskQueue disk, EventLog log, RefusedNews refused, String owner) {
         mFolder = folder;
         mDisk = disk;
         mLog = log;
         mRefused = refused;
+        mOwner = owner;
     }
 
-    /** Returns the memory in a folder; its writes have a thread of their own. */
+    /**
+     * Returns a process's memory in a folder; its writes have a thread of their own.
+     *
+     * @param owner the process's address
+     */
     static RestartMemory in(
-            DataFolder folder, ControlLoop loop, EventLog log, RefusedNews refused) {
-        return new RestartMemory(folder, DiskQueue.create(loop, log), log, refused);
+            DataFolder folder, ControlLoop loop, EventLog log, RefusedNews refused, String owner) {
+        return on(DiskQueue.create(loop, log), folder, log, refused, owner);
+    }
+
+    /** Returns a process's memory in a folder whose writes the given queue carries out. */
+    static RestartMemory on(
+            DiskQueue disk, DataFolder folder, EventLog log, RefusedNews refused, String owner) {
+        return new RestartMemory(folder, disk, log, refused, owner);
     }
 
     /** Returns the targets that were stored last. */
@@ -104,14 +124,23 @@
         if (!mSaving.add(name)) {
             return false;
         }
-        byte[] bytes = content.toByteArray();
+        byte[] bytes = framed(name, mOwner, content);
         mDisk.submit(() -> mFolder.saveHint(name, bytes), () -> mSaving.remove(name));
         return true;
     }
 
+    /** Returns the form in which a process stores a message. */
+    static byte[] framed(String name, String owner, MessageLite content) {
+        byte[] head = head(name, owner);
+        byte[] message = content.toByteArray();
+        return ByteBuffer.allocate(head.length + message.length).put(head).put(message).array();
+    }
+
     private <T> T load(String name, Parser<T> parser, T none) {
         try {
-            return parser.parseFrom(mFolder.loadHint(name));
+            byte[] stored = mFolder.loadHint(name);
+            int start = startOfMessage(stored, head(name, mOwner));
+            return start < 0 ? none : parser.parseFrom(stored, start, stored.length - start);
         } catch (QuilldykeException e) {
             mLog.write(Event.DISK_FAILED, "detail", e.getMessage());
         } catch (InvalidProtocolBufferException e) {
@@ -119,4 +148,22 @@
         }
         return none;
     }
+
+    /** Returns where the message begins, or -1 if there is none of this kind and process. */
+    private int startOfMessage(byte[] stored, byte[] head) {
+        boolean isOurs =
+                stored.length >= head.length
+                        && Arrays.equals(stored, 0, head.length, head, 0, head.length);
+        if (!isOurs && stored.length > 0) {
+            mRefused.onRefused(
+                    RefusedNews.Source.MEMORY,
+                    "",
+                    QuilldykeException.notRun(ResultCode.REPORT_UNREADABLE, "another's memory"));
+        }
+        return isOurs ? head.length : -1;
+    }
+
+    private static byte[] head(String name, String owner) {
+        return (name + '\n' + owner + '\n').getBytes(StandardCharsets.UTF_8);
+    }
 }
--- a/quilldyke-gateway/src/test/java/org/quilldyke/gateway/control/ControlNodeTest.java
+++ b/quilldyke-gateway/src/test/java/org/quilldyke/gateway/control/ControlNodeTest.java
@@ -167,7 +167,7 @@
 
             DurableState found = open();
             RestartMemory memory =
-                    RestartMemory.in(DataFolder.open(mFolder), mLoop, mLog, mRefused);
+                    RestartMemory.in(DataFolder.open(mFolder), mLoop, mLog, mRefused, ADDRESS);
             memory.targets()
                     .forEach(
                             report ->
@@ -255,8 +255,9 @@
         CacheNews news =
                 CacheNews.newBuilder().setHolder("e").setUp(true).addAdded(weights).build();
         DataFolder folder = DataFolder.open(mFolder);
-        folder.saveHint("targets", targets.toByteArray());
-        folder.saveHint("caches", Caches.newBuilder().addCaches(news).build().toByteArray());
+        Caches caches = Caches.newBuilder().addCaches(news).build();
+        folder.saveHint("targets", RestartMemory.framed("targets", ADDRESS, targets));
+        folder.saveHint("caches", RestartMemory.framed("caches", ADDRESS, caches));
     }
 
     private DurableState open() throws Exception {
--- a/quilldyke-gateway/src/test/java/org/quilldyke/gateway/control/RestartMemoryTest.java
+++ b/quilldyke-gateway/src/test/java/org/quilldyke/gateway/control/RestartMemoryTest.java
@@ -132,6 +132,7 @@
                 DataFolder.open(mFolder),
                 new NettyLoop(mGroup.next()),
                 log,
-                RefusedNews.create(new MetricRegistry(), log, () -> 0));
+                RefusedNews.create(new MetricRegistry(), log, () -> 0),
+                "10.0.0.1:7340");
     }
 }
--- a/quilldyke-gateway/src/test/java/org/quilldyke/gateway/control/TargetSpreadTest.java
+++ b/quilldyke-gateway/src/test/java/org/quilldyke/gateway/control/TargetSpreadTest.java
@@ -60,7 +60,7 @@
     void start() throws Exception {
         NettyLoop loop = new NettyLoop(mGroup.next());
         RefusedNews refused = RefusedNews.create(mMetrics, mLog, () -> mNow);
-        mMemory = RestartMemory.in(DataFolder.open(mFolder), loop, mLog, refused);
+        mMemory = RestartMemory.in(DataFolder.open(mFolder), loop, mLog, refused, "127.0.0.1:1");
         mSpread =
                 new TargetSpread(
                         Peers.create(loop, () -> mNow, mLog, "127.0.0.1:1"),
