--- a/quilldyke-core/src/main/java/org/quilldyke/control/Replica.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/control/Replica.java
@@ -130,10 +130,10 @@
     /**
      * Appends a command to the log if this replica leads. Call {@link #flush} after one or several.
      *
-     * @return the entry's index, or -1 if this replica doesn't lead
+     * @return the entry's index, or -1 if this replica doesn't lead, or too few replicas vote yet
      */
     public long propose(byte[] payload) {
-        if (mRole != Role.LEADER) {
+        if (mRole != Role.LEADER || !mFollowers.mayTakeCommands()) {
             return -1;
         }
         mStored.append(new LogEntry(mBallot.term(), payload));
@@ -429,7 +429,7 @@
         mLeader = mSettings.self();
         mLeaderHeardAt = now;
         mTimer.restartWithLeader(now);
-        mFollowers = Followers.of(mSettings, mLog, mBallot.term());
+        mFollowers = Followers.of(mSettings, mLog, mBallot.term(), now);
         mActions.add(new ReplicaAction.LeadershipWon(mBallot.term()));
         // All that was ever committed is committed again, at the latest, with the opening entry.
         mHeardCommit = mLog.lastIndex() + 1;
--- a/quilldyke-daemon/src/main/java/org/quilldyke/daemon/control/ReplicaNode.java
+++ b/quilldyke-daemon/src/main/java/org/quilldyke/daemon/control/ReplicaNode.java
@@ -114,7 +114,11 @@
             environment.log().write(Event.LOG_CUT, "bytes", storage.cutBytes());
         }
         machine.restore(disk.snapshot());
-        return new ReplicaNode<>(environment, storage, replica, machine, send, listener);
+        ReplicaNode<R> node =
+                new ReplicaNode<>(environment, storage, replica, machine, send, listener);
+        // Else a log grows for good whose processes end before each has written enough.
+        node.countBytes(disk.entries());
+        return node;
     }
 
     /**
@@ -166,7 +170,8 @@
      * Proposes a command.
      *
      * @return the result once it is applied; fails with {@link ResultCode#NO_LEADER} if this
-     *     replica doesn't lead, or leads no longer before the result is known
+     *     replica doesn't lead, leads no longer before the result is known, or too few replicas
+     *     vote yet
      */
     public CompletableFuture<R> propose(byte[] command) {
         CompletableFuture<R> future = new CompletableFuture<>();
@@ -329,7 +334,7 @@
                 noteTrust(save.ballot());
             } else if (action instanceof ReplicaAction.AppendLog append) {
                 writes.add(action);
-                append.entries().forEach(e -> mBytesSinceSnapshot += e.payload().length);
+                countBytes(append.entries());
             } else if (action instanceof ReplicaAction.TruncateLog
                     || action instanceof ReplicaAction.InstallSnapshot) {
                 writes.add(action);
@@ -346,6 +351,10 @@
         mDisk.submit(() -> write(writes), () -> onStored(job));
     }
 
+    private void countBytes(List<LogEntry> entries) {
+        entries.forEach(entry -> mBytesSinceSnapshot += entry.payload().length);
+    }
+
     /** Writes and syncs, on the disk's thread. */
     private void write(List<ReplicaAction> writes) throws QuilldykeException {
         boolean toSync = false;
@@ -436,12 +445,14 @@
     private void compactIfLong() {
         long entries = mReplica.appliedIndex() - mReplica.snapshotIndex();
         boolean isLong =
-                entries >= ENTRIES_BEFORE_SNAPSHOT || mBytesSinceSnapshot >= BYTES_BEFORE_SNAPSHOT;
+                entries >= ENTRIES_BEFORE_SNAPSHOT
+                        || mBytesSinceSnapshot >= mEnvironment.bytesBeforeSnapshot();
         if (mStopped || entries == 0 || !isLong) {
             return;
         }
-        mBytesSinceSnapshot = 0;
         Compaction compaction = mReplica.compact(mMachine.snapshot());
+        mBytesSinceSnapshot = 0;
+        countBytes(compaction.keep());
         mEnvironment
                 .log()
                 .write(
@@ -483,11 +494,17 @@
      * @param clock monotonic milliseconds
      * @param log where events go
      * @param disk carries out its writes; it is closed with the replica
+     * @param bytesBeforeSnapshot a log of this size is replaced by a snapshot
      */
-    public record Environment(ControlLoop loop, LongSupplier clock, EventLog log, DiskQueue disk) {
+    public record Environment(
+            ControlLoop loop,
+            LongSupplier clock,
+            EventLog log,
+            DiskQueue disk,
+            long bytesBeforeSnapshot) {
         /** Creates an environment whose writes have a thread of their own. */
         public Environment(ControlLoop loop, LongSupplier clock, EventLog log) {
-            this(loop, clock, log, DiskQueue.create(loop, log));
+            this(loop, clock, log, DiskQueue.create(loop, log), BYTES_BEFORE_SNAPSHOT);
         }
 
         /** Returns the present time in monotonic milliseconds. */
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/ControlNode.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/ControlNode.java
@@ -22,7 +22,6 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.LongSupplier;
-import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
 import org.quilldyke.QuilldykeException;
 import org.quilldyke.ResultCode;
@@ -111,11 +110,17 @@
         mMachine = new FleetMachine(this::onState);
         SplittableRandom random = new SplittableRandom(System.nanoTime() ^ mAddress.hashCode());
         DataFolder folder = DataFolder.open(Path.of(settings.dataFolder()));
-        mMemory = RestartMemory.in(folder, loop, log, refused);
+        mMemory = RestartMemory.in(folder, loop, log, refused, mAddress);
         ReplicaIdentity.Opened opened =
                 ReplicaIdentity.open(folder, settings, mAddress, random, log);
         mGroup = new Group(opened.identity().id(), mPeers);
-        Replica replica = restore(opened, random, startedAt, clock.getAsLong());
+        Replica replica =
+                Replica.restore(
+                        settingsOf(opened.identity(), settings.toleratedLosses()),
+                        opened.disk(),
+                        random,
+                        startedAt,
+                        clock.getAsLong());
         ReplicaNode<FleetResult> node =
                 ReplicaNode.of(
                         new ReplicaNode.Environment(loop, clock, log),
@@ -194,13 +199,11 @@
         return node;
     }
 
-    /** Returns a replica of this fleet in the state that its disk holds. */
-    static Replica restore(
-            ReplicaIdentity.Opened opened, RandomGenerator random, long startedAt, long now) {
-        ReplicaSettings settings =
-                ReplicaSettings.of(opened.identity().id(), opened.identity().initial())
-                        .withTimes(HEARTBEAT_MILLIS, ELECTION_MILLIS, LEASE_MILLIS);
-        return Replica.restore(settings, opened.disk(), random, startedAt, now);
+    /** Returns how a replica of this fleet takes part. */
+    static ReplicaSettings settingsOf(ReplicaIdentity identity, int toleratedLosses) {
+        return ReplicaSettings.of(identity.id(), identity.initial())
+                .withTimes(HEARTBEAT_MILLIS, ELECTION_MILLIS, LEASE_MILLIS)
+                .withToleratedLosses(toleratedLosses);
     }
 
     /** Takes seeds that the settings name now. */
