--- a/quilldyke-tools/src/main/java/org/quilldyke/tools/demo/DemoSite.java
+++ b/quilldyke-tools/src/main/java/org/quilldyke/tools/demo/DemoSite.java
@@ -45,6 +45,10 @@
     public static final String SERVICE = "viewer-app";
 
     private static final int LOAD_MILLIS = 300;
+
+    /** Longer than any answer of the demo. */
+    private static final int DRAIN_MILLIS = 20_000;
+
     private static final int FIRST_PORT = 10_000;
 
     /** Systems give outgoing connections ports above this one. */
@@ -78,6 +82,21 @@
      * @throws IOException if no free ports can be found
      */
     public static DemoSite plan(int instances, int replicas, Path folder) throws IOException {
+        return plan(instances, replicas, folder, DRAIN_MILLIS);
+    }
+
+    /**
+     * Returns a site that isn't started, whose instances wait so long for open requests when they
+     * shut down.
+     *
+     * @param instances how many entry instances
+     * @param replicas how many of them hold the control state, an odd number
+     * @param folder where replicas keep their files
+     * @param drainMillis longest wait for open requests at shutdown
+     * @throws IOException if no free ports can be found
+     */
+    public static DemoSite plan(int instances, int replicas, Path folder, int drainMillis)
+            throws IOException {
         List<Site.Instance> list = new ArrayList<>();
         for (int i = 0; i < instances; i++) {
             String id = "entry-" + (i + 1);
@@ -109,7 +128,7 @@
                                 5000,
                                 1000,
                                 300,
-                                20_000,
+                                drainMillis,
                                 200,
                                 30_000,
                                 86_400_000)));
--- a/quilldyke-tools/src/test/java/org/quilldyke/tools/demo/SmallSite.java
+++ b/quilldyke-tools/src/test/java/org/quilldyke/tools/demo/SmallSite.java
@@ -51,7 +51,12 @@
 
     static SmallSite start(Path folder)
             throws IOException, QuilldykeException, InterruptedException {
-        SmallSite small = new SmallSite(DemoSite.plan(3, 3, folder));
+        return start(DemoSite.plan(3, 3, folder));
+    }
+
+    static SmallSite start(DemoSite site)
+            throws IOException, QuilldykeException, InterruptedException {
+        SmallSite small = new SmallSite(site);
         small.mSite.startInstances();
         await(() -> small.mSite.leader() != null);
         small.put("examiners", TOKEN, 0);
