A shutting-down instance ends no request without a word

Cause: the shutdown counted admitted requests until their answer was made. It counts now what connections owe, from the end of a request's head to the last byte of its answer: resumed streams, requests whose body is coming, operators' calls, answers to slow callers. It waits for claims that are being closed as well. What is open after the drain time gets an answer: QR2014 not-run, or QR2021, in a stream as its last event; its claim is closed, and nothing of it runs after it was told not-run. Each is a QD1001, QD5002 and QD5003 count. Answers after the signal carry Connection: close; the listener closes before the last connections, and a head that is on its way then is still waited for. A closed relay starts no further attempt: closing its connection to cut a stream looked like a break, which cancelled the run that its caller may resume.

--- a/quilldyke-daemon/src/main/java/org/quilldyke/daemon/QuilldykeInstance.java
+++ b/quilldyke-daemon/src/main/java/org/quilldyke/daemon/QuilldykeInstance.java
@@ -64,7 +64,6 @@
  */
 public final class QuilldykeInstance {
     private static final int RETRY_RESERVE = 20;
-    private static final long POLL_MILLIS = 20;
 
     private final Site mSite;
     private final Site.Instance mSelf;
@@ -77,6 +76,7 @@
     private final Eventloop mControlReactor;
     private final CellNode mCell;
     private final PeerClients mPeers;
+    private ControlClient mControlClient;
     private ControlReplica mReplica;
     private InstanceServer mInternal;
     private EngineWatch mWatch;
@@ -121,24 +121,26 @@
 
     /**
      * Shuts down without interrupting a request: readiness goes off first, then no new requests are
-     * taken, then open ones finish.
+     * taken, then open ones finish; what is open after the drain time is told that it was cut.
      *
      * @return whether all open requests have finished in time
      */
     public boolean shutdown() {
-        mLog.write(Event.SHUTTING_DOWN, "open", mAdmission.open());
-        mControlReactor.execute(mCell::leave);
-        pause(mSite.timings().readyGrace());
-        mTraffic.refuseNew();
-        long until = mClock.getAsLong() + mSite.timings().drain();
-        while (mAdmission.open() > 0 && mClock.getAsLong() < until) {
-            pause(POLL_MILLIS);
-        }
-        boolean drained = mAdmission.open() == 0;
-        pause(POLL_MILLIS);
+        GracefulShutdown.Result result =
+                new GracefulShutdown(mTraffic, mControlClient, mSite.timings(), mClock, mLog)
+                        .run(() -> mControlReactor.execute(mCell::leave));
         halt();
-        mLog.write(Event.STOPPED, "drained", drained);
-        return drained;
+        mLog.write(
+                Event.STOPPED,
+                "drained",
+                result.isDrained(),
+                "cut",
+                result.cut(),
+                "unsent",
+                result.unsent(),
+                "ms",
+                result.millis());
+        return result.isDrained();
     }
 
     /** Stops at once, as a killed process does. */
@@ -246,6 +248,7 @@
                         mControlReactor::execute,
                         mClock,
                         () -> mReplica);
+        mControlClient = client;
         List<String> others = new ArrayList<>();
         mSite.others(mSelf.id()).forEach(other -> others.add(other.id()));
         Exchange exchange = Exchange.create(mCell, mPeers, mControlReactor::execute, others);
@@ -362,14 +365,6 @@
         }
     }
 
-    private static void pause(long millis) {
-        try {
-            Thread.sleep(millis);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
-    }
-
     private interface ControlAction {
         void run() throws QuilldykeException;
     }
--- a/quilldyke-daemon/src/main/java/org/quilldyke/daemon/TrafficServers.java
+++ b/quilldyke-daemon/src/main/java/org/quilldyke/daemon/TrafficServers.java
@@ -32,12 +32,14 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 import org.quilldyke.Outcome;
 import org.quilldyke.QuilldykeException;
 import org.quilldyke.ResultCode;
 import org.quilldyke.caller.RetryBudget;
 import org.quilldyke.daemon.caller.Admission;
 import org.quilldyke.daemon.caller.CompletionServlet;
+import org.quilldyke.daemon.caller.RequestGate;
 import org.quilldyke.daemon.caller.Responses;
 import org.quilldyke.daemon.caller.TrafficContext;
 import org.quilldyke.daemon.control.ControlClient;
@@ -61,15 +63,17 @@
     private static final int SERVER_BODY_BYTES = 1 << 30;
 
     private static final int ANNOUNCE_BYTES = 64 << 10;
-    private static final long RETRY_AFTER_MILLIS = 100;
+
+    /** After this a traffic thread counts as stuck, in milliseconds; one turn takes far less. */
+    private static final long TURN_MILLIS = 1000;
 
     private final Site mSite;
     private final Site.Instance mSelf;
     private final long mIncarnation;
     private final Shared mShared;
     private final List<Eventloop> mReactors = new ArrayList<>();
+    private final List<Worker> mWorkers = new ArrayList<>();
     private PrimaryServer mPrimary;
-    private volatile boolean mRefusing;
 
     private TrafficServers(Site site, Site.Instance self, long incarnation, Shared shared) {
         mSite = site;
@@ -90,9 +94,45 @@
         return servers;
     }
 
-    /** Answers new requests that they did not run, and lets open ones go on. */
-    void refuseNew() {
-        mRefusing = true;
+    /** Enters a phase of the shutdown. */
+    void enter(RequestGate.Phase phase) {
+        mWorkers.forEach(worker -> worker.gate().enter(phase));
+    }
+
+    /** Returns the addresses of the callers who are owed an answer, one for each answer. */
+    List<String> owed() {
+        List<String> owed = new ArrayList<>();
+        for (Worker worker : mWorkers) {
+            // A stuck thread is no drained one.
+            owed.addAll(worker.call(worker.connections()::owed, List.of("stuck")));
+        }
+        return owed;
+    }
+
+    /** Returns whether a request's head is on its way. */
+    boolean isRequestComing() {
+        boolean coming = false;
+        for (Worker worker : mWorkers) {
+            coming |= worker.call(worker.connections()::isRequestComing, false);
+        }
+        return coming;
+    }
+
+    /** Ends all open requests with an answer that says so, and returns their number. */
+    int cutOpen() {
+        int cut = 0;
+        for (Worker worker : mWorkers) {
+            cut += worker.call(worker.gate()::cutAll, 0);
+        }
+        return cut;
+    }
+
+    /** Takes no connections any more. */
+    void closeListener() {
+        CompletableFuture<Void> closed = new CompletableFuture<>();
+        Eventloop reactor = (Eventloop) mPrimary.getReactor();
+        reactor.execute(() -> mPrimary.close().whenComplete(() -> closed.complete(null)));
+        closed.completeOnTimeout(null, TURN_MILLIS, TimeUnit.MILLISECONDS).join();
     }
 
     /** Closes all sockets and stops the threads. */
@@ -114,9 +154,13 @@
         List<HttpServer> workers = new ArrayList<>();
         for (int i = 0; i < mSite.limits().trafficThreads(); i++) {
             Eventloop reactor = newThread(mSelf.id() + "-traffic-" + i);
+            Worker worker =
+                    new Worker(reactor, RequestGate.create(mShared.log()), new OpenConnections());
+            mWorkers.add(worker);
             workers.add(
-                    HttpServer.builder(reactor, servlet(reactor, i))
+                    HttpServer.builder(reactor, servlet(worker, i))
                             .withMaxBodySize(SERVER_BODY_BYTES)
+                            .withInspector(worker.connections())
                             .withHttpErrorFormatter(this::formatError)
                             .build());
         }
@@ -140,7 +184,9 @@
                 });
     }
 
-    private AsyncServlet servlet(Eventloop reactor, int thread) {
+    private AsyncServlet servlet(Worker worker, int thread) {
+        Eventloop reactor = worker.reactor();
+        RequestGate gate = worker.gate();
         TrafficContext context =
                 new TrafficContext(
                         reactor,
@@ -169,29 +215,30 @@
                         mShared.control(),
                         System::currentTimeMillis,
                         mShared.log());
-        return RoutingServlet.builder(reactor)
-                .with(HttpMethod.POST, "/v1/completions", open(completions::complete))
-                .with(HttpMethod.POST, "/v1/chat/completions", open(completions::complete))
-                .with(HttpMethod.GET, "/v1/streams", open(completions::resume))
-                .with("/services/:service/*", open(services::serve))
-                .with(HttpMethod.POST, "/targets/announce", this::announce)
-                .with(HttpMethod.POST, "/operator/intents", operators::state)
-                .with(HttpMethod.POST, "/operator/plans/:number/confirm", operators::confirm)
-                .with(HttpMethod.GET, "/operator/plans/:number", operators::plan)
-                .with(HttpMethod.GET, "/operator/status", operators::status)
-                .with(HttpMethod.GET, "/operator/targets", operators::targets)
-                .with("/*", r -> Promise.of(Responses.failure(unknownPath(r))))
-                .build();
-    }
-
-    private AsyncServlet open(AsyncServlet servlet) {
-        return request ->
-                mRefusing
-                        ? Promise.of(
-                                Responses.failure(
-                                        QuilldykeException.notRunRetryAfter(
-                                                ResultCode.SHUTTING_DOWN, "", RETRY_AFTER_MILLIS)))
-                        : servlet.serve(request);
+        RoutingServlet routes =
+                RoutingServlet.builder(reactor)
+                        .with(
+                                HttpMethod.POST,
+                                "/v1/completions",
+                                gate.refusable(completions::complete))
+                        .with(
+                                HttpMethod.POST,
+                                "/v1/chat/completions",
+                                gate.refusable(completions::complete))
+                        .with(HttpMethod.GET, "/v1/streams", gate.refusable(completions::resume))
+                        .with("/services/:service/*", gate.refusable(services::serve))
+                        .with(HttpMethod.POST, "/targets/announce", this::announce)
+                        .with(HttpMethod.POST, "/operator/intents", operators::state)
+                        .with(
+                                HttpMethod.POST,
+                                "/operator/plans/:number/confirm",
+                                operators::confirm)
+                        .with(HttpMethod.GET, "/operator/plans/:number", operators::plan)
+                        .with(HttpMethod.GET, "/operator/status", operators::status)
+                        .with(HttpMethod.GET, "/operator/targets", operators::targets)
+                        .with("/*", r -> Promise.of(Responses.failure(unknownPath(r))))
+                        .build();
+        return gate.known(routes);
     }
 
     private Promise<HttpResponse> announce(HttpRequest request) {
@@ -280,6 +327,16 @@
         void run() throws IOException;
     }
 
+    /** One traffic thread. */
+    private record Worker(Eventloop reactor, RequestGate gate, OpenConnections connections) {
+        /** Returns what {@code action} returns on the thread, {@code otherwise} if it is stuck. */
+        <T> T call(Supplier<T> action, T otherwise) {
+            CompletableFuture<T> result = new CompletableFuture<>();
+            reactor.execute(() -> result.complete(action.get()));
+            return result.completeOnTimeout(otherwise, TURN_MILLIS, TimeUnit.MILLISECONDS).join();
+        }
+    }
+
     /** What all traffic threads share. */
     record Shared(
             CellNode cell,
--- a/quilldyke-daemon/src/main/java/org/quilldyke/daemon/caller/ClaimGuard.java
+++ b/quilldyke-daemon/src/main/java/org/quilldyke/daemon/caller/ClaimGuard.java
@@ -38,6 +38,8 @@
     private final String mKey;
     private final String mRequestId;
     private boolean mHeld;
+    private boolean mAsked;
+    private boolean mGivenUp;
 
     private ClaimGuard(TrafficContext context, String organisation, String key, String requestId) {
         mContext = context;
@@ -69,6 +71,7 @@
                         mContext.site().timings().claimRun(),
                         mContext.site().timings().claimKeep(),
                         mContext.wallClock().getAsLong());
+        mAsked = true;
         return Promise.ofFuture(mContext.control().propose(command))
                 .then(this::onClaimed, this::onUnavailable);
     }
@@ -85,9 +88,10 @@
         return close(0, "", "");
     }
 
-    /** Gives the claim back, since nothing ran. */
+    /** Gives the claim back, since nothing ran; also one that is just being recorded. */
     public void release() {
-        if (mHeld) {
+        if (mHeld || mAsked) {
+            mGivenUp = mAsked;
             mHeld = false;
             sendRelease();
         }
@@ -99,6 +103,11 @@
     }
 
     private Promise<Claim> onClaimed(CommandResult result) {
+        mAsked = false;
+        if (mGivenUp) {
+            sendRelease();
+            return Promise.ofException(OpenRequest.refusal());
+        }
         if (!result.isOk()) {
             long retry = result.code() == ResultCode.RUN_IN_PROGRESS ? RETRY_AFTER_MILLIS : 0;
             return Promise.ofException(
@@ -121,6 +130,7 @@
     }
 
     private Promise<Claim> onUnavailable(Exception e) {
+        mAsked = false;
         // The claim may have been recorded; giving it back lets the caller try again.
         sendRelease();
         return Promise.ofException(
--- a/quilldyke-daemon/src/main/java/org/quilldyke/daemon/caller/Completion.java
+++ b/quilldyke-daemon/src/main/java/org/quilldyke/daemon/caller/Completion.java
@@ -16,7 +16,6 @@
 package org.quilldyke.daemon.caller;
 
 import io.activej.bytebuf.ByteBuf;
-import io.activej.csp.supplier.AbstractChannelSupplier;
 import io.activej.http.HttpHeaders;
 import io.activej.http.HttpResponse;
 import io.activej.promise.Promise;
@@ -29,25 +28,34 @@
 import org.quilldyke.daemon.log.Event;
 
 /** One completion request from its admission to its end, which is noted once. */
-final class Completion {
+final class Completion implements OpenRequest.Owner {
     private static final String JSON = "application/json";
     private static final String EVENTS = "text/event-stream";
 
     private final TrafficContext mContext;
     private final CallerRequest mRequest;
+    private final OpenRequest mOpen;
     private final ClaimGuard mClaim;
     private RunRelay mRelay;
+    private Body mBody;
     private boolean mEnded;
 
-    private Completion(TrafficContext context, CallerRequest request) {
+    private Completion(TrafficContext context, CallerRequest request, OpenRequest open) {
         mContext = context;
         mRequest = request;
+        mOpen = open;
         mClaim = ClaimGuard.of(context, request.organisation().name(), request.key(), request.id());
     }
 
     /** Serves an admitted request; the admission is left at its end. */
-    static Promise<HttpResponse> serve(TrafficContext context, CallerRequest request) {
-        Completion completion = new Completion(context, request);
+    static Promise<HttpResponse> serve(
+            TrafficContext context, CallerRequest request, OpenRequest open) {
+        Completion completion = new Completion(context, request, open);
+        try {
+            open.ownedBy(completion);
+        } catch (QuilldykeException e) {
+            return Promise.of(Responses.failure(completion.fail(e)));
+        }
         Promise<Claim> claimed =
                 request.needsClaim()
                         ? completion.mClaim.claim(request.fingerprint())
@@ -56,7 +64,37 @@
                 .then(Promise::of, e -> Promise.of(Responses.failure(completion.fail(e))));
     }
 
+    @Override
+    public String id() {
+        return mRequest.id();
+    }
+
+    @Override
+    public Outcome outcome() {
+        return mRelay == null ? Outcome.NOT_RUN : mRelay.outcome();
+    }
+
+    @Override
+    public int tokens() {
+        return mRelay == null ? 0 : mRelay.tokens();
+    }
+
+    @Override
+    public void cut(QuilldykeException e) {
+        if (mEnded) {
+            return;
+        }
+        if (mBody != null) {
+            mBody.cut(e);
+        }
+        endFailed(e);
+    }
+
     private Promise<HttpResponse> answer(Claim stored) throws QuilldykeException {
+        if (mEnded) {
+            // Cut while the claim was recorded: its caller was told that nothing ran.
+            throw OpenRequest.refusal();
+        }
         if (stored != null) {
             end();
             byte[] body = ClaimGuard.bodyOf(stored);
@@ -71,11 +109,13 @@
 
     private Promise<HttpResponse> stream(List<Chunk> first) {
         onFirstChunk();
+        mOpen.streams();
+        mBody = new Body(first);
         return HttpResponse.ok200()
                 .withHeader(HttpHeaders.CONTENT_TYPE, EVENTS)
                 .withHeader(Responses.CODE, ResultCode.OK.label())
                 .withHeader(Responses.OUTCOME, Outcome.RAN.label())
-                .withBodyStream(new Body(first))
+                .withBodyStream(mBody)
                 .toPromise();
     }
 
@@ -135,22 +175,11 @@
     }
 
     private QuilldykeException fail(Exception cause) {
-        Outcome outcome = mRelay == null ? Outcome.NOT_RUN : mRelay.outcome();
-        QuilldykeException e = Responses.failureOf(cause, outcome);
+        QuilldykeException e = Responses.failureOf(cause, outcome());
         if (mEnded) {
             return e;
         }
-        end();
-        if (mRelay != null) {
-            mRelay.close();
-        }
-        if (e.outcome() == Outcome.NOT_RUN) {
-            mClaim.release();
-            mContext.metrics().refused().inc();
-        } else {
-            mClaim.unknown();
-            mContext.metrics().failed().inc();
-        }
+        endFailed(e);
         mContext.log()
                 .write(
                         Event.REFUSED,
@@ -167,6 +196,20 @@
         return e;
     }
 
+    private void endFailed(QuilldykeException e) {
+        end();
+        if (mRelay != null) {
+            mRelay.close();
+        }
+        if (e.outcome() == Outcome.NOT_RUN) {
+            mClaim.release();
+            mContext.metrics().refused().inc();
+        } else {
+            mClaim.unknown();
+            mContext.metrics().failed().inc();
+        }
+    }
+
     private void onCallerGone() {
         if (mEnded) {
             return;
@@ -188,11 +231,12 @@
 
     private void end() {
         mEnded = true;
+        mOpen.end();
         mContext.admission().leave(mRequest.organisation());
     }
 
     /** The events of the answer, as fast as the caller takes them. */
-    private final class Body extends AbstractChannelSupplier<ByteBuf> {
+    private final class Body extends EventBody {
         private List<Chunk> mFirst;
 
         Body(List<Chunk> first) {
@@ -200,7 +244,7 @@
         }
 
         @Override
-        protected Promise<ByteBuf> doGet() {
+        Promise<ByteBuf> pull() {
             if (mEnded) {
                 return Promise.of(null);
             }
--- a/quilldyke-daemon/src/main/java/org/quilldyke/daemon/caller/CompletionServlet.java
+++ b/quilldyke-daemon/src/main/java/org/quilldyke/daemon/caller/CompletionServlet.java
@@ -15,20 +15,15 @@
  */
 package org.quilldyke.daemon.caller;
 
-import io.activej.bytebuf.ByteBuf;
-import io.activej.csp.supplier.AbstractChannelSupplier;
-import io.activej.http.HttpHeaders;
 import io.activej.http.HttpRequest;
 import io.activej.http.HttpResponse;
 import io.activej.promise.Promise;
-import java.util.List;
 import org.quilldyke.Outcome;
 import org.quilldyke.QuilldykeException;
 import org.quilldyke.ResultCode;
 import org.quilldyke.caller.ChunkId;
 import org.quilldyke.caller.StreamCursor;
 import org.quilldyke.control.Configuration;
-import org.quilldyke.daemon.engine.Chunk;
 import org.quilldyke.daemon.log.Event;
 import org.quilldyke.daemon.routing.CellView;
 import org.quilldyke.engine.TargetRecord;
@@ -72,8 +67,9 @@
         try {
             Entry.checkOpen(mContext.view().get());
             RunRelay relay = resumed(request);
+            Resumed resumed = new Resumed(relay, OpenRequest.of(request));
             return relay.next()
-                    .then(first -> resumedStream(relay, first))
+                    .then(resumed::stream)
                     .then(Promise::of, e -> Promise.of(refuse(gone(relay, e))));
         } catch (QuilldykeException e) {
             return Promise.of(refuse(e));
@@ -87,7 +83,7 @@
         CallerRequest read =
                 mReader.read(request, body, view.configuration(), mContext.clock().getAsLong());
         mContext.admission().enter(read.organisation());
-        return Completion.serve(mContext, read);
+        return Completion.serve(mContext, read, OpenRequest.of(request));
     }
 
     private RunRelay resumed(HttpRequest request) throws QuilldykeException {
@@ -123,15 +119,6 @@
                 target);
     }
 
-    private Promise<HttpResponse> resumedStream(RunRelay relay, List<Chunk> first) {
-        return HttpResponse.ok200()
-                .withHeader(HttpHeaders.CONTENT_TYPE, "text/event-stream")
-                .withHeader(Responses.CODE, ResultCode.OK.label())
-                .withHeader(Responses.OUTCOME, Outcome.RAN.label())
-                .withBodyStream(new ResumedBody(relay, first))
-                .toPromise();
-    }
-
     private static Exception gone(RunRelay relay, Exception e) {
         relay.close();
         return QuilldykeException.of(ResultCode.STREAM_GONE, Outcome.RAN, "", e);
@@ -140,40 +127,4 @@
     private HttpResponse refuse(Exception cause) {
         return Entry.refuse(mContext, cause);
     }
-
-    /** The rest of an answer. */
-    private static final class ResumedBody extends AbstractChannelSupplier<ByteBuf> {
-        private final RunRelay mRelay;
-        private List<Chunk> mFirst;
-        private boolean mEnded;
-
-        ResumedBody(RunRelay relay, List<Chunk> first) {
-            mRelay = relay;
-            mFirst = first;
-        }
-
-        @Override
-        protected Promise<ByteBuf> doGet() {
-            if (mEnded) {
-                mRelay.close();
-                return Promise.of(null);
-            }
-            Promise<List<Chunk>> next = mFirst != null ? Promise.of(mFirst) : mRelay.next();
-            mFirst = null;
-            return next.then(
-                    chunks -> {
-                        mEnded = mRelay.isFinished();
-                        return Promise.of(Answers.events(mRelay, chunks));
-                    },
-                    e -> {
-                        mEnded = true;
-                        return Promise.of(Answers.errorEvent(Responses.failureOf(e, Outcome.RAN)));
-                    });
-        }
-
-        @Override
-        protected void onClosed(Exception e) {
-            mRelay.close();
-        }
-    }
 }
--- a/quilldyke-daemon/src/main/java/org/quilldyke/daemon/caller/RunRelay.java
+++ b/quilldyke-daemon/src/main/java/org/quilldyke/daemon/caller/RunRelay.java
@@ -166,6 +166,11 @@
         return mCachedUnits;
     }
 
+    /** Returns the id of the request. */
+    String request() {
+        return mCursor.request();
+    }
+
     /** Returns tokens relayed; the closing chunk carries none. */
     int tokens() {
         return mCursor.isFinished() ? mCursor.next() - 1 : mCursor.next();
@@ -261,6 +266,10 @@
 
     private Promise<Void> retry(String why, ResultCode code) {
         endAttempt();
+        if (mClosed) {
+            // Nobody waits for another attempt, and the run may be resumed at another instance.
+            return failed(code, why);
+        }
         cancelRun(0);
         mOutcome = outcome();
         mTried.add(mTarget.id());
@@ -412,6 +421,9 @@
                 .then(
                         events -> {
                             mEvents = events;
+                            if (mClosed) {
+                                closeEvents();
+                            }
                             return Promise.complete();
                         },
                         e -> {
--- a/quilldyke-daemon/src/main/java/org/quilldyke/daemon/control/ControlClient.java
+++ b/quilldyke-daemon/src/main/java/org/quilldyke/daemon/control/ControlClient.java
@@ -20,6 +20,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.quilldyke.Outcome;
@@ -46,6 +47,7 @@
     private final Executor mControl;
     private final LongSupplier mClock;
     private final Supplier<ControlReplica> mLocal;
+    private final AtomicInteger mPending = new AtomicInteger();
     private volatile String mLeader = "";
 
     private ControlClient(
@@ -94,10 +96,17 @@
         Proposal proposal =
                 new Proposal(
                         command, Json.encodeAs(Command.class, command), mClock.getAsLong(), result);
+        mPending.incrementAndGet();
+        result.whenComplete((r, e) -> mPending.decrementAndGet());
         attempt(proposal, 0);
         return result;
     }
 
+    /** Returns the number of commands whose result isn't known yet. */
+    public int pending() {
+        return mPending.get();
+    }
+
     /** Notes who leads. */
     public void onLeader(String leader) {
         mLeader = leader;
--- a/quilldyke-daemon/src/main/java/org/quilldyke/daemon/service/ServiceRelay.java
+++ b/quilldyke-daemon/src/main/java/org/quilldyke/daemon/service/ServiceRelay.java
@@ -35,6 +35,7 @@
 import org.quilldyke.daemon.caller.CallerHeaders;
 import org.quilldyke.daemon.caller.ClaimGuard;
 import org.quilldyke.daemon.caller.Entry;
+import org.quilldyke.daemon.caller.OpenRequest;
 import org.quilldyke.daemon.caller.Responses;
 import org.quilldyke.daemon.caller.TrafficContext;
 import org.quilldyke.daemon.engine.EngineClient;
@@ -107,8 +108,10 @@
                         body,
                         CallerHeaders.repeatable(request, idempotent),
                         CallerHeaders.key(request),
-                        organisation);
+                        organisation,
+                        new Running(id));
         boolean claimed = !CallerHeaders.repeatable(request, true) && !call.key().isEmpty();
+        OpenRequest.of(request).ownedBy(call.running());
         mContext.admission().enter(organisation);
         Promise<HttpResponse> answer =
                 claimed ? claimed(call) : attempt(call, 1, new HashSet<>(), Outcome.NOT_RUN);
@@ -119,6 +122,7 @@
     private Promise<HttpResponse> claimed(Call call) {
         ClaimGuard guard =
                 ClaimGuard.of(mContext, call.organisation().name(), call.key(), call.id());
+        call.running().mGuard = guard;
         String content = call.request().getMethod() + call.request().getPathAndQuery();
         String fingerprint = CallerHeaders.sha256(content) + CallerHeaders.sha256(call.body());
         return guard.claim(fingerprint)
@@ -169,6 +173,7 @@
         TargetRecord target = decision.target();
         log(call, decision, attempt);
         mContext.metrics().attempts().inc();
+        call.running().mOutcome = Outcome.UNKNOWN;
         long patience = mContext.site().timings().firstToken();
         return Promises.timeout(Duration.ofMillis(patience), exchange(call, target, attempt))
                 .whenComplete(() -> mContext.router().onEnd(target.id(), call.number()))
@@ -228,8 +233,10 @@
                         state,
                         "cause",
                         e);
+        call.running().mOutcome = outcome;
         boolean again =
-                state.outcome().mayRetry(call.repeatable())
+                !call.running().mCut
+                        && state.outcome().mayRetry(call.repeatable())
                         && attempt < mContext.site().limits().attempts()
                         && mContext.budget().tryRetry();
         if (again) {
@@ -277,5 +284,46 @@
             byte[] body,
             boolean repeatable,
             String key,
-            Configuration.Organisation organisation) {}
+            Configuration.Organisation organisation,
+            Running running) {}
+
+    /** What became of a call so far, for a shutdown that has to end it. */
+    private static final class Running implements OpenRequest.Owner {
+        private final String mId;
+        private Outcome mOutcome = Outcome.NOT_RUN;
+        private ClaimGuard mGuard;
+        private boolean mCut;
+
+        Running(String id) {
+            mId = id;
+        }
+
+        @Override
+        public String id() {
+            return mId;
+        }
+
+        @Override
+        public Outcome outcome() {
+            return mOutcome;
+        }
+
+        @Override
+        public int tokens() {
+            return 0;
+        }
+
+        @Override
+        public void cut(QuilldykeException e) {
+            mCut = true;
+            if (mGuard == null) {
+                return;
+            }
+            if (mOutcome == Outcome.NOT_RUN) {
+                mGuard.release();
+            } else {
+                mGuard.unknown();
+            }
+        }
+    }
 }
