--- a/quilldyke-tools/src/main/java/org/quilldyke/tools/client/ReceivedStream.java
+++ b/quilldyke-tools/src/main/java/org/quilldyke/tools/client/ReceivedStream.java
@@ -87,6 +87,16 @@
         return mRefusal != null && mRefusal.code().equals(ResultCode.STREAM_GONE.label());
     }
 
+    /** Returns whether the instance ended before the stream did, which another one resumes. */
+    public synchronized boolean isCutByShutdown() {
+        return mError.contains(ResultCode.CUT_BY_SHUTDOWN.label());
+    }
+
+    /** Forgets that the stream was cut, since it is resumed. */
+    public synchronized void goOn() {
+        mError = "";
+    }
+
     /** Forgets what came, since the request is sent anew. */
     public synchronized void startAnew() {
         mText.setLength(0);
--- a/quilldyke-tools/src/main/java/org/quilldyke/tools/demo/DemoCaller.java
+++ b/quilldyke-tools/src/main/java/org/quilldyke/tools/demo/DemoCaller.java
@@ -30,9 +30,10 @@
 /**
  * A caller behind the platform's balancer, which hands each connection to a ready instance.
  *
- * <p>After a broken connection it resumes with {@code Last-Event-ID}; a request that was refused as
- * not run, or broke off before its first event, is sent again. So is one whose stream is no longer
- * held anywhere, since its engine and the instance that relayed from it were lost together.
+ * <p>After a broken connection, or one that its instance ended, it resumes with {@code
+ * Last-Event-ID}; a request that was refused as not run, or broke off before its first event, is
+ * sent again. So is one whose stream is no longer held anywhere, since its engine and the instance
+ * that relayed from it were lost together.
  */
 final class DemoCaller {
     private static final int MAX_CONNECTIONS = 50;
@@ -81,6 +82,9 @@
             if (stream.isGone()) {
                 stream.startAnew();
             }
+            if (stream.isCutByShutdown()) {
+                stream.goOn();
+            }
             if (!stream.error().isEmpty()) {
                 break;
             }
