--- a/quilldyke-tools/src/test/java/org/quilldyke/tools/demo/InstanceShutdownTest.java
+++ b/quilldyke-tools/src/test/java/org/quilldyke/tools/demo/InstanceShutdownTest.java
@@ -52,6 +52,8 @@
  * way. The evidence is what callers have in these tests.
  */
 class InstanceShutdownTest {
+    @TempDir static Path sFolder;
+
     private static final int LEAVING = 0;
     private static final int STAYING = 1;
     private static final int DRAIN_MILLIS = 2500;
@@ -71,8 +73,6 @@
     private static final String COMPLETIONS = "/v1/completions";
     private static final String HOLDS = "/services/" + DemoSite.SERVICE + "/holds";
 
-    @TempDir static Path sFolder;
-
     private static SmallSite sSite;
 
     private CompletableFuture<Boolean> mDrained;
@@ -212,6 +212,7 @@
         assertThat(stream.text() + rest.text()).isEqualTo(answer(prompt, TOKENS_TOO_MANY));
         assertThat(mDrained.join()).isFalse();
         assertThat(instance().log().count(Event.REFUSED)).isEqualTo(1);
+        assertWithMessage("attempts").that(attempts()).isEqualTo(1);
     }
 
     /** Users got no answer to a call that may have run, and no word that it may have. */
@@ -265,6 +266,7 @@
         assertThat(answer.code()).isEqualTo("QR2021");
         assertThat(answer.outcome()).isEqualTo("ran");
         assertThat(mDrained.join()).isFalse();
+        assertWithMessage("attempts").that(attempts()).isEqualTo(1);
     }
 
     /** Users whose prompt never came whole got no word that nothing of it had run. */
@@ -333,6 +335,10 @@
         return sSite.mSite.instances().get(LEAVING);
     }
 
+    private static long attempts() {
+        return instance().metrics().attempts().getCount();
+    }
+
     private static RawCaller caller() throws IOException {
         return RawCaller.connect(sSite.address(LEAVING));
     }
