--- a/quilldyke-daemon/src/main/java/org/quilldyke/daemon/caller/Answers.java
+++ b/quilldyke-daemon/src/main/java/org/quilldyke/daemon/caller/Answers.java
@@ -43,12 +43,14 @@
         ObjectNode choice = out.putArray("choices").addObject();
         choice.put("index", 0);
         if (request.chat()) {
-            choice.putObject("message").put("role", "assistant").put("content", relay.text());
+            choice.putObject("message")
+                    .put("role", "assistant")
+                    .put("content", relay.answer().text());
         } else {
-            choice.put("text", relay.text());
+            choice.put("text", relay.answer().text());
         }
-        choice.put("finish_reason", relay.finishReason());
-        JsonNode usage = JsonTree.read(relay.closing()).path("usage");
+        choice.put("finish_reason", relay.answer().finishReason());
+        JsonNode usage = JsonTree.read(relay.answer().closing()).path("usage");
         if (usage.isObject()) {
             out.set("usage", usage);
         }
@@ -87,7 +89,7 @@
     /** Returns chunks as events, followed by the end mark if the answer is whole. */
     static ByteBuf events(RunRelay relay, List<Chunk> chunks) {
         byte[][] ids = new byte[chunks.size()][];
-        int size = relay.isFinished() ? DONE.length : 0;
+        int size = relay.answer().isFinished() ? DONE.length : 0;
         for (int i = 0; i < ids.length; i++) {
             Chunk chunk = chunks.get(i);
             ids[i] = relay.eventId(chunk.position()).getBytes(StandardCharsets.UTF_8);
@@ -102,7 +104,7 @@
             at = put(out, at, chunks.get(i).data());
             at = put(out, at, END);
         }
-        if (relay.isFinished()) {
+        if (relay.answer().isFinished()) {
             put(out, at, DONE);
         }
         return ByteBuf.wrapForReading(out);
--- a/quilldyke-daemon/src/main/java/org/quilldyke/daemon/caller/Completion.java
+++ b/quilldyke-daemon/src/main/java/org/quilldyke/daemon/caller/Completion.java
@@ -76,7 +76,7 @@
 
     @Override
     public int tokens() {
-        return mRelay == null ? 0 : mRelay.tokens();
+        return mRelay == null ? 0 : mRelay.answer().tokens();
     }
 
     @Override
@@ -120,10 +120,10 @@
     }
 
     private Promise<HttpResponse> collect(List<Chunk> chunks) throws QuilldykeException {
-        if (mRelay.tokens() == chunks.size()) {
+        if (mRelay.answer().tokens() == chunks.size()) {
             onFirstChunk();
         }
-        if (!mRelay.isFinished()) {
+        if (!mRelay.answer().isFinished()) {
             return mRelay.next().then(this::collect);
         }
         byte[] whole = Answers.whole(mRequest, mRelay);
@@ -154,7 +154,7 @@
         mRelay.close();
         mContext.metrics().answered().inc();
         mContext.metrics().promptUnits().inc(mRequest.prompt().length);
-        mContext.metrics().cachedUnits().inc(mRelay.cachedUnits());
+        mContext.metrics().cachedUnits().inc(mRelay.answer().cachedUnits());
         mContext.log()
                 .write(
                         Event.ANSWERED,
@@ -165,11 +165,11 @@
                         "target",
                         mRelay.target().id(),
                         "attempts",
-                        mRelay.attempts(),
+                        mRelay.answer().attempts(),
                         "tokens",
-                        mRelay.tokens(),
+                        mRelay.answer().tokens(),
                         "cached",
-                        mRelay.cachedUnits(),
+                        mRelay.answer().cachedUnits(),
                         "ms",
                         mContext.clock().getAsLong() - mRelay.startedAt());
     }
@@ -226,7 +226,7 @@
                         "org",
                         mRequest.organisation().name(),
                         "tokens",
-                        mRelay.tokens());
+                        mRelay.answer().tokens());
     }
 
     private void end() {
@@ -262,7 +262,7 @@
         private Promise<ByteBuf> events(List<Chunk> chunks) throws QuilldykeException {
             mContext.metrics().chunks().inc(chunks.size());
             ByteBuf out = Answers.events(mRelay, chunks);
-            if (!mRelay.isFinished()) {
+            if (!mRelay.answer().isFinished()) {
                 return Promise.of(out);
             }
             return store(mRequest.needsClaim() ? Answers.whole(mRequest, mRelay) : new byte[0])
--- a/quilldyke-daemon/src/main/java/org/quilldyke/daemon/caller/Resumed.java
+++ b/quilldyke-daemon/src/main/java/org/quilldyke/daemon/caller/Resumed.java
@@ -56,7 +56,7 @@
 
     @Override
     public String id() {
-        return mRelay.request();
+        return mRelay.answer().request();
     }
 
     @Override
@@ -66,7 +66,7 @@
 
     @Override
     public int tokens() {
-        return mRelay.tokens();
+        return mRelay.answer().tokens();
     }
 
     @Override
@@ -96,7 +96,7 @@
             mFirst = null;
             return next.then(
                     chunks -> {
-                        mEnded = mRelay.isFinished();
+                        mEnded = mRelay.answer().isFinished();
                         return Promise.of(Answers.events(mRelay, chunks));
                     },
                     e -> {
--- a/quilldyke-daemon/src/main/java/org/quilldyke/daemon/caller/RunRelay.java
+++ b/quilldyke-daemon/src/main/java/org/quilldyke/daemon/caller/RunRelay.java
@@ -55,18 +55,16 @@
     private final TrafficContext mContext;
     private final EngineRequest mRequest;
     private final StreamCursor mCursor;
+    private final RelayedAnswer mAnswer;
+    private final RelayLog mLog;
     private final Map<String, BlockChain> mChains;
     private final Set<String> mTried = new HashSet<>();
-    private final StringBuilder mText = new StringBuilder();
     private final long mStartedAt;
     private TargetRecord mTarget;
     private SseReader mEvents;
     private Attempt mAttempt = Attempt.QUEUED;
     private Outcome mOutcome = Outcome.NOT_RUN;
     private int mResumesLeft;
-    private int mCachedUnits;
-    private String mFinishReason;
-    private byte[] mClosing;
     private boolean mClosed;
 
     private RunRelay(
@@ -77,6 +75,8 @@
         mContext = context;
         mRequest = request;
         mCursor = cursor;
+        mAnswer = RelayedAnswer.create(context, cursor);
+        mLog = RelayLog.of(context, request, cursor);
         mChains = chains;
         mStartedAt = context.clock().getAsLong();
     }
@@ -110,8 +110,10 @@
         if (mCursor.isFinished()) {
             return Promise.of(List.of());
         }
-        if (mEvents == null && isTextWhole()) {
-            return Promise.of(List.of(closingChunk()));
+        if (mEvents == null && mAnswer.isTextWhole(mRequest)) {
+            Chunk closing = mAnswer.close(mRequest);
+            endAttempt();
+            return Promise.of(List.of(closing));
         }
         if (mEvents == null) {
             Promise<Void> opened = mTarget == null ? startAttempt() : resumeOrRestart("reconnect");
@@ -135,24 +137,9 @@
         }
     }
 
-    /** Returns the text relayed so far. */
-    String text() {
-        return mText.toString();
-    }
-
-    /** Returns why the answer ended, or null if it hasn't. */
-    String finishReason() {
-        return mFinishReason;
-    }
-
-    /** Returns the closing chunk's JSON, or null if the answer hasn't ended. */
-    byte[] closing() {
-        return mClosing;
-    }
-
-    /** Returns whether the whole answer was relayed. */
-    boolean isFinished() {
-        return mCursor.isFinished();
+    /** Returns what was relayed so far. */
+    RelayedAnswer answer() {
+        return mAnswer;
     }
 
     /** Returns the id under which a caller resumes after the chunk at a position. */
@@ -161,26 +148,6 @@
         return mTarget.id() + "/" + id.format();
     }
 
-    /** Returns prompt units that the engine had cached. */
-    int cachedUnits() {
-        return mCachedUnits;
-    }
-
-    /** Returns the id of the request. */
-    String request() {
-        return mCursor.request();
-    }
-
-    /** Returns tokens relayed; the closing chunk carries none. */
-    int tokens() {
-        return mCursor.isFinished() ? mCursor.next() - 1 : mCursor.next();
-    }
-
-    /** Returns the number of attempts made. */
-    int attempts() {
-        return mCursor.attempt();
-    }
-
     /** Returns the target of the present attempt, or null. */
     TargetRecord target() {
         return mTarget;
@@ -197,7 +164,7 @@
     }
 
     private Promise<Void> startAttempt() {
-        if (isTextWhole()) {
+        if (mAnswer.isTextWhole(mRequest)) {
             return Promise.complete();
         }
         long now = mContext.clock().getAsLong();
@@ -220,7 +187,7 @@
         }
         mTarget = decision.target();
         int attempt = mCursor.startAttempt();
-        logDecision(decision, attempt);
+        mLog.routed(decision, attempt);
         if (now + decision.predictedMillis() > mRequest.deadlineAt()) {
             mContext.router().onEnd(mTarget.id(), mRequest.number());
             return Promise.ofException(
@@ -229,7 +196,7 @@
         mContext.metrics().attempts().inc();
         mAttempt = Attempt.SENDING;
         mResumesLeft = RESUMES_PER_ATTEMPT;
-        byte[] body = mRequest.bodyFor(mTarget, mText.toString(), mCursor.next());
+        byte[] body = mRequest.bodyFor(mTarget, mAnswer.text(), mCursor.next());
         return mContext.client()
                 .complete(mTarget, mRequest.path(), mCursor.request(), attempt, body)
                 .then(this::onAccepted, this::onAttemptFailed);
@@ -273,19 +240,8 @@
         cancelRun(0);
         mOutcome = outcome();
         mTried.add(mTarget.id());
-        mContext.log()
-                .write(
-                        Event.ATTEMPT_FAILED,
-                        "request",
-                        mCursor.request(),
-                        "attempt",
-                        mCursor.attempt(),
-                        "target",
-                        mTarget.id(),
-                        "state",
-                        mAttempt,
-                        "cause",
-                        why);
+        mLog.failed(mTarget, mAttempt, why);
+
         if (!mAttempt.outcome().mayRetry(mRequest.repeatable())) {
             return failed(mAttempt == Attempt.SENDING ? ResultCode.TARGET_LOST : code, why);
         }
@@ -336,52 +292,18 @@
 
     private StreamCursor.Verdict accept(SseReader.SseEvent event, List<Chunk> chunks)
             throws IOException, QuilldykeException {
-        if (event.id().isEmpty()) {
-            return StreamCursor.Verdict.REPEATED;
-        }
-        ChunkId id = ChunkId.parse(event.id());
         int position = mCursor.next();
-        StreamCursor.Verdict verdict = mCursor.accept(id);
-        if (verdict != StreamCursor.Verdict.NEXT) {
-            mContext.metrics().dropped().inc();
-            mContext.log()
-                    .write(
-                            Event.CHUNK_DROPPED,
-                            "request",
-                            mCursor.request(),
-                            "expected",
-                            position,
-                            "id",
-                            event.id(),
-                            "verdict",
-                            verdict);
-            return verdict;
-        }
-        Chunk chunk = Chunk.parse(position, event.data());
-        if ("cancelled".equals(chunk.finishReason())) {
-            throw new IOException("cancelled at the engine");
-        }
-        if (position == 0) {
+        StreamCursor.Verdict verdict = mAnswer.accept(event, chunks);
+        if (position == 0 && verdict == StreamCursor.Verdict.NEXT) {
             mContext.router().onFirstToken(mTarget.id(), mRequest.number());
         }
-        mText.append(chunk.text());
-        if (mText.length() > mContext.site().limits().answerBytes()) {
-            throw QuilldykeException.of(ResultCode.ANSWER_TOO_LARGE, Outcome.RAN, "");
-        }
-        if (chunk.finishReason() != null) {
-            mFinishReason = chunk.finishReason();
-            mCachedUnits = Math.max(0, chunk.cachedUnits());
-            mClosing = chunk.data();
-            mCursor.finish();
-        }
-        chunks.add(chunk);
         return verdict;
     }
 
     private void onFinished() {
         BlockChain chain = mChains.get(mTarget.weights());
         if (chain != null && mCursor.attempt() == 1) {
-            mContext.router().onCachedUnits(mTarget, chain, mCachedUnits);
+            mContext.router().onCachedUnits(mTarget, chain, mAnswer.cachedUnits());
         }
         mEvents.finish();
         mEvents = null;
@@ -397,17 +319,8 @@
         }
         mResumesLeft--;
         mContext.metrics().continued().inc();
-        mContext.log()
-                .write(
-                        Event.STREAM_CONTINUED,
-                        "request",
-                        mCursor.request(),
-                        "target",
-                        mTarget.id(),
-                        "position",
-                        mCursor.next(),
-                        "cause",
-                        why);
+        mLog.continued(mTarget, why);
+
         return Promises.delay(RESUME_PAUSE_MILLIS)
                 .then(
                         () ->
@@ -436,20 +349,6 @@
                         });
     }
 
-    /** Returns whether only the closing chunk is missing, which needs no engine. */
-    private boolean isTextWhole() {
-        return mRequest.maxTokens() > 0 && mCursor.next() == mRequest.maxTokens();
-    }
-
-    private Chunk closingChunk() {
-        int position = mCursor.next();
-        mFinishReason = "length";
-        mClosing = Answers.closingChunk(mCursor.request(), mRequest, mFinishReason);
-        mCursor.finishHere();
-        endAttempt();
-        return new Chunk(position, mClosing, "", mFinishReason, 0);
-    }
-
     private long patience() {
         long now = mContext.clock().getAsLong();
         long patience =
@@ -487,38 +386,6 @@
                 : QuilldykeException.of(e.code(), mOutcome, "after an attempt");
     }
 
-    private void logDecision(Decision d, int attempt) {
-        mContext.log()
-                .write(
-                        Event.ROUTED,
-                        "request",
-                        mCursor.request(),
-                        "attempt",
-                        attempt,
-                        "org",
-                        mRequest.organisation(),
-                        "service",
-                        d.target().service(),
-                        "target",
-                        d.target().id(),
-                        "reason",
-                        d.reason(),
-                        "tokens",
-                        d.units(),
-                        "cached",
-                        d.cachedUnits(),
-                        "queue_ms",
-                        d.queueMillis(),
-                        "predicted_ms",
-                        d.predictedMillis(),
-                        "runner_up",
-                        d.runnerUp(),
-                        "runner_up_ms",
-                        d.runnerUpMillis(),
-                        "candidates",
-                        d.candidates());
-    }
-
     private static CacheScope scope(CallerRequest request, String weights) {
         return EngineRequest.scope(request.organisation().name(), request.model().name(), weights);
     }
