--- a/quilldyke-tools/src/test/java/org/quilldyke/tools/demo/InstanceShutdownTest.java
+++ b/quilldyke-tools/src/test/java/org/quilldyke/tools/demo/InstanceShutdownTest.java
@@ -56,6 +56,7 @@
 
     private static final int LEAVING = 0;
     private static final int STAYING = 1;
+    private static final int OTHER = 2;
     private static final int DRAIN_MILLIS = 2500;
 
     /** Takes 1.5 s of an engine, so that it ends after the grace and before the limit. */
@@ -68,6 +69,7 @@
     private static final int SLOW_MILLIS = 500;
 
     private static final int LONG_CALL_MILLIS = 60_000;
+    private static final int CALL_IN_TIME_MILLIS = 1500;
     private static final int SHORT_CALL_MILLIS = 5;
     private static final int BIG_ANSWER_BYTES = 4_000_000;
     private static final String COMPLETIONS = "/v1/completions";
@@ -286,6 +288,28 @@
             assertThat(answer).contains("not-run");
         }
         assertThat(mDrained.join()).isFalse();
+        assertThat(instance().log().count(Event.REFUSED)).isEqualTo(1);
+    }
+
+    /**
+     * Users were told that nothing ran, and it ran. A claim was being recorded when the drain time
+     * ended, its caller was told so, and the claim's success started the run.
+     */
+    @Test
+    void callCutWhileItsClaimIsRecordedDoesNotRun() throws Exception {
+        sSite.mSite.instances().get(STAYING).halt();
+        sSite.mSite.instances().get(OTHER).halt();
+        CompletableFuture<ApiClient.Answer> call = sSite.hold(LEAVING, "hold-unrun", "amount=5");
+        SmallSite.await(() -> instance().openRequests() > 0);
+
+        shutDown();
+
+        assertThat(call.join().code()).isEqualTo("QR2014");
+        assertThat(call.join().outcome()).isEqualTo("not-run");
+        sSite.mSite.restartInstance(STAYING);
+        sSite.mSite.restartInstance(OTHER);
+        assertThat(mDrained.join()).isFalse();
+        assertThat(sSite.mSite.services().get(0).runs()).doesNotContainKey("hold-unrun");
     }
 
     /**
@@ -331,6 +355,27 @@
         }
     }
 
+    /**
+     * Operators saw a shutdown last its whole drain time and exit with a failure. A caller had been
+     * refused amid its request and never sent the rest, and counted as one that is owed an answer.
+     */
+    @Test
+    void refusedCallerThatStallsHoldsNoShutdown() throws Exception {
+        try (RawCaller caller = caller()) {
+            sSite.mSite.services().get(0).delay(CALL_IN_TIME_MILLIS);
+            CompletableFuture<?> open = sSite.hold(LEAVING, "hold-open-3", "amount=6");
+            SmallSite.await(() -> instance().openRequests() > 0);
+            shutDown();
+            awaitRefusing();
+
+            caller.head("POST", HOLDS, SmallSite.TOKEN, 100).send("half");
+
+            assertThat(caller.untilEnd()).contains("QR2014");
+            open.join();
+        }
+        assertThat(mDrained.join()).isTrue();
+    }
+
     private static QuilldykeInstance instance() {
         return sSite.mSite.instances().get(LEAVING);
     }
