A caller that has its refusal holds no shutdown

Cause: the server calls an exchange complete when the answer is sent and the request is read to its end; the shutdown waited for both. It waits for the answer, and then up to a second for what is still being sent, since a close amid it resets the connection and takes the refusal from its caller.

--- a/quilldyke-daemon/src/main/java/org/quilldyke/daemon/GracefulShutdown.java
+++ b/quilldyke-daemon/src/main/java/org/quilldyke/daemon/GracefulShutdown.java
@@ -53,9 +53,9 @@
 
     /**
      * How long a request may take to come that was on its way when the listener closed, in
-     * milliseconds: a round trip over a slow network.
+     * milliseconds: some round trips over a slow network.
      */
-    private static final long LAST_CALL_MILLIS = 200;
+    private static final long LAST_CALL_MILLIS = 1000;
 
     /**
      * Runs all steps but the closing of the sockets.
--- a/quilldyke-daemon/src/main/java/org/quilldyke/daemon/OpenConnections.java
+++ b/quilldyke-daemon/src/main/java/org/quilldyke/daemon/OpenConnections.java
@@ -41,19 +41,23 @@
         List<String> owed = new ArrayList<>();
         mAnswered.forEach(
                 (connection, answered) -> {
-                    if (connection.getNumberOfRequests() > answered) {
+                    if (isOpen(connection, answered) && !connection.isBodySent()) {
                         owed.add(connection.getRemoteAddress().getHostAddress());
                     }
                 });
         return owed;
     }
 
-    /** Returns whether a request's head is on its way. */
+    /**
+     * Returns whether bytes of a request are on their way: of a head, or of a body that is read to
+     * its end after the answer, since closing amid it would take the answer from its caller.
+     */
     boolean isRequestComing() {
         for (Map.Entry<HttpServerConnection, Integer> entry : mAnswered.entrySet()) {
             HttpServerConnection connection = entry.getKey();
-            if (connection.getNumberOfRequests() == entry.getValue()
-                    && connection.getCurrentPool() == PoolLabel.READ_WRITE) {
+            if (isOpen(connection, entry.getValue())
+                    ? connection.isBodySent()
+                    : connection.getCurrentPool() == PoolLabel.READ_WRITE) {
                 return true;
             }
         }
@@ -90,4 +94,8 @@
     @Override
     public void onMalformedHttpRequest(
             HttpServerConnection connection, MalformedHttpException e, byte[] bytes) {}
+
+    private static boolean isOpen(HttpServerConnection connection, int answered) {
+        return connection.getNumberOfRequests() > answered;
+    }
 }
