Instances can be started on disks that a test makes slow

Nothing outside tests uses it yet: an instance's data folder is opened by what is given at its start, DataFolder unless told otherwise. Needed to bring a slow disk about at the level of a whole site.

--- a/quilldyke-daemon/src/main/java/org/quilldyke/daemon/QuilldykeInstance.java
+++ b/quilldyke-daemon/src/main/java/org/quilldyke/daemon/QuilldykeInstance.java
@@ -41,6 +41,7 @@
 import org.quilldyke.daemon.control.DataFolder;
 import org.quilldyke.daemon.control.PlanDriver;
 import org.quilldyke.daemon.control.ReplicaNode;
+import org.quilldyke.daemon.control.ReplicaStorage;
 import org.quilldyke.daemon.engine.EngineWatch;
 import org.quilldyke.daemon.instance.CellNode;
 import org.quilldyke.daemon.instance.Exchange;
@@ -68,6 +69,7 @@
 
     private final Site mSite;
     private final Site.Instance mSelf;
+    private final ReplicaStorage.Opener mDisks;
     private final long mIncarnation = System.currentTimeMillis();
     private final LongSupplier mClock = () -> System.nanoTime() / 1_000_000;
     private final EventLog mLog;
@@ -83,9 +85,10 @@
     private TrafficServers mTraffic;
     private volatile boolean mHalted;
 
-    private QuilldykeInstance(Site site, Site.Instance self) {
+    private QuilldykeInstance(Site site, Site.Instance self, ReplicaStorage.Opener disks) {
         mSite = site;
         mSelf = self;
+        mDisks = disks;
         mLog = EventLog.of(self.id());
         mAdmission = Admission.create(site.limits().openRequests());
         mRouter = SharedRouter.create(site.weights());
@@ -104,12 +107,25 @@
      *     data folder is damaged
      */
     public static QuilldykeInstance start(Site site, String id) throws QuilldykeException {
+        return start(site, id, DataFolder::open);
+    }
+
+    /**
+     * Starts an instance whose replica, if it has one, keeps its files as told.
+     *
+     * @param site the settings
+     * @param id which of its instances to be
+     * @param disks opens the data folder
+     * @throws QuilldykeException as {@link #start(Site, String)}
+     */
+    public static QuilldykeInstance start(Site site, String id, ReplicaStorage.Opener disks)
+            throws QuilldykeException {
         Site.Instance self = site.instance(id);
         if (self == null) {
             throw QuilldykeException.notRun(
                     ResultCode.SETTINGS_IMPOSSIBLE, "instances has no id " + id);
         }
-        QuilldykeInstance instance = new QuilldykeInstance(site, self);
+        QuilldykeInstance instance = new QuilldykeInstance(site, self, disks);
         try {
             instance.start();
         } catch (QuilldykeException e) {
@@ -268,7 +284,7 @@
     }
 
     private void loadReplica(List<String> replicas) throws QuilldykeException {
-        DataFolder folder = DataFolder.open(Path.of(mSelf.dataFolder()));
+        ReplicaStorage folder = mDisks.open(Path.of(mSelf.dataFolder()));
         List<String> others = new ArrayList<>(replicas);
         others.remove(mSelf.id());
         ReplicaSettings settings = ReplicaSettings.of(mSelf.id(), others);
--- a/quilldyke-daemon/src/main/java/org/quilldyke/daemon/control/ReplicaStorage.java
+++ b/quilldyke-daemon/src/main/java/org/quilldyke/daemon/control/ReplicaStorage.java
@@ -15,6 +15,7 @@
  */
 package org.quilldyke.daemon.control;
 
+import java.nio.file.Path;
 import java.util.List;
 import org.quilldyke.QuilldykeException;
 import org.quilldyke.control.Ballot;
@@ -51,4 +52,10 @@
 
     @Override
     void close() throws QuilldykeException;
+
+    /** Opens what a replica keeps in a folder. */
+    interface Opener {
+        /** Opens a folder and makes it if it isn't there. */
+        ReplicaStorage open(Path folder) throws QuilldykeException;
+    }
 }
--- a/quilldyke-tools/src/main/java/org/quilldyke/tools/demo/DemoSite.java
+++ b/quilldyke-tools/src/main/java/org/quilldyke/tools/demo/DemoSite.java
@@ -26,6 +26,8 @@
 import org.quilldyke.QuilldykeException;
 import org.quilldyke.daemon.QuilldykeInstance;
 import org.quilldyke.daemon.caller.CallerHeaders;
+import org.quilldyke.daemon.control.DataFolder;
+import org.quilldyke.daemon.control.ReplicaStorage;
 import org.quilldyke.daemon.settings.Site;
 import org.quilldyke.routing.SiteWeights;
 import org.quilldyke.testkit.engine.EngineSettings;
@@ -61,6 +63,7 @@
     private final List<EngineStandIn> mEngines = new ArrayList<>();
     private final List<EngineStandIn> mDeadEngines = new ArrayList<>();
     private final List<ServiceStandIn> mServices = new ArrayList<>();
+    private ReplicaStorage.Opener mDisks = DataFolder::open;
     private WeightStoreStandIn mWeightStore;
     private String mWeightStoreAddress = "";
     private long mIncarnation = System.currentTimeMillis();
@@ -115,10 +118,15 @@
                                 86_400_000)));
     }
 
+    /** Sets how instances that are started from now on keep the control state. */
+    void useDisks(ReplicaStorage.Opener disks) {
+        mDisks = disks;
+    }
+
     /** Starts all instances. */
     public void startInstances() throws QuilldykeException {
         for (Site.Instance instance : mSite.instances()) {
-            mInstances.add(QuilldykeInstance.start(mSite, instance.id()));
+            mInstances.add(QuilldykeInstance.start(mSite, instance.id(), mDisks));
         }
     }
 
@@ -178,7 +186,8 @@
 
     /** Starts a stopped instance again, with the files it left. */
     public void restartInstance(int index) throws QuilldykeException {
-        mInstances.set(index, QuilldykeInstance.start(mSite, mSite.instances().get(index).id()));
+        String id = mSite.instances().get(index).id();
+        mInstances.set(index, QuilldykeInstance.start(mSite, id, mDisks));
     }
 
     /** Returns the instance that leads the control group, or null. */
--- a/quilldyke-tools/src/test/java/org/quilldyke/tools/demo/SmallSite.java
+++ b/quilldyke-tools/src/test/java/org/quilldyke/tools/demo/SmallSite.java
@@ -30,6 +30,8 @@
 import org.quilldyke.control.Intent;
 import org.quilldyke.daemon.QuilldykeInstance;
 import org.quilldyke.daemon.caller.CallerHeaders;
+import org.quilldyke.daemon.control.DataFolder;
+import org.quilldyke.daemon.control.ReplicaStorage;
 import org.quilldyke.daemon.json.Json;
 import org.quilldyke.tools.client.ApiClient;
 import org.quilldyke.tools.client.OperatorClient;
@@ -51,7 +53,13 @@
 
     static SmallSite start(Path folder)
             throws IOException, QuilldykeException, InterruptedException {
+        return start(folder, DataFolder::open);
+    }
+
+    static SmallSite start(Path folder, ReplicaStorage.Opener disks)
+            throws IOException, QuilldykeException, InterruptedException {
         SmallSite small = new SmallSite(DemoSite.plan(3, 3, folder));
+        small.mSite.useDisks(disks);
         small.mSite.startInstances();
         await(() -> small.mSite.leader() != null);
         small.put("examiners", TOKEN, 0);
