Of ballots that one step writes one after the other, only the last is stored

Cause: a voter that hears of a new term steps down (a ballot without a vote) and votes (a ballot with it) in one step; both were stored, each with its own syncs, and the candidate waits from one election time on after its own, so that its first election always failed on disks of 300 ms. Class: work done twice where only its end is promised. What is sent is held until the last one is stored, as before; a ballot behind entries still waits for their sync.

BallotWritesTest failed before, passes.

--- a/quilldyke-daemon/src/main/java/org/quilldyke/daemon/control/ReplicaNode.java
+++ b/quilldyke-daemon/src/main/java/org/quilldyke/daemon/control/ReplicaNode.java
@@ -324,6 +324,11 @@
         Ballot ballot = null;
         for (ReplicaAction action : batch) {
             if (action instanceof ReplicaAction.SaveBallot save) {
+                int last = writes.size() - 1;
+                if (last >= 0 && writes.get(last) instanceof ReplicaAction.SaveBallot) {
+                    // Nobody is told of that one; a vote of a new term would take two syncs.
+                    writes.remove(last);
+                }
                 writes.add(action);
                 ballot = save.ballot();
                 noteTrust(save.ballot());
