A proposal's try goes on while others begin, and no try waits for the common pool

Cause: a try that was silent for 1 s was given up, and its answer counted for nothing, so a disk of over a second never got a claim through from an instance that doesn't lead, within 5 s; a try at the own replica had no end at all; a leader that hangs was asked again and again for 1 s each; and the pause between tries needed a free thread of the common pool. Class: a wait without a bound, or with one that throws away what was waited for. Change: a silent try goes on to the end of the proposal's 5 s, another begins beside it after 1 s at a replica that owes no answer (commands are idempotent), all end after 5 s, and the timer's own thread begins them. Ruled out: the election, since no leader is lost there.

--- a/quilldyke-daemon/src/main/java/org/quilldyke/daemon/control/ControlClient.java
+++ b/quilldyke-daemon/src/main/java/org/quilldyke/daemon/control/ControlClient.java
@@ -17,9 +17,12 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.quilldyke.Outcome;
@@ -33,7 +36,8 @@
 
 /**
  * Proposes commands from any instance: at the leader if it is known, else at each replica in turn,
- * until one answers or the time is over. Commands are idempotent, so that trying again is safe.
+ * until one answers or the time is over. Commands are idempotent, so that trying again is safe,
+ * also beside a try that isn't answered yet.
  */
 public final class ControlClient {
     private static final long TRY_MILLIS = 1000;
@@ -93,7 +97,11 @@
         CompletableFuture<CommandResult> result = new CompletableFuture<>();
         Proposal proposal =
                 new Proposal(
-                        command, Json.encodeAs(Command.class, command), mClock.getAsLong(), result);
+                        command,
+                        Json.encodeAs(Command.class, command),
+                        mClock.getAsLong(),
+                        result,
+                        ConcurrentHashMap.newKeySet());
         attempt(proposal, 0);
         return result;
     }
@@ -104,75 +112,127 @@
     }
 
     private void attempt(Proposal proposal, int count) {
-        if (mClock.getAsLong() - proposal.startedAt() > TOTAL_MILLIS) {
+        if (proposal.result().isDone()) {
+            return;
+        }
+        long left = proposal.startedAt() + TOTAL_MILLIS - mClock.getAsLong();
+        if (left <= 0) {
             proposal.result()
                     .completeExceptionally(
                             QuilldykeException.of(
                                     ResultCode.NO_LEADER, Outcome.UNKNOWN, "no answer in time"));
             return;
         }
-        String to = target(count);
+        String to = target(proposal, count);
+        if (to.isEmpty()) {
+            later(Math.min(PAUSE_MILLIS, left), () -> attempt(proposal, count));
+            return;
+        }
+        Try asked = new Try(proposal, count, to, new AtomicBoolean());
+        proposal.unanswered().add(to);
+        later(Math.min(TRY_MILLIS, left), () -> onSilence(asked));
         if (to.equals(mSelf)) {
-            mControl.execute(() -> attemptHere(proposal, count));
+            mControl.execute(() -> attemptHere(asked));
         } else {
-            mPeers.propose(to, proposal.encoded(), TRY_MILLIS)
-                    .whenComplete((reply, e) -> onReply(proposal, count, reply, e));
+            mPeers.propose(to, proposal.encoded(), left)
+                    .whenComplete((reply, e) -> onReply(asked, reply, e));
         }
     }
 
-    private void attemptHere(Proposal proposal, int count) {
+    private void attemptHere(Try asked) {
         ControlReplica local = mLocal.get();
         if (local == null) {
-            retry(proposal, count);
+            onFailed(asked);
             return;
         }
-        local.propose(proposal.command())
+        local.propose(asked.proposal().command())
                 .whenComplete(
                         (result, e) -> {
                             if (e == null) {
-                                proposal.result().complete(result);
+                                asked.proposal().result().complete(result);
                             } else {
-                                retry(proposal, count);
+                                onFailed(asked);
                             }
                         });
     }
 
-    private void onReply(Proposal proposal, int count, ProposeReply reply, Throwable e) {
+    private void onReply(Try asked, ProposeReply reply, Throwable e) {
+        CompletableFuture<CommandResult> result = asked.proposal().result();
         if (e == null && reply.getAccepted()) {
             try {
-                CommandResult result =
-                        Json.decode(reply.getResultJson().toByteArray(), CommandResult.class);
-                proposal.result().complete(result);
+                result.complete(
+                        Json.decode(reply.getResultJson().toByteArray(), CommandResult.class));
             } catch (QuilldykeException malformed) {
-                proposal.result().completeExceptionally(malformed);
+                result.completeExceptionally(malformed);
             }
             return;
         }
-        mLeader = e == null ? reply.getLeader() : "";
-        retry(proposal, count);
+        if (e == null) {
+            mLeader = reply.getLeader();
+        } else if (asked.to().equals(mLeader)) {
+            mLeader = "";
+        }
+        onFailed(asked);
     }
 
-    private void retry(Proposal proposal, int count) {
-        CompletableFuture.delayedExecutor(PAUSE_MILLIS, TimeUnit.MILLISECONDS)
-                .execute(() -> attempt(proposal, count + 1));
+    private void onFailed(Try asked) {
+        asked.proposal().unanswered().remove(asked.to());
+        later(PAUSE_MILLIS, () -> next(asked));
     }
 
-    /** Returns whom to ask: the known leader first, then the replicas in turn. */
-    private String target(int count) {
-        String leader = mLeader;
-        if (!leader.isEmpty() && mReplicas.contains(leader) && count % 2 == 0) {
-            return leader;
+    /** A slow disk may still end this try, and its answer counts; another begins beside it. */
+    private void onSilence(Try asked) {
+        if (asked.to().equals(mLeader) && !asked.proposal().result().isDone()) {
+            mLeader = "";
         }
+        next(asked);
+    }
+
+    private void next(Try asked) {
+        if (asked.followed().compareAndSet(false, true)) {
+            attempt(asked.proposal(), asked.count() + 1);
+        }
+    }
+
+    /** Returns whom to ask: the known leader first, then in turn whoever owes no answer. */
+    private String target(Proposal proposal, int count) {
         List<String> order = new ArrayList<>(mReplicas);
         if (order.remove(mSelf)) {
             order.add(0, mSelf);
         }
-        return order.get(count % order.size());
+        order.removeAll(proposal.unanswered());
+        if (order.isEmpty()) {
+            return "";
+        }
+        String leader = mLeader;
+        if (!order.contains(leader)) {
+            return order.get(count % order.size());
+        }
+        return count % 2 == 0 ? leader : order.get(count / 2 % order.size());
+    }
+
+    /** Runs something on the timer's own thread, so that tasks elsewhere hold up no try. */
+    private static void later(long millis, Runnable task) {
+        CompletableFuture.delayedExecutor(millis, TimeUnit.MILLISECONDS, Runnable::run)
+                .execute(task);
     }
 
+    /**
+     * A command and what has become of it.
+     *
+     * @param unanswered the replicas that were asked and haven't answered
+     */
     private record Proposal(
             Command command,
             byte[] encoded,
             long startedAt,
-            CompletableFuture<CommandResult> result) {}
+            CompletableFuture<CommandResult> result,
+            Set<String> unanswered) {}
+
+    /**
+     * One try of a proposal.
+     *
+     * @param followed whether the next try has begun
+     */
+    private record Try(Proposal proposal, int count, String to, AtomicBoolean followed) {}
 }
--- a/quilldyke-daemon/src/test/java/org/quilldyke/daemon/control/ControlClientTest.java
+++ b/quilldyke-daemon/src/test/java/org/quilldyke/daemon/control/ControlClientTest.java
@@ -26,7 +26,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ForkJoinPool;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
@@ -124,6 +126,18 @@
         assertThat(millisSince(startedAt)).isLessThan(2500L);
     }
 
+    @Test
+    void leaderThatHangsIsAskedBesideTheOthers() throws Exception {
+        mReplicas.get("a").mAnswerAfterMillis = 60_000;
+        mReplicas.get("c").mAnswerAfterMillis = 0;
+
+        long startedAt = System.nanoTime();
+        CommandResult result = mClient.propose(COMMAND).get(10, TimeUnit.SECONDS);
+
+        assertThat(result).isEqualTo(RESULT);
+        assertThat(millisSince(startedAt)).isLessThan(2500L);
+    }
+
     @Test
     void proposalFailsWhenItsTimeIsOver() {
         mReplicas.get("a").mAnswerAfterMillis = 60_000;
@@ -141,6 +155,31 @@
         assertThat(mReplicas.get("c").mAsked.get()).isGreaterThan(0);
     }
 
+    @Test
+    void blockedCommonPoolHoldsUpNoTry() throws Exception {
+        mClient.onLeader("b");
+        mReplicas.get("a").mAnswerAfterMillis = 0;
+        CountDownLatch block = new CountDownLatch(1);
+        for (int i = 0; i < ForkJoinPool.commonPool().getParallelism(); i++) {
+            ForkJoinPool.commonPool().execute(() -> awaitQuietly(block));
+        }
+        try {
+            CommandResult result = mClient.propose(COMMAND).get(4, TimeUnit.SECONDS);
+
+            assertThat(result).isEqualTo(RESULT);
+        } finally {
+            block.countDown();
+        }
+    }
+
+    private static void awaitQuietly(CountDownLatch latch) {
+        try {
+            latch.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     private static long millisSince(long startedAt) {
         return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startedAt);
     }
