--- a/quilldyke-tools/src/test/java/org/quilldyke/tools/demo/SmallSite.java
+++ b/quilldyke-tools/src/test/java/org/quilldyke/tools/demo/SmallSite.java
@@ -30,6 +30,8 @@
 import org.quilldyke.control.Intent;
 import org.quilldyke.daemon.QuilldykeInstance;
 import org.quilldyke.daemon.caller.CallerHeaders;
+import org.quilldyke.daemon.control.DataFolder;
+import org.quilldyke.daemon.control.ReplicaStorage;
 import org.quilldyke.daemon.json.Json;
 import org.quilldyke.tools.client.ApiClient;
 import org.quilldyke.tools.client.OperatorClient;
@@ -54,6 +56,13 @@
         return start(DemoSite.plan(3, 3, folder));
     }
 
+    static SmallSite start(Path folder, ReplicaStorage.Opener disks)
+            throws IOException, QuilldykeException, InterruptedException {
+        DemoSite site = DemoSite.plan(3, 3, folder);
+        site.useDisks(disks);
+        return start(site);
+    }
+
     static SmallSite start(DemoSite site)
             throws IOException, QuilldykeException, InterruptedException {
         SmallSite small = new SmallSite(site);
