--- a/quilldyke-gateway/src/test/java/org/quilldyke/gateway/instance/ControlLinksTest.java
+++ b/quilldyke-gateway/src/test/java/org/quilldyke/gateway/instance/ControlLinksTest.java
@@ -169,11 +169,11 @@
 
     /** A control process with one entry. */
     private static final class FakeControl implements SessionServer.Handler {
-        private final String mDomain;
         volatile boolean mAnswers;
         volatile boolean mMain;
         volatile StreamObserver<ControlFrame> mOut;
         SessionServer mServer;
+        private final String mDomain;
         private NettyLoop mLoop;
 
         FakeControl(String domain) {
--- a/quilldyke-tools/src/test/java/org/quilldyke/tools/demo/SmallSite.java
+++ b/quilldyke-tools/src/test/java/org/quilldyke/tools/demo/SmallSite.java
@@ -30,7 +30,6 @@
 import org.quilldyke.control.Intent;
 import org.quilldyke.daemon.QuilldykeInstance;
 import org.quilldyke.daemon.caller.CallerHeaders;
-import org.quilldyke.daemon.control.DataFolder;
 import org.quilldyke.daemon.control.ReplicaStorage;
 import org.quilldyke.daemon.json.Json;
 import org.quilldyke.tools.client.ApiClient;
