--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/GatewayProcess.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/GatewayProcess.java
@@ -75,6 +75,9 @@
     /** A traffic thread that is busy for longer than this isn't waited for. */
     private static final long COUNT_LIMIT_MILLIS = 100;
 
+    /** Stands for a count that the traffic thread didn't give; something may be open or cut. */
+    private static final int UNKNOWN = -1;
+
     /**
      * An operator's call waits for a commit, and is sent again after a second without an answer.
      */
@@ -189,10 +192,11 @@
         pause(Math.min(OUT_OF_ROTATION_MILLIS, Math.max(0, end - mClock.getAsLong())));
         mTraffic.execute(mCallers::closeListener);
         do {
-            pause(POLL_MILLIS);
-        } while (onTraffic(mCallers::closeIdle) > 0 && mClock.getAsLong() < end);
+            // Not past the end: an instance that outlasts its time is killed with what it tells.
+            pause(Math.min(POLL_MILLIS, Math.max(1, end - mClock.getAsLong())));
+        } while (onTraffic(mCallers::closeIdle) != 0 && mClock.getAsLong() < end);
         int cut = onTraffic(mCallers::onInstanceEnds);
-        if (cut > 0) {
+        if (cut != 0) {
             pause(POLL_MILLIS);
         }
         return cut;
@@ -229,11 +233,11 @@
         }
     }
 
-    /** Returns a count of what is open, taken on the traffic thread; 1 if that thread is stuck. */
+    /** Returns a count taken on the traffic thread, {@link #UNKNOWN} if that thread is stuck. */
     private int onTraffic(Supplier<Integer> count) {
         CompletableFuture<Integer> counted = new CompletableFuture<>();
         mTraffic.execute(() -> counted.complete(count.get()));
-        return counted.completeOnTimeout(1, COUNT_LIMIT_MILLIS, TimeUnit.MILLISECONDS).join();
+        return counted.completeOnTimeout(UNKNOWN, COUNT_LIMIT_MILLIS, TimeUnit.MILLISECONDS).join();
     }
 
     private void startEntry() throws QuilldykeException {
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/CallerConnection.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/CallerConnection.java
@@ -150,6 +150,9 @@
                             ResultCode.CUT_BY_SHUTDOWN.label(),
                             "why",
                             "the caller has not read the end of its answer");
+        } else {
+            // What came on it now would run, and be lost with the process.
+            close();
         }
     }
 
@@ -157,11 +160,15 @@
     void closeIfIdle() {
         boolean isNew = mLastWrite == null && mEntry.now() - mOpenedAt < NEW_MILLIS;
         if (!isBusy() && !isNew) {
-            mClosing = true;
-            mContext.close();
+            close();
         }
     }
 
+    private void close() {
+        mClosing = true;
+        mContext.close();
+    }
+
     /** Answers with a whole body. */
     void answer(HttpResponseStatus status, HttpHeaders headers, ByteBuf body) {
         DefaultFullHttpResponse response =
