--- a/quilldyke-gateway/src/test/java/org/quilldyke/gateway/instance/ControlLinksTest.java
+++ b/quilldyke-gateway/src/test/java/org/quilldyke/gateway/instance/ControlLinksTest.java
@@ -51,6 +51,10 @@
  */
 class ControlLinksTest {
     private static final String DOMAIN = "near";
+
+    /** Connections go out from another address, so that none of them gets a port that is free. */
+    private static final String IP = "127.0.77.1";
+
     private static final long AWAIT_MILLIS = 5000;
     private static final long QUIET_MILLIS = 300;
     private static final TargetLoad OPEN =
@@ -66,8 +70,8 @@
 
     @BeforeEach
     void start() throws Exception {
-        String far = mFar.start("127.0.0.1", mLoop);
-        String near = address("127.0.0.1");
+        String far = mFar.start(IP, mLoop);
+        String near = address(IP);
         mLinks =
                 mLoop.loop()
                         .submit(
