--- a/quilldyke-gateway/src/test/java/org/quilldyke/gateway/control/RestartMemoryFuzzTest.java
+++ b/quilldyke-gateway/src/test/java/org/quilldyke/gateway/control/RestartMemoryFuzzTest.java
@@ -75,7 +75,7 @@
             assertWithMessage(where)
                     .that(memory.targets())
                     .isAnyOf(before.remembered(), after.remembered());
-            assertWithMessage(where).that(memory.caches()).isAnyOf(before.caches, after.caches);
+            assertWithMessage(where).that(memory.caches()).isAnyOf(before.caches(), after.caches());
         }
     }
 
@@ -131,7 +131,7 @@
             CacheMirror after = new CacheMirror();
             memory.targets().forEach(report -> registry.onReport(report, 0));
             memory.caches().forEach(after::apply);
-            for (TargetReport old : stored.targets) {
+            for (TargetReport old : stored.targets()) {
                 TargetReport later = Content.report(old.incarnation().id(), later(old), mRandom);
                 registry.onReport(later, mRandom.nextInt(100));
                 before.onHolder(later.id());
@@ -179,8 +179,8 @@
     private void save(String owner, Content content) throws QuilldykeException {
         VirtualDisk writes = queue();
         RestartMemory memory = memory(owner, writes);
-        assertThat(memory.saveTargets(content.targets)).isTrue();
-        assertThat(memory.saveCaches(content.caches)).isTrue();
+        assertThat(memory.saveTargets(content.targets())).isTrue();
+        assertThat(memory.saveCaches(content.caches())).isTrue();
         for (long until = mNow + WRITTEN_BY; mNow < until; mNow++) {
             writes.run(mNow);
         }
@@ -198,20 +198,17 @@
     }
 
     /** What a process knows at a time. */
-    private static final class Content {
-        final List<TargetReport> targets = new ArrayList<>();
-        final List<CacheNews> caches = new ArrayList<>();
-
+    private record Content(List<TargetReport> targets, List<CacheNews> caches) {
         static Content draw(Random random) {
-            Content content = new Content();
+            Content content = new Content(new ArrayList<>(), new ArrayList<>());
             int size = 1 + random.nextInt(5);
             for (int i = 0; i < size; i++) {
                 TargetReport report = report("i-" + i, 1 + random.nextInt(100), random);
-                content.targets.add(report);
+                content.targets().add(report);
                 CacheNews.Builder news =
                         CacheNews.newBuilder().setHolder(report.id()).setUp(true).setWhole(true);
                 random.longs(random.nextInt(6)).forEach(news::addAdded);
-                content.caches.add(news.build());
+                content.caches().add(news.build());
             }
             return content;
         }
