Test: a group to which machines come late

With two of five machines absent at the first start a change is taken once a leader has waited 6 s; two disks lost 6 s after their start are borne.

--- a/quilldyke-gateway/src/test/java/org/quilldyke/gateway/control/LossRun.java
+++ b/quilldyke-gateway/src/test/java/org/quilldyke/gateway/control/LossRun.java
@@ -48,6 +48,11 @@
     private static final int ROUNDS = 3;
     private static final String PIECES = "piece of a snapshot sent";
     private static final long STARTED_BY = 8000;
+    private static final long LATE_START = 9000;
+
+    /** For so long a machine counts as lost after its start (sheets). */
+    private static final long CATCH_UP = 6000;
+
     private static final long RECOVERED_WITHIN = 12_000;
     private static final int LARGEST_DOCUMENT = 24 << 10;
 
@@ -119,6 +124,28 @@
         return run.mReport;
     }
 
+    /**
+     * Plays a group to which as many machines come late as it must bear to lose, and that loses as
+     * many disks once these count as lost no longer.
+     *
+     * @param machines how many have a disk
+     * @param tolerated how many of them may lose it at once
+     * @param seed draws everything
+     */
+    static CheckReport playLate(int machines, int tolerated, long seed) {
+        LossRun run = new LossRun(machines, tolerated, Kind.PLAIN, seed);
+        List<LossMachine> late = run.mMachines.subList(machines - tolerated, machines);
+        late.forEach(machine -> machine.startAt(LATE_START));
+        run.awaitFirstAcknowledgement();
+        run.calm();
+        run.pass(LATE_START + CATCH_UP - run.mNow);
+        if (run.mReport.isGood()) {
+            run.loseFirst();
+            run.recover();
+        }
+        return run.mReport;
+    }
+
     long now() {
         return mNow;
     }
--- a/quilldyke-gateway/src/test/java/org/quilldyke/gateway/control/LossRunTest.java
+++ b/quilldyke-gateway/src/test/java/org/quilldyke/gateway/control/LossRunTest.java
@@ -91,6 +91,13 @@
         assertThat(playFirst(8, 2).keySet()).containsAtLeastElementsIn(LOSSES);
     }
 
+    /** Two of five that don't come are the two that the others can do without. */
+    @Test
+    void groupGoesOnWithoutMachinesThatComeLate() {
+        Map<String, Long> counts = playAll(5, SEEDS, seed -> LossRun.playLate(5, 2, seed));
+        assertThat(counts.keySet()).containsAtLeastElementsIn(LOSSES);
+    }
+
     private static Map<String, Long> playFirst(int machines, int tolerated) {
         return playAll(machines, SEEDS, seed -> LossRun.playFirst(machines, tolerated, seed));
     }
