--- a/quilldyke-tools/src/test/java/org/quilldyke/tools/demo/InstanceShutdownTest.java
+++ b/quilldyke-tools/src/test/java/org/quilldyke/tools/demo/InstanceShutdownTest.java
@@ -24,6 +24,7 @@
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
@@ -217,6 +218,30 @@
         assertWithMessage("attempts").that(attempts()).isEqualTo(1);
     }
 
+    /** A caller that takes any error in a stream for its end gives up one that only moves. */
+    @Test
+    void callerGoesOnAtAnotherInstanceAfterTheCut() throws Exception {
+        String prompt = "goes on elsewhere";
+        DemoCaller caller =
+                new DemoCaller(
+                        sSite.mClient,
+                        () -> List.of(sSite.address(instance().isReady() ? LEAVING : STAYING)));
+        ReceivedStream stream = new ReceivedStream();
+        stream.onEachChunk(
+                () -> {
+                    if (stream.chunks() == 5) {
+                        shutDown();
+                    }
+                });
+
+        caller.complete(SmallSite.TOKEN, prompt, TOKENS_TOO_MANY, stream);
+
+        assertThat(stream.isDone()).isTrue();
+        assertThat(stream.error()).isEmpty();
+        assertThat(stream.text()).isEqualTo(answer(prompt, TOKENS_TOO_MANY));
+        assertThat(caller.reconnects()).isEqualTo(1);
+    }
+
     /** Users got no answer to a call that may have run, and no word that it may have. */
     @Test
     void callCutAtTheLimitIsToldThatItMayHaveRun() throws Exception {
