A report before the first manifest: incarnations of one id, targets of one service, and what is only remembered give way

Cause: an engine that starts again has another key at the same address, and was refused until a manifest was known. Now only a report of another service is, and a memory gives way to any report.

--- a/quilldyke-core/src/main/java/org/quilldyke/engine/TargetRegistry.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/engine/TargetRegistry.java
@@ -237,17 +237,19 @@
     }
 
     /**
-     * Returns whether a report claims what a known target has: the address of another one, or
-     * another service than its own id was known with.
+     * Returns whether a report of another service claims the id or the address of a target that was
+     * heard.
      */
     public boolean displaces(TargetReport report) {
+        String id = report.incarnation().id();
         return mEntries.values().stream()
                 .map(entry -> entry.mReport)
+                .filter(known -> !known.isRemembered())
+                .filter(known -> !known.service().equals(report.service()))
                 .anyMatch(
                         known ->
-                                known.id().equals(report.id())
-                                        ? !known.service().equals(report.service())
-                                        : known.address().equals(report.address()));
+                                known.incarnation().id().equals(id)
+                                        || known.address().equals(report.address()));
     }
 
     /** Returns the last report of a target. */
--- a/quilldyke-gateway/src/test/java/org/quilldyke/gateway/control/TargetSpreadTest.java
+++ b/quilldyke-gateway/src/test/java/org/quilldyke/gateway/control/TargetSpreadTest.java
@@ -250,6 +250,29 @@
         assertThat(mSpread.reports()).containsExactly(report(2, true));
     }
 
+    /** An engine may start again, or another take its address, before there is a manifest. */
+    @Test
+    void withoutAManifestTargetsOfOneServiceFollowEachOther() throws Exception {
+        mSpread.onReport(report("a#5", 50), true);
+        mNow = 100;
+
+        mSpread.onReport(report("a#7", 1), true);
+        mNow = 200;
+        mSpread.onReport(report("b", "s", "1.1.1.1:1", 1), true);
+
+        assertThat(mSpread.reports()).containsExactly(report("b", "s", "1.1.1.1:1", 1));
+    }
+
+    @Test
+    void withoutAManifestWhatIsOnlyRememberedGivesWay() throws Exception {
+        restartWithMemoryOf(report(7, false));
+
+        mNow = 100;
+        mSpread.onReport(report("b", "other", "1.1.1.1:1", 1), true);
+
+        assertThat(mSpread.reports()).containsExactly(report("b", "other", "1.1.1.1:1", 1));
+    }
+
     /** An instance without a manifest hands on what it took; here the services are known. */
     @Test
     void whatAnotherInstanceTellsOfAnUnknownServiceDisplacesNobody() throws Exception {
--- a/quilldyke-gateway/src/test/java/org/quilldyke/gateway/instance/ControlLinksTest.java
+++ b/quilldyke-gateway/src/test/java/org/quilldyke/gateway/instance/ControlLinksTest.java
@@ -52,9 +52,13 @@
 class ControlLinksTest {
     private static final String DOMAIN = "near";
 
+    /** The links' clock stands still: no stream counts as silent, however slow the machine is. */
+    private static final long NOW = 0;
+
     /** Connections go out from another address, so that none of them gets a port that is free. */
     private static final String IP = "127.0.77.1";
 
+    private static final int SETTLED_QUESTIONS = 5;
     private static final long AWAIT_MILLIS = 5000;
     private static final long QUIET_MILLIS = 300;
     private static final TargetLoad OPEN =
@@ -78,14 +82,15 @@
                                 () ->
                                         ControlLinks.start(
                                                 mLoop,
-                                                ControlLinksTest::now,
+                                                () -> NOW,
                                                 EventLog.of("test"),
                                                 DOMAIN,
                                                 List.of(far, near),
                                                 0,
                                                 mHeard))
                         .get();
-        await(() -> mFar.mMain);
+        // The first questions go out before either stream is up, and don't settle who is main.
+        await(() -> mFar.mMain && mFar.mAsked >= SETTLED_QUESTIONS);
         mNear.start(near, mLoop, false);
         await(() -> mNear.mOut != null);
     }
@@ -175,6 +180,7 @@
     private static final class FakeControl implements SessionServer.Handler {
         volatile boolean mAnswers;
         volatile boolean mMain;
+        volatile int mAsked;
         volatile StreamObserver<ControlFrame> mOut;
         SessionServer mServer;
         private final String mDomain;
@@ -216,6 +222,7 @@
                     if (frame.hasHello()) {
                         mOut = out;
                     } else if (frame.hasQuestion()) {
+                        mAsked++;
                         mMain = frame.getQuestion().getMain();
                         answer(frame.getQuestion().getNumber());
                     }
