--- a/quilldyke-gateway/src/test/java/org/quilldyke/gateway/control/LossRunTest.java
+++ b/quilldyke-gateway/src/test/java/org/quilldyke/gateway/control/LossRunTest.java
@@ -31,7 +31,7 @@
 class LossRunTest {
     private static final int SEEDS = Integer.getInteger("quilldyke.loss.seeds", 100);
 
-    /** Their seeds take longer, so that there are fewer: some ten seconds on a busy machine. */
+    /** Their seeds take longer, so that there are fewer: some 25 s a kind on a busy machine. */
     private static final int SEEDS_OF_KINDS = (SEEDS + 1) / 2;
 
     private static final int FIRST_SEED = Integer.getInteger("quilldyke.loss.first", 1);
