A request behind an answer that its caller hasn't taken isn't run yet

Cause: an answer that isn't a stream is held whole, and the next request of its connection was run as soon as the answer before was handed to the socket, so that a caller that sends three requests together and reads slowly had three whole answers in an entry's memory, beside the copies of their growth. Two such callers with answers of 5 MB stop all callers of an entry that may use 48 MB outside the heap.

Ruled out: a pause of the whole process (the control thread wrote lines meanwhile). Reading goes on once nothing waits, as else a body in more than 64 pieces behind an answer would never be read on. Left: each slow caller still has one whole answer.

--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/CallerConnection.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/CallerConnection.java
@@ -83,7 +83,7 @@
     public void channelRead(ChannelHandlerContext ctx, Object message) {
         if (mClosing) {
             ReferenceCountUtil.release(message);
-        } else if (mExchange != null || !mWaiting.isEmpty()) {
+        } else if (mExchange != null || !mWaiting.isEmpty() || !ctx.channel().isWritable()) {
             // What waits comes first, also between an answer and the step that reads on.
             mWaiting.add(message);
             if (mWaiting.size() >= MAX_WAITING) {
@@ -117,6 +117,8 @@
     public void channelWritabilityChanged(ChannelHandlerContext ctx) {
         if (mExchange != null) {
             mExchange.onWritable(ctx.channel().isWritable());
+        } else {
+            ctx.executor().execute(this::readWaiting);
         }
     }
 
@@ -327,8 +329,9 @@
         return mEntry.isDraining() && mWaiting.isEmpty();
     }
 
+    /** The next answer isn't fetched before its caller takes the one before: each is held whole. */
     private void readWaiting() {
-        while (mExchange == null && !mWaiting.isEmpty()) {
+        while (mExchange == null && !mWaiting.isEmpty() && mContext.channel().isWritable()) {
             Object message = mWaiting.poll();
             if (mClosing) {
                 ReferenceCountUtil.release(message);
@@ -336,6 +339,9 @@
                 onMessage(message);
             }
         }
+        if (mWaiting.isEmpty()) {
+            mContext.channel().config().setAutoRead(true);
+        }
     }
 
     private void onIdle() {
