The time to shut down counts from the signal, also if it comes amid a start

Cause: SIGTERM amid a start waits up to 500 ms for something to shut down, and the time to shut down began only then, so that the process ended that much too late. The wait for the balancer counts from the signal as well.

What is left: the time until the hook begins isn't counted, as the process can't know it.

--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/GatewayProcess.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/GatewayProcess.java
@@ -165,9 +165,13 @@
                 });
     }
 
-    /** Shuts down without interrupting a request; returns when the process may end. */
-    public void shutdown() {
-        long start = mClock.getAsLong();
+    /**
+     * Shuts down without interrupting a request; returns when the process may end.
+     *
+     * @param start when the time to shut down began, by {@link #now}: a signal may come while the
+     *     process starts
+     */
+    public void shutdown(long start) {
         mDraining.set(true);
         int open = mEntry == null ? mCalls.open() : onTraffic(mCallers::busyConnections);
         mLog.write(Event.SHUTTING_DOWN, "role", mSettings.role(), "open", open);
@@ -189,7 +193,8 @@
     private int endEntry(long start) {
         long end = start + mSettings.timings().grace() - EXIT_MARGIN_MILLIS;
         mTraffic.execute(() -> mEntry.drain(end));
-        pause(Math.min(OUT_OF_ROTATION_MILLIS, Math.max(0, end - mClock.getAsLong())));
+        long closeAt = Math.min(start + OUT_OF_ROTATION_MILLIS, end);
+        pause(Math.max(0, closeAt - mClock.getAsLong()));
         mTraffic.execute(mCallers::closeListener);
         do {
             // Not past the end: an instance that outlasts its time is killed with what it tells.
