Tests: a fault of a stand-in is in force when it was set; the flood begins once a batch stands still

Both failed once beside a load of 60 to 80 on 16 cores, and were traced by reading: CallerPathTest.refusalByAllEnginesIsNotRun asked before the engine's thread had taken the fault; BoundedConsoleWriterTest counted what was left out after a late first batch had told a part of it (31,911 of at least 32,768). Checks are as strict.

--- a/quilldyke-daemon/src/test/java/org/quilldyke/daemon/log/BoundedConsoleWriterTest.java
+++ b/quilldyke-daemon/src/test/java/org/quilldyke/daemon/log/BoundedConsoleWriterTest.java
@@ -27,6 +27,7 @@
 
 class BoundedConsoleWriterTest {
     private final ByteArrayOutputStream mWritten = new ByteArrayOutputStream();
+    private final CountDownLatch mEntered = new CountDownLatch(1);
     private final CountDownLatch mOpened = new CountDownLatch(1);
 
     /** A pipe that nobody reads must not hold up requests, nor fill the memory. */
@@ -37,6 +38,9 @@
                         Map.of("format", "{message}"), new PrintStream(blocked(), false));
         int lines = 10 * BoundedConsoleWriter.CAPACITY;
 
+        // What is left out is told with the next batch: the flood begins once one stands still.
+        writer.add("line first\n");
+        mEntered.await();
         long start = System.nanoTime();
         for (int i = 0; i < lines; i++) {
             writer.add("line " + i + "\n");
@@ -51,7 +55,7 @@
         String text = mWritten.toString(StandardCharsets.UTF_8);
         assertThat(text).contains(leftOut + " log lines were left out");
         assertThat(text.lines().filter(line -> line.startsWith("line ")).count())
-                .isEqualTo(lines - leftOut);
+                .isEqualTo(1 + lines - leftOut);
     }
 
     private OutputStream blocked() {
@@ -63,6 +67,7 @@
 
             @Override
             public void write(byte[] bytes, int from, int length) {
+                mEntered.countDown();
                 try {
                     mOpened.await();
                 } catch (InterruptedException e) {
--- a/quilldyke-testkit/src/main/java/org/quilldyke/testkit/engine/EngineStandIn.java
+++ b/quilldyke-testkit/src/main/java/org/quilldyke/testkit/engine/EngineStandIn.java
@@ -34,7 +34,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import org.quilldyke.engine.BlockChain;
 import org.quilldyke.engine.ChatTemplate;
@@ -57,6 +59,9 @@
     private static final int BODY_LIMIT = 64 << 20;
     private static final int LOAD_MILLIS = 300;
 
+    /** The thread of an engine that was killed sets nothing any more. */
+    private static final int SET_MILLIS = 1000;
+
     private final EngineSettings mSettings;
     private final long mIncarnation;
     private final StandInHost mHost;
@@ -113,22 +118,36 @@
 
     /** Breaks each answer's connection once it has sent {@code tokens} more tokens. */
     public void breakStreamsAfter(int tokens) {
-        mHost.reactor().execute(() -> mFaults.mBreakAfterTokens = tokens);
+        set(() -> mFaults.mBreakAfterTokens = tokens);
     }
 
     /** Stops or continues all work. */
     public void freeze(boolean frozen) {
-        mHost.reactor().execute(() -> mFaults.mFrozen = frozen);
+        set(() -> mFaults.mFrozen = frozen);
     }
 
     /** Refuses new requests unrun, or accepts them again. */
     public void refuse(boolean refuse) {
-        mHost.reactor().execute(() -> mFaults.mRefuse = refuse);
+        set(() -> mFaults.mRefuse = refuse);
     }
 
     /** Writes a wrong request into the ids of answers, or stops doing so. */
     public void crossIds(boolean cross) {
-        mHost.reactor().execute(() -> mFaults.mCrossIds = cross);
+        set(() -> mFaults.mCrossIds = cross);
+    }
+
+    /** Sets a fault; it is in force when this returns, unless the engine has been killed. */
+    private void set(Runnable fault) {
+        CompletableFuture<Void> done = new CompletableFuture<>();
+        mHost.reactor()
+                .execute(
+                        () -> {
+                            fault.run();
+                            done.complete(null);
+                        });
+        if (!mHost.reactor().inReactorThread()) {
+            done.completeOnTimeout(null, SET_MILLIS, TimeUnit.MILLISECONDS).join();
+        }
     }
 
     /** Returns the target's id. */
