--- a/quilldyke-core/src/main/java/org/quilldyke/caller/Forwarding.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/caller/Forwarding.java
@@ -66,6 +66,7 @@
     private int mMayHaveRun;
     private boolean mHeadPassed;
     private long mLastEvent;
+    private CutCause mLeftBy = CutCause.TARGET;
 
     private Forwarding(
             ForwardRequest request,
@@ -157,6 +158,11 @@
         onPromptRead();
     }
 
+    /** Returns at how many targets the request runs, has run or may have run. */
+    public int runs() {
+        return mMayHaveRun + (mOpen && !mRunCounted ? 1 : 0);
+    }
+
     /** Returns the last event passed on, -1 for none. */
     public long lastEvent() {
         return mLastEvent;
@@ -169,6 +175,16 @@
 
     /** Returns the step after the target's answer broke off, or can't be the one asked for. */
     public Step onBroken(ResultCode why, long now) {
+        return onLost(why, CutCause.TARGET, now);
+    }
+
+    /** Returns the step after this instance has taken the target for lost. */
+    public Step onGivenUp(CutCause cause, long now) {
+        return onLost(ResultCode.TARGET_LOST, cause, now);
+    }
+
+    private Step onLost(ResultCode why, CutCause cause, long now) {
+        mLeftBy = cause;
         mBook.onFailure(mChoice.target(), now);
         countRun();
         finishAttempt();
@@ -188,6 +204,7 @@
         if (!mayMove || !takeRetry(now)) {
             return Optional.empty();
         }
+        mLeftBy = CutCause.MOVE;
         finishAttempt();
         mExcluded.add(mChoice.target());
         return Optional.of(choose(now));
@@ -197,6 +214,7 @@
     public Step onTimeOver(long now) {
         return cutShort(
                 ResultCode.ROUTE_TIMEOUT,
+                CutCause.TIME,
                 new Step.Refuse(ResultCode.DEADLINE_PASSED, 0, "no target in time"));
     }
 
@@ -214,14 +232,15 @@
     public Step onInstanceEnds() {
         return cutShort(
                 ResultCode.CUT_BY_SHUTDOWN,
+                CutCause.SHUTDOWN,
                 new Step.Refuse(ResultCode.SHUTTING_DOWN, 0, "not sent before the end"));
     }
 
-    private Step cutShort(ResultCode code, Step.Refuse unsent) {
+    private Step cutShort(ResultCode code, CutCause cause, Step.Refuse unsent) {
         boolean sent = mSent;
         finishAttempt();
         if (mHeadPassed) {
-            return new Step.Break(code);
+            return new Step.Break(code, cause);
         }
         return sent || mMayHaveRun > 0 ? new Step.Fail(code) : unsent;
     }
@@ -271,7 +290,7 @@
 
     /** Returns the end of a request that has run, or may have. */
     private Step endOf(ResultCode why) {
-        return mHeadPassed ? new Step.Break(why) : new Step.Fail(why);
+        return mHeadPassed ? new Step.Break(why, mLeftBy) : new Step.Fail(why);
     }
 
     private Step sendAgainOr(Step end, long now) {
@@ -360,7 +379,7 @@
 
     private Step giveUp(ResultCode code, long retryAfterMillis, String why) {
         if (mHeadPassed) {
-            return new Step.Break(code);
+            return new Step.Break(code, mLeftBy);
         }
         if (mMayHaveRun > 0) {
             return new Step.Fail(ResultCode.TARGET_LOST);
--- a/quilldyke-core/src/main/java/org/quilldyke/caller/RetryAllowance.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/caller/RetryAllowance.java
@@ -79,9 +79,14 @@
 
     /** Returns whether so many second attempts on a service are left. */
     public boolean hasRoom(String service, int attempts, long now) {
+        return attempts <= left(service, now);
+    }
+
+    /** Returns how many second attempts on a service are left; less than 0 if fewer than none. */
+    public double left(String service, long now) {
         Window window = window(service, now);
         double allowed = mRatio * sum(window.mRequests) + mFixed / mInstances;
-        return sum(window.mRetries) + attempts <= USED_PART * allowed;
+        return USED_PART * allowed - sum(window.mRetries);
     }
 
     private Window window(String service, long now) {
--- a/quilldyke-core/src/main/java/org/quilldyke/caller/Step.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/caller/Step.java
@@ -47,6 +47,11 @@
     /** Tell the caller that no answer will come, though the request may have run. */
     record Fail(ResultCode code) implements Step {}
 
-    /** Cut the caller's connection, so that the part of an answer that it has is no whole one. */
-    record Break(ResultCode code) implements Step {}
+    /**
+     * Cut the caller's connection, so that the part of an answer that it has is no whole one.
+     *
+     * @param code what can't be done any more
+     * @param cause why the answer's last run was left
+     */
+    record Break(ResultCode code, CutCause cause) implements Step {}
 }
--- a/quilldyke-core/src/test/java/org/quilldyke/caller/ForwardingTest.java
+++ b/quilldyke-core/src/test/java/org/quilldyke/caller/ForwardingTest.java
@@ -165,7 +165,7 @@
         forwarding.onEventPassed(7);
 
         assertThat(forwarding.onBroken(ResultCode.TARGET_LOST, 50))
-                .isEqualTo(new Step.Break(ResultCode.TARGET_LOST));
+                .isEqualTo(new Step.Break(ResultCode.TARGET_LOST, CutCause.TARGET));
     }
 
     /**
@@ -183,7 +183,7 @@
             sent(forwarding.onBroken(ResultCode.TARGET_LOST, 50), forwarding);
 
             assertThat(forwarding.onAnswer(head, 60))
-                    .isEqualTo(new Step.Break(ResultCode.STREAM_BROKEN));
+                    .isEqualTo(new Step.Break(ResultCode.STREAM_BROKEN, CutCause.TARGET));
         }
     }
 
@@ -197,7 +197,7 @@
         sent(forwarding.onBroken(ResultCode.TARGET_LOST, 50), forwarding);
 
         assertThat(forwarding.onAnswer(UNSIGNED, 60))
-                .isEqualTo(new Step.Break(ResultCode.ANSWER_SPOILED));
+                .isEqualTo(new Step.Break(ResultCode.ANSWER_SPOILED, CutCause.TARGET));
     }
 
     @Test
@@ -385,7 +385,7 @@
 
         assertThat(forwarding.onTargetWaits(15)).isEqualTo(Optional.empty());
         assertThat(forwarding.onBroken(ResultCode.TARGET_LOST, 20))
-                .isEqualTo(new Step.Break(ResultCode.TARGET_LOST));
+                .isEqualTo(new Step.Break(ResultCode.TARGET_LOST, CutCause.TARGET));
     }
 
     /** Before the repair an instance ended without a word to whom it hadn't answered yet. */
@@ -403,7 +403,8 @@
         sent(begun.start(0), begun);
         begun.onAnswer(STREAM, 10);
         begun.onEventPassed(4);
-        assertThat(begun.onInstanceEnds()).isEqualTo(new Step.Break(ResultCode.CUT_BY_SHUTDOWN));
+        assertThat(begun.onInstanceEnds())
+                .isEqualTo(new Step.Break(ResultCode.CUT_BY_SHUTDOWN, CutCause.SHUTDOWN));
     }
 
     @Test
--- a/quilldyke-daemon/src/main/java/org/quilldyke/daemon/log/Event.java
+++ b/quilldyke-daemon/src/main/java/org/quilldyke/daemon/log/Event.java
@@ -25,6 +25,7 @@
     CALLER_GONE(1003, Level.INFO, "gone", "a caller went away before the end of its answer"),
     STREAM_RESUMED(1004, Level.INFO, "resume", "a caller resumed a stream at this instance"),
     STORED_ANSWER(1005, Level.INFO, "stored", "a repeat got the stored answer"),
+    ANSWER_CUT(1006, Level.WARN, "cut", "an answer was cut in its middle, and why"),
 
     ROUTED(2001, Level.INFO, "route", "a target was chosen, and why"),
     ATTEMPT_FAILED(2002, Level.WARN, "attempt", "an attempt failed"),
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/GatewayProcess.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/GatewayProcess.java
@@ -192,7 +192,7 @@
     /** Returns how many requests were cut: those that outlast the time to shut down. */
     private int endEntry(long start) {
         long end = start + mSettings.timings().grace() - EXIT_MARGIN_MILLIS;
-        mTraffic.execute(() -> mEntry.drain(end));
+        mTraffic.execute(() -> mEntry.drain(start, end));
         long closeAt = Math.min(start + OUT_OF_ROTATION_MILLIS, end);
         pause(Math.max(0, closeAt - mClock.getAsLong()));
         mTraffic.execute(mCallers::closeListener);
--- /dev/null
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/CallerRequests.java
@@ -0,0 +1,82 @@
+/*
+ * Copyright 2026 The quilldyke authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.quilldyke.gateway.caller;
+
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpRequest;
+import java.util.Optional;
+import org.quilldyke.QuilldykeException;
+import org.quilldyke.ResultCode;
+import org.quilldyke.caller.ForwardRequest;
+import org.quilldyke.gateway.dialect.CallerFacts;
+import org.quilldyke.manifest.Organisation;
+import org.quilldyke.manifest.Route;
+import org.quilldyke.manifest.RouteTable;
+
+/** Makes a request to be forwarded of what a caller sent, if the configuration allows it. */
+final class CallerRequests {
+    /** Unrun requests that a later moment may serve come back after this, if not told otherwise. */
+    static final long UNCONFIRMED_RETRY_MILLIS = 800;
+
+    private CallerRequests() {}
+
+    /**
+     * Returns what is asked for.
+     *
+     * @param entry whose configuration decides
+     * @param head what the caller sent
+     * @param bodyBytes the size of its body
+     * @param arrivedAt when it was read, in milliseconds of the entry's clock
+     * @throws QuilldykeException if the configuration isn't known or confirmed, the route or the
+     *     key isn't in it, or the head can't be read; nothing has run then
+     */
+    static ForwardRequest admit(Entry entry, HttpRequest head, int bodyBytes, long arrivedAt)
+            throws QuilldykeException {
+        RouteTable routes = entry.routes();
+        if (routes == null) {
+            throw QuilldykeException.notRunRetryAfter(
+                    ResultCode.NO_CONFIGURATION, "", UNCONFIRMED_RETRY_MILLIS);
+        }
+        CallerFacts facts = entry.dialect().callers().read(head);
+        String path = head.uri().split("[?#]", 2)[0];
+        Optional<Route> found = routes.route(head.headers().get(HttpHeaderNames.HOST), path);
+        boolean open = found.isPresent() && (found.get().open() || !routes.needsKeys());
+        if (!open && !entry.isConfirmed()) {
+            throw QuilldykeException.notRunRetryAfter(
+                    ResultCode.KEYS_UNCONFIRMED, "", UNCONFIRMED_RETRY_MILLIS);
+        }
+        if (found.isEmpty()) {
+            throw QuilldykeException.notRun(ResultCode.UNKNOWN_PATH, path);
+        }
+        Route route = found.get();
+        Optional<Organisation> owner = facts.key().flatMap(routes::owner);
+        if (!open && owner.isEmpty()) {
+            throw QuilldykeException.notRun(ResultCode.UNKNOWN_TOKEN, "");
+        }
+        long left = Math.min(route.timeoutMillis(), facts.millisLeft().orElse(Long.MAX_VALUE));
+        return new ForwardRequest(
+                facts.id(),
+                route,
+                route.serviceFor(facts.id().hashCode()),
+                owner,
+                routes.commonCache(),
+                route.usesModel() ? facts.prompt() : Optional.empty(),
+                bodyBytes,
+                arrivedAt,
+                arrivedAt + left,
+                facts.lastEvent().orElse(-1));
+    }
+}
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Entry.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Entry.java
@@ -21,6 +21,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
@@ -44,6 +45,8 @@
     /** How often it is looked whether a few streams keep a target from loading weights. */
     private static final long HELD_UP_CHECK_MILLIS = 100;
 
+    private static final long NO_VERSION = -1;
+
     private final EventLoop mLoop;
     private final LongSupplier mClock;
     private final Dialect mDialect;
@@ -57,6 +60,7 @@
     private final Map<String, Set<Exchange>> mExchanges = new HashMap<>();
     private final Set<String> mLapsing = new HashSet<>();
     private RouteTable mRoutes;
+    private OptionalLong mDrainBegunAt = OptionalLong.empty();
 
     private Entry(Parts parts) {
         mLoop = parts.loop();
@@ -149,9 +153,11 @@
      * Takes no more connections for long, and no request that would not end in time: answers end
      * their connections.
      *
+     * @param begunAt when the instance was told to shut down
      * @param endsAt when the last answer has to be out
      */
-    public void drain(long endsAt) {
+    public void drain(long begunAt, long endsAt) {
+        mDrainBegunAt = OptionalLong.of(begunAt);
         mShutdown.onShutdown(endsAt);
     }
 
@@ -170,6 +176,18 @@
         return mShutdown.isShuttingDown();
     }
 
+    /** Returns for how long the instance has shut down, in milliseconds; empty if it doesn't. */
+    OptionalLong drainMillis() {
+        return mDrainBegunAt.isEmpty()
+                ? OptionalLong.empty()
+                : OptionalLong.of(now() - mDrainBegunAt.getAsLong());
+    }
+
+    /** Returns the version of the present configuration, -1 if none is known. */
+    long version() {
+        return mRoutes == null ? NO_VERSION : mRoutes.manifest().version();
+    }
+
     /** Returns whether the configuration was confirmed a short while ago. */
     public boolean isConfirmed() {
         return mRoutes != null && mLease.isValid(now());
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Exchange.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Exchange.java
@@ -26,17 +26,14 @@
 import org.quilldyke.QuilldykeException;
 import org.quilldyke.ResultCode;
 import org.quilldyke.caller.AnswerHead;
+import org.quilldyke.caller.CutCause;
 import org.quilldyke.caller.ForwardRequest;
 import org.quilldyke.caller.Forwarding;
 import org.quilldyke.caller.StartUpWait;
 import org.quilldyke.caller.Step;
 import org.quilldyke.gateway.dialect.AnswerFacts;
-import org.quilldyke.gateway.dialect.CallerFacts;
 import org.quilldyke.gateway.engine.Attempt;
 import org.quilldyke.gateway.engine.AttemptListener;
-import org.quilldyke.manifest.Organisation;
-import org.quilldyke.manifest.Route;
-import org.quilldyke.manifest.RouteTable;
 import org.quilldyke.routing.Choice;
 
 /** One request from its arrival to its answer: carries out what {@link Forwarding} decides. */
@@ -49,9 +46,6 @@
     /** How often a request that waits for the first configuration looks for it. */
     private static final long START_UP_STEP_MILLIS = 20;
 
-    /** Unrun requests that a later moment may serve come back after this, if not told otherwise. */
-    private static final long UNCONFIRMED_RETRY_MILLIS = 800;
-
     /** How often it is looked whether a silent target is still alive. */
     private static final long SILENCE_STEP_MILLIS = 200;
 
@@ -83,6 +77,8 @@
     private long mEventAt;
     private long mStreamBegunAt;
     private long mLongestPauseMillis;
+    private long mVersionBegun;
+    private ExchangeLog.LeftRun mLeft;
     private boolean mPaused;
     private boolean mStreamBegun;
     private boolean mWhole;
@@ -106,7 +102,8 @@
                                 .schedule(this::start, START_UP_STEP_MILLIS, TimeUnit.MILLISECONDS);
                 return;
             }
-            mRequest = admit();
+            mRequest = CallerRequests.admit(mEntry, mHead, mBody.readableBytes(), mArrivedAt);
+            mVersionBegun = mEntry.version();
         } catch (QuilldykeException e) {
             refuse(e.code(), e.retryAfterMillis(), e.getMessage());
             return;
@@ -156,17 +153,24 @@
     /** The target is silent to all: what can't go on elsewhere waits for it until its time ends. */
     void onTargetSilent() {
         if (mAttempt != null && !mEnded && mForwarding.isSilenceTelling(now())) {
-            onTargetLost("the target is silent");
+            giveUp(CutCause.CONTROL, "the target is silent");
         }
     }
 
     void onTargetLost(String why) {
         if (mAttempt != null && !mEnded) {
-            cancelAttempt();
-            onBroken(ResultCode.TARGET_LOST, why);
+            giveUp(CutCause.CONTROL, why);
         }
     }
 
+    /** Leaves a target that is taken for lost. */
+    private void giveUp(CutCause cause, String why) {
+        cancelAttempt();
+        releaseAnswer();
+        logAttempt("broken", ResultCode.TARGET_LOST.label() + " " + why);
+        perform(mForwarding.onGivenUp(cause, now()));
+    }
+
     /** The target waits for its runs to end, to load weights. */
     void onTargetWaits() {
         if (mAttempt == null || mEnded) {
@@ -289,42 +293,6 @@
         return StartUpWait.mayWait(mArrivedAt, mMillisLeft, now());
     }
 
-    private ForwardRequest admit() throws QuilldykeException {
-        RouteTable routes = mEntry.routes();
-        if (routes == null) {
-            throw QuilldykeException.notRunRetryAfter(
-                    ResultCode.NO_CONFIGURATION, "", UNCONFIRMED_RETRY_MILLIS);
-        }
-        CallerFacts facts = mEntry.dialect().callers().read(mHead);
-        String path = mHead.uri().split("[?#]", 2)[0];
-        Optional<Route> found = routes.route(mHead.headers().get(HttpHeaderNames.HOST), path);
-        boolean open = found.isPresent() && (found.get().open() || !routes.needsKeys());
-        if (!open && !mEntry.isConfirmed()) {
-            throw QuilldykeException.notRunRetryAfter(
-                    ResultCode.KEYS_UNCONFIRMED, "", UNCONFIRMED_RETRY_MILLIS);
-        }
-        if (found.isEmpty()) {
-            throw QuilldykeException.notRun(ResultCode.UNKNOWN_PATH, path);
-        }
-        Route route = found.get();
-        Optional<Organisation> owner = facts.key().flatMap(routes::owner);
-        if (!open && owner.isEmpty()) {
-            throw QuilldykeException.notRun(ResultCode.UNKNOWN_TOKEN, "");
-        }
-        long left = Math.min(route.timeoutMillis(), facts.millisLeft().orElse(Long.MAX_VALUE));
-        return new ForwardRequest(
-                facts.id(),
-                route,
-                route.serviceFor(facts.id().hashCode()),
-                owner,
-                routes.commonCache(),
-                route.usesModel() ? facts.prompt() : Optional.empty(),
-                mBody.readableBytes(),
-                mArrivedAt,
-                mArrivedAt + left,
-                facts.lastEvent().orElse(-1));
-    }
-
     private void perform(Step step) {
         if (step instanceof Step.Send send) {
             send(send);
@@ -341,8 +309,9 @@
         } else if (step instanceof Step.Fail fail) {
             refuse(fail.code(), 0, "may have run");
         } else if (step instanceof Step.Break broken) {
-            logEnd(broken.code(), "cut after event " + mForwarding.lastEvent());
+            logCut(broken);
             mEntry.metrics().onRefused(broken.code());
+            mEntry.metrics().onCut(broken.cause());
             end();
             mCaller.abort();
         } else if (step instanceof Step.PassOn) {
@@ -355,9 +324,10 @@
         boolean keyed = !mRequest.route().open() && mEntry.routes().needsKeys();
         if (keyed && !mEntry.isConfirmed()) {
             String age = "age " + mEntry.lease().age(now());
-            perform(mForwarding.onUnconfirmed(UNCONFIRMED_RETRY_MILLIS, age));
+            perform(mForwarding.onUnconfirmed(CallerRequests.UNCONFIRMED_RETRY_MILLIS, age));
             return;
         }
+        mAnswer = null;
         mLog.routed(mRequest, mChoice, send.millisLeft());
         mEntry.metrics().onAttempt();
         mEntry.onOpened(mChoice.target(), this);
@@ -478,8 +448,7 @@
             watchSilence(Math.max(millis, now() - mHeardAt + SILENCE_STEP_MILLIS));
             return;
         }
-        cancelAttempt();
-        onBroken(ResultCode.TARGET_LOST, "silent for " + millis + " ms");
+        giveUp(CutCause.SILENCE, "silent for " + millis + " ms");
     }
 
     private void cancelAttempt() {
@@ -496,6 +465,9 @@
             mSilence = null;
         }
         if (mAttempt != null) {
+            if (mAnswer != null && !mAnswer.head().isNotRun()) {
+                mLeft = new ExchangeLog.LeftRun(mChoice.target(), now() - mHeardAt, now());
+            }
             mEntry.onClosed(mChoice.target(), this);
             mAttempt = null;
         }
@@ -559,6 +531,23 @@
                 millis);
     }
 
+    private void logCut(Step.Break cut) {
+        logEnd(cut.code(), "cut after event " + mForwarding.lastEvent());
+        mLog.cut(
+                mRequest,
+                cut,
+                mLeft,
+                new ExchangeLog.CutState(
+                        now(),
+                        mForwarding.lastEvent(),
+                        mForwarding.runs(),
+                        mEntry.retries().left(mRequest.service(), now()),
+                        mEntry.lease().age(now()),
+                        mVersionBegun,
+                        mEntry.version(),
+                        mEntry.drainMillis()));
+    }
+
     private void logEnd(ResultCode code, String why) {
         mLog.ended(id(), code, why, mChoice, now() - mArrivedAt);
     }
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/ExchangeLog.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/ExchangeLog.java
@@ -15,9 +15,11 @@
  */
 package org.quilldyke.gateway.caller;
 
+import java.util.OptionalLong;
 import org.quilldyke.ResultCode;
 import org.quilldyke.caller.ForwardRequest;
 import org.quilldyke.caller.Prompt;
+import org.quilldyke.caller.Step;
 import org.quilldyke.daemon.log.Event;
 import org.quilldyke.daemon.log.EventLog;
 import org.quilldyke.routing.CacheKeys;
@@ -137,7 +139,81 @@
                 millis);
     }
 
+    /**
+     * An answer was cut.
+     *
+     * @param request what was asked for
+     * @param cut what was decided
+     * @param left the run that was left last
+     * @param state what the decision rests on
+     */
+    void cut(ForwardRequest request, Step.Break cut, LeftRun left, CutState state) {
+        mLog.write(
+                Event.ANSWER_CUT,
+                "request",
+                request.id(),
+                "code",
+                cut.code().label(),
+                "by",
+                cut.cause().label(),
+                "events",
+                state.events(),
+                "target",
+                left.target(),
+                "heard_ms",
+                left.heardMillis(),
+                "left_before_ms",
+                state.now() - left.leftAt(),
+                "runs",
+                state.runs(),
+                "max_runs",
+                request.route().maxAttempts(),
+                "retries_left",
+                (long) Math.floor(state.retriesLeft()),
+                "key_age_ms",
+                state.keyAgeMillis(),
+                "version_begun",
+                state.versionBegun(),
+                "version",
+                state.version(),
+                "drain_ms",
+                state.drainMillis().isEmpty() ? "none" : state.drainMillis().getAsLong(),
+                "left_ms",
+                request.answerBy() - state.now());
+    }
+
     void callerGone(String request, long millis) {
         mLog.write(Event.CALLER_GONE, "request", request, "after", millis);
     }
+
+    /**
+     * A run that was left, whole or not.
+     *
+     * @param target its target
+     * @param heardMillis how long before the target was last heard on it
+     * @param leftAt when it was left
+     */
+    record LeftRun(String target, long heardMillis, long leftAt) {}
+
+    /**
+     * What stood when an answer was cut.
+     *
+     * @param now the time of the cut
+     * @param events the last event that was passed on
+     * @param runs at how many targets it may have run
+     * @param retriesLeft second attempts that the service had left
+     * @param keyAgeMillis time since the configuration was confirmed
+     * @param versionBegun the configuration in force when the request came
+     * @param version the configuration in force at the cut
+     * @param drainMillis time since the instance was told to shut down; empty if it wasn't
+     */
+    record CutState(
+            long now,
+            long events,
+            int runs,
+            double retriesLeft,
+            long keyAgeMillis,
+            long versionBegun,
+            long version,
+            OptionalLong drainMillis) {}
 }
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/platform/GatewayMetrics.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/platform/GatewayMetrics.java
@@ -19,6 +19,7 @@
 import com.codahale.metrics.Histogram;
 import com.codahale.metrics.MetricRegistry;
 import org.quilldyke.ResultCode;
+import org.quilldyke.caller.CutCause;
 import org.quilldyke.manifest.RequestKind;
 
 /** What a gateway process counts. Safe for use by several threads. */
@@ -32,7 +33,12 @@
     private final Histogram mFirstEventMillis = mRegistry.histogram("first-event.ms");
     private final Histogram mPredictionError = mRegistry.histogram("first-event.late-ms");
 
-    private GatewayMetrics() {}
+    private GatewayMetrics() {
+        for (CutCause cause : CutCause.values()) {
+            // Told from the start, so that none is told from not counted.
+            mRegistry.counter("answers.cut." + cause.label());
+        }
+    }
 
     /** Returns metrics that are all zero. */
     public static GatewayMetrics create() {
@@ -66,6 +72,11 @@
         mPredictionError.update(millis - predicted);
     }
 
+    /** Counts an answer that was cut in its middle. */
+    public void onCut(CutCause cause) {
+        mRegistry.counter("answers.cut." + cause.label()).inc();
+    }
+
     /** Counts a request that was refused or given up. */
     public void onRefused(ResultCode code) {
         mRegistry.counter("refused." + code.label()).inc();
--- a/quilldyke-tools/src/main/java/org/quilldyke/tools/explain/Phrase.java
+++ b/quilldyke-tools/src/main/java/org/quilldyke/tools/explain/Phrase.java
@@ -80,6 +80,23 @@
             return "the caller left after %s ms".formatted(line.field("after"));
         }
     },
+    ANSWER_CUT(Event.ANSWER_CUT, Subject.REQUEST) {
+        @Override
+        String tell(LogLine line) {
+            return ("the answer was cut after event %s by %s: %s was left %s ms before, last heard"
+                            + " %s ms earlier; %s of %s runs, %s second attempts left, shutdown %s")
+                    .formatted(
+                            line.field("events"),
+                            line.field("by"),
+                            line.field("target"),
+                            line.field("left_before_ms"),
+                            line.field("heard_ms"),
+                            line.field("runs"),
+                            line.field("max_runs"),
+                            line.field("retries_left"),
+                            line.field("drain_ms"));
+        }
+    },
     TARGET_LAPSED(Event.TARGET_LAPSED, Subject.TARGET) {
         @Override
         String tell(LogLine line) {
--- a/quilldyke-tools/src/test/java/org/quilldyke/tools/explain/AccountTest.java
+++ b/quilldyke-tools/src/test/java/org/quilldyke/tools/explain/AccountTest.java
@@ -82,6 +82,25 @@
                 .inOrder();
     }
 
+    /** One line tells whose decision a cut was, and what it rested on. */
+    @Test
+    void tellsWhyAnAnswerWasCut() {
+        String cut =
+                "21:35:44.900 WARN QD1006 cut instance=edge-rathaus-keller-2"
+                        + " request=b9fdb6ab4a777fbc code=QR2002 by=move events=59"
+                        + " target=i-6cd45a9913 heard_ms=12 left_before_ms=853 runs=1 max_runs=2"
+                        + " retries_left=0 key_age_ms=190 version_begun=106 version=107"
+                        + " drain_ms=none left_ms=11076";
+
+        Account account = Account.of("b9fdb6ab4a777fbc", List.of(cut));
+
+        assertThat(account.sentences().stream().map(Account.Sentence::words).toList())
+                .containsExactly(
+                        "the answer was cut after event 59 by move: i-6cd45a9913 was left 853 ms"
+                                + " before, last heard 12 ms earlier; 1 of 2 runs, 0 second"
+                                + " attempts left, shutdown none");
+    }
+
     @Test
     void namesWhatIsMissing() {
         assertThat(Account.of("b9fdb6ab4a777fbc", List.of(LATE_ROUTE)).missing())
