--- a/quilldyke-core/src/main/java/org/quilldyke/caller/Forwarding.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/caller/Forwarding.java
@@ -15,10 +15,10 @@
  */
 package org.quilldyke.caller;
 
-import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
 import org.quilldyke.ResultCode;
+import org.quilldyke.manifest.Route;
 import org.quilldyke.routing.Choice;
 import org.quilldyke.routing.TargetBook;
 
@@ -30,6 +30,11 @@
  * byte was sent, or each target it was sent to has said so. A request that may have run is sent
  * again only if it may run twice, within the route's number of attempts and the allowance for
  * second attempts.
+ *
+ * <p>A run that may be at work is never left before another one has begun to answer: where this
+ * instance would rather have the answer from elsewhere, it asks a successor and keeps the run. What
+ * fails then is the successor alone. An answer under way ends early only if its target failed and
+ * nobody else may run it, if its own time is over, or if this instance has to end.
  */
 public final class Forwarding {
     /** A request that can't be sent anywhere waits for a part of its objective at most. */
@@ -40,12 +45,12 @@
     /** How often a request may fail to reach a target before its caller is told. */
     private static final int MAX_UNSENT = 5;
 
-    /** A target may be silent for this long before it is given up, whatever the objective. */
+    /** A target may be silent for this long before another one is asked, whatever the objective. */
     private static final long MIN_SILENCE_MILLIS = 800;
 
     /**
-     * A stream that runs is moved only if this many second attempts are left: its new target may
-     * begin to load weights too, and refuse it unrun, and without an attempt left it is cut then.
+     * A stream is moved by choice only if this many second attempts are left: one for itself, and
+     * two that stay for answers whose target fails.
      */
     private static final int MOVE_ATTEMPTS = 3;
 
@@ -56,16 +61,22 @@
     private final TargetBook mBook;
     private final RetryAllowance mRetries;
     private final ShutdownAdmission mShutdown;
-    private final Set<String> mExcluded = new HashSet<>();
-    private Choice mChoice;
-    private boolean mOpen;
-    private boolean mSent;
-    private boolean mRunCounted;
-    private boolean mPromptRead;
+    private final RunHistory mHistory;
+
+    /** The run whose answer is passed on, null if there is none. */
+    private TargetRun mRun;
+
+    /** The run that takes its place once it has begun to answer, null if there is none. */
+    private TargetRun mSuccessor;
+
+    private CutCause mSuccessorCause;
+    private boolean mStays;
     private int mUnsent;
-    private int mMayHaveRun;
     private boolean mHeadPassed;
     private long mLastEvent;
+    private long mLostAt;
+    private boolean mLost;
+    private ResultCode mLostBy = ResultCode.TARGET_LOST;
     private CutCause mLeftBy = CutCause.TARGET;
 
     private Forwarding(
@@ -77,6 +88,7 @@
         mBook = book;
         mRetries = retries;
         mShutdown = shutdown;
+        mHistory = new RunHistory(request.route().maxAttempts());
         mLastEvent = request.lastEvent();
     }
 
@@ -104,23 +116,25 @@
 
     /** Returns the step after a wait. */
     public Step onWaited(long now) {
-        return choose(now);
+        return mHeadPassed ? goOn(mLostBy, now) : choose(now);
     }
 
     /** Notes that the first byte is about to leave: from now on the request may run. */
     public void onSending() {
-        mSent = true;
+        mRun.onSending();
     }
 
     /** Returns the step after the target could not be reached; no byte was sent. */
     public Step onUnsent(long now) {
-        mBook.onUnreachable(mChoice.target(), now);
-        finishAttempt();
+        mBook.onUnreachable(mRun.target(), now);
+        mHistory.onUnfit(mRun.target());
+        finishRun();
         mUnsent++;
-        mExcluded.add(mChoice.target());
-        return mUnsent >= MAX_UNSENT
-                ? giveUp(ResultCode.NO_TARGET, mUnsent + " out of reach", now)
-                : choose(now);
+        if (mUnsent < MAX_UNSENT) {
+            return choose(now);
+        }
+        mUnsent = 0;
+        return giveUp(ResultCode.NO_TARGET, MAX_UNSENT + " out of reach", now);
     }
 
     /** Returns the step after the head of an answer; the body of a stream follows. */
@@ -128,39 +142,41 @@
         if (head.isNotRun()) {
             return onRefusedUnrun(head, now);
         }
-        countRun();
+        mHistory.onRun(mRun.target());
         if (!head.isGenuine()) {
-            mBook.onSpoiled(mChoice.target(), now);
-            finishAttempt();
-            return sendAgainOr(endOf(ResultCode.ANSWER_SPOILED), now);
+            mBook.onSpoiled(mRun.target(), now);
+            mHistory.onUnfit(mRun.target());
+            finishRun();
+            return sendAgainOr(ResultCode.ANSWER_SPOILED, now);
         }
         if (mHeadPassed && !(head.stream() && head.isSuccess())) {
             // Nothing but events can follow those that were passed on.
             return onBroken(ResultCode.STREAM_BROKEN, now);
         }
         if (head.status() >= 500 && !head.isSuccess()) {
-            mBook.onFailure(mChoice.target(), now);
-            if (mayRunAgain(now) && takeRetry(now)) {
-                finishAttempt();
-                mExcluded.add(mChoice.target());
-                return choose(now);
+            mBook.onFailure(mRun.target(), now);
+            if (mSuccessor != null || mayRunAgain(now) && takeRetry(now)) {
+                mHistory.onUnfit(mRun.target());
+                finishRun();
+                return follow().orElseGet(() -> choose(now));
             }
             return new Step.PassOn();
         }
-        mBook.onSuccess(mChoice.target(), now);
+        mBook.onSuccess(mRun.target(), now);
         return new Step.PassOn();
     }
 
     /** Notes that events up to the given one were passed on to the caller. */
     public void onEventPassed(long event) {
         mHeadPassed = true;
+        mLost = false;
         mLastEvent = event;
-        onPromptRead();
+        mRun.onPromptRead();
     }
 
     /** Returns at how many targets the request runs, has run or may have run. */
     public int runs() {
-        return mMayHaveRun + (mOpen && !mRunCounted ? 1 : 0);
+        return mHistory.targets();
     }
 
     /** Returns the last event passed on, -1 for none. */
@@ -170,7 +186,7 @@
 
     /** Notes that the target's answer is complete and passed on. */
     public void onComplete() {
-        finishAttempt();
+        finishAll();
     }
 
     /** Returns the step after the target's answer broke off, or can't be the one asked for. */
@@ -185,29 +201,94 @@
 
     private Step onLost(ResultCode why, CutCause cause, long now) {
         mLeftBy = cause;
-        mBook.onFailure(mChoice.target(), now);
-        countRun();
-        finishAttempt();
-        return sendAgainOr(endOf(why), now);
+        mBook.onFailure(mRun.target(), now);
+        mHistory.onRun(mRun.target());
+        mHistory.onUnfit(mRun.target());
+        finishRun();
+        return sendAgainOr(why, now);
     }
 
     /**
-     * Returns the step by which a stream under way goes on elsewhere because its target waits for
-     * its end to load weights; nothing if it stays. The present attempt is over then.
+     * Returns where a stream under way may go on since its target waits for its end to load
+     * weights; nothing if it stays. Its run is kept until the successor has begun.
      */
-    public Optional<Step> onTargetWaits(long now) {
-        boolean underWay = mOpen && mHeadPassed;
+    public Optional<Step.Send> onTargetWaits(long now) {
         boolean mayMove =
-                underWay
-                        && mayRunAgain(now)
+                mHeadPassed
+                        && !mStays
+                        && mHistory.mayRunAtAnother()
                         && mRetries.hasRoom(mRequest.service(), MOVE_ATTEMPTS, now);
-        if (!mayMove || !takeRetry(now)) {
-            return Optional.empty();
+        return mayMove ? askSuccessor(CutCause.MOVE, now) : Optional.empty();
+    }
+
+    /**
+     * Returns who else may answer since the target has been silent on this request; nothing if that
+     * tells nothing, see {@link #isSilenceTelling}. Its run is kept until the successor has begun.
+     */
+    public Optional<Step.Send> onSilence(long now) {
+        return isSilenceTelling(now) ? askSuccessor(CutCause.SILENCE, now) : Optional.empty();
+    }
+
+    /** Notes that the first byte is about to leave for the successor. */
+    public void onSuccessorSending() {
+        mSuccessor.onSending();
+    }
+
+    /** Notes that the successor could not be reached; the run stays. */
+    public void onSuccessorUnsent(long now) {
+        mBook.onUnreachable(mSuccessor.target(), now);
+        mHistory.onUnfit(mSuccessor.target());
+        dropSuccessor();
+    }
+
+    /** Notes that the successor has refused the request unrun; the run stays. */
+    public void onSuccessorRefused(AnswerHead head, long now) {
+        noteRefusal(mSuccessor, head, now);
+        mHistory.onUnfit(mSuccessor.target());
+        dropSuccessor();
+    }
+
+    /** Notes that the successor failed, or sent no answer that can follow; the run stays. */
+    public void onSuccessorBroken(long now) {
+        mBook.onFailure(mSuccessor.target(), now);
+        mHistory.onRun(mSuccessor.target());
+        mHistory.onUnfit(mSuccessor.target());
+        dropSuccessor();
+    }
+
+    /** Notes that the successor isn't wanted any more: the run goes on, or has ended. */
+    public void onSuccessorDropped() {
+        if (mSuccessor.isSent()) {
+            mHistory.onRun(mSuccessor.target());
+            mHistory.onLeftAtWork(mSuccessor.target());
         }
-        mLeftBy = CutCause.MOVE;
-        finishAttempt();
-        mExcluded.add(mChoice.target());
-        return Optional.of(choose(now));
+        dropSuccessor();
+    }
+
+    /** Notes that the successor has begun to answer: it takes the run's place. */
+    public void onSuccessorBegun() {
+        mLeftBy = mSuccessorCause;
+        mHistory.onLeftAtWork(mRun.target());
+        finishRun();
+        follow();
+    }
+
+    /**
+     * Returns whether events of the run wait for the successor to begin: it goes on after the last
+     * event that was passed when it was asked. A run that was silent and speaks again needs none.
+     */
+    public boolean holdsEvents() {
+        return mSuccessor != null && mSuccessorCause != CutCause.SILENCE;
+    }
+
+    /** Returns for how long events of the run may wait for the successor to begin. */
+    public long holdMillis() {
+        return 2 * mRequest.route().pauseMillis();
+    }
+
+    /** Returns whether an answer is passed on already, so that only its rest may come elsewhere. */
+    public boolean isUnderWay() {
+        return mHeadPassed;
     }
 
     /** Returns the step when the request's time is over. */
@@ -224,8 +305,8 @@
      * @param retryAfterMillis when the caller may try again if nothing has run
      */
     public Step onUnconfirmed(long retryAfterMillis, String why) {
-        finishAttempt();
-        return giveUp(ResultCode.KEYS_UNCONFIRMED, retryAfterMillis, why);
+        finishRun();
+        return refuse(ResultCode.KEYS_UNCONFIRMED, retryAfterMillis, why);
     }
 
     /** Returns the step when this instance has to end before the target's answer does. */
@@ -237,20 +318,20 @@
     }
 
     private Step cutShort(ResultCode code, CutCause cause, Step.Refuse unsent) {
-        boolean sent = mSent;
-        finishAttempt();
+        boolean sent = mRun != null && mRun.isSent() || mHistory.targets() > 0;
+        finishAll();
         if (mHeadPassed) {
             return new Step.Break(code, cause);
         }
-        return sent || mMayHaveRun > 0 ? new Step.Fail(code) : unsent;
+        return sent ? new Step.Fail(code) : unsent;
     }
 
     /** Notes that nothing more is done: the caller went away. */
     public void abandon() {
-        finishAttempt();
+        finishAll();
     }
 
-    /** Returns for how long the present target may be silent before it is given up. */
+    /** Returns for how long the present target may be silent before another one is asked. */
     public long silenceMillis() {
         if (!mRequest.route().mayRunAgain()) {
             return Long.MAX_VALUE;
@@ -261,69 +342,154 @@
     }
 
     /**
-     * Returns whether a target that has been silent on this request may be given up: not while it
-     * answers others, since then it is only busy and would read the prompt once more elsewhere; and
-     * not if nobody else could answer, or the request can't be sent again, since then waiting is
-     * all that is left.
+     * Returns whether another target may be asked since this one has been silent on this request:
+     * not while it answers others, since then it is only busy and the prompt would be read once
+     * more elsewhere; and not if nobody else could answer, or the request can't be sent again.
      */
     public boolean isSilenceTelling(long now) {
-        int runs = mMayHaveRun + (mRunCounted ? 0 : 1);
-        return mayRunAgain(runs, now)
+        int runs = mHistory.targets() + (mHistory.hasRun(mRun.target()) ? 0 : 1);
+        return mSuccessor == null
+                && runs < mRequest.route().maxAttempts()
+                && mayRunAgain(now)
                 && mRetries.hasRoom(mRequest.service(), 1, now)
-                && !mBook.isAlive(mChoice.target(), now);
+                && !mBook.isAlive(mRun.target(), now);
     }
 
-    private Step onRefusedUnrun(AnswerHead head, long now) {
-        if (head.wrongTarget()) {
-            mBook.onWrongTarget(mChoice.target(), now);
-        } else {
-            mBook.onOverloaded(mChoice.target(), now);
+    private Optional<Step.Send> askSuccessor(CutCause cause, long now) {
+        if (mRun == null || mSuccessor != null || !mayRunAgain(now)) {
+            return Optional.empty();
         }
-        finishAttempt();
-        mExcluded.add(mChoice.target());
+        Optional<Choice> choice = mBook.choose(mRequest, barred(), now);
+        if (choice.isEmpty() || !takeRetry(now)) {
+            return Optional.empty();
+        }
+        mHistory.onRun(mRun.target());
+        mSuccessorCause = cause;
+        mSuccessor = open(choice.get(), now);
+        return Optional.of(new Step.Send(choice.get(), mRequest.answerBy() - now, mLastEvent));
+    }
 
-        if (hasTimeLeft(now) && hasOtherTarget(now) && takeRetry(now)) {
+    private void dropSuccessor() {
+        mStays |= mSuccessorCause == CutCause.MOVE;
+        mSuccessor.finish();
+        mSuccessor = null;
+    }
+
+    /** Returns the step by which the successor, if there is one, is the run from now on. */
+    private Optional<Step> follow() {
+        if (mSuccessor == null) {
+            return Optional.empty();
+        }
+        mRun = mSuccessor;
+        mSuccessor = null;
+        return Optional.of(new Step.Follow());
+    }
+
+    private Step onRefusedUnrun(AnswerHead head, long now) {
+        noteRefusal(mRun, head, now);
+        mHistory.onUnfit(mRun.target());
+        boolean fromElsewhere = hasTimeLeft(now) && hasOtherTarget(now);
+        finishRun();
+        Optional<Step> next = follow();
+        if (next.isPresent()) {
+            return next.get();
+        }
+        if (mHeadPassed) {
+            return goOn(ResultCode.OVERLOADED, now);
+        }
+        if (fromElsewhere && takeRetry(now)) {
             return choose(now);
         }
-        return giveUp(ResultCode.OVERLOADED, "refused by " + mExcluded, now);
+        return giveUp(ResultCode.OVERLOADED, "refused by " + mHistory.unfit(), now);
     }
 
-    /** Returns the end of a request that has run, or may have. */
-    private Step endOf(ResultCode why) {
-        return mHeadPassed ? new Step.Break(why, mLeftBy) : new Step.Fail(why);
+    private void noteRefusal(TargetRun run, AnswerHead head, long now) {
+        if (head.wrongTarget()) {
+            mBook.onWrongTarget(run.target(), now);
+        } else {
+            mBook.onOverloaded(run.target(), now);
+        }
     }
 
-    private Step sendAgainOr(Step end, long now) {
-        mExcluded.add(mChoice.target());
+    /** Returns the step after a run has failed. */
+    private Step sendAgainOr(ResultCode why, long now) {
+        Optional<Step> next = follow();
+        if (next.isPresent()) {
+            return next.get();
+        }
+        if (mHeadPassed) {
+            return goOn(why, now);
+        }
+        Step end = new Step.Fail(why);
         if (!mayRunAgain(now) || !takeRetry(now)) {
             return end;
         }
-        Step next = choose(now);
-        return next instanceof Step.Refuse ? end : next;
+        Step step = choose(now);
+        return step instanceof Step.Refuse ? end : step;
     }
 
-    private boolean mayRunAgain(long now) {
-        return mayRunAgain(mMayHaveRun, now);
+    /**
+     * Returns the step by which a stream under way that has lost its target goes on. What is
+     * wanting may be there in a moment (a second attempt, a target that is loading weights now): it
+     * waits for that as long as its caller does.
+     */
+    private Step goOn(ResultCode why, long now) {
+        if (!mLost) {
+            mLost = true;
+            mLostAt = now;
+        }
+        mLostBy = why;
+        Route route = mRequest.route();
+        boolean mayGoOn =
+                route.mayRunAgain()
+                        && route.resumable()
+                        && mHistory.mayRunAnywhere()
+                        && hasTimeLeft(now);
+        if (!mayGoOn) {
+            return new Step.Break(mLostBy, mLeftBy);
+        }
+        if (hasOtherTarget(now) && takeRetry(now)) {
+            return choose(now);
+        }
+        return waitToGoOn(now);
+    }
+
+    private Step waitToGoOn(long now) {
+        long until = Math.min(mLostAt + mRequest.route().callerPatienceMillis(), answerBy());
+        if (now + WAIT_STEP_MILLIS >= until) {
+            return new Step.Break(mLostBy, mLeftBy);
+        }
+        mHistory.forgive();
+        return new Step.Wait(now + WAIT_STEP_MILLIS);
     }
 
-    private boolean mayRunAgain(int runs, long now) {
+    private boolean mayRunAgain(long now) {
         boolean mayGoOn = !mHeadPassed || mRequest.route().resumable();
-        return mRequest.route().mayRunAgain()
-                && mayGoOn
-                && runs < mRequest.route().maxAttempts()
-                && hasTimeLeft(now)
-                && hasOtherTarget(now);
+        return mRequest.route().mayRunAgain() && mayGoOn && hasTimeLeft(now) && hasOtherTarget(now);
+    }
+
+    private long answerBy() {
+        return mRequest.answerBy();
     }
 
     private boolean hasTimeLeft(long now) {
-        return now + MIN_MILLIS_LEFT < mRequest.answerBy();
+        return now + MIN_MILLIS_LEFT < answerBy();
     }
 
-    /** Returns whether a target other than the present one and those tried before could answer. */
+    /** Returns whether a target other than the present ones could answer. */
     private boolean hasOtherTarget(long now) {
-        Set<String> tried = new HashSet<>(mExcluded);
-        tried.add(mChoice.target());
-        return mBook.hasOther(mRequest, tried, now);
+        return mBook.hasOther(mRequest, barred(), now);
+    }
+
+    private Set<String> barred() {
+        Set<String> barred = mHistory.barred(mBook.targets());
+        if (mRun != null) {
+            barred.add(mRun.target());
+        }
+        if (mSuccessor != null) {
+            barred.add(mSuccessor.target());
+        }
+        return barred;
     }
 
     private boolean takeRetry(long now) {
@@ -331,12 +497,12 @@
     }
 
     private Step choose(long now) {
-        long left = mRequest.answerBy() - now;
+        long left = answerBy() - now;
         if (left <= 0) {
             return giveUp(ResultCode.DEADLINE_PASSED, "no target in time", now);
         }
-        Optional<Choice> choice = mBook.choose(mRequest, mExcluded, now);
-        boolean fresh = mMayHaveRun == 0;
+        Optional<Choice> choice = mBook.choose(mRequest, barred(), now);
+        boolean fresh = !mHeadPassed && mHistory.targets() == 0;
         if (choice.isPresent()
                 && fresh
                 && !Admission.admits(mRequest, choice.get().admissionMillis())) {
@@ -358,55 +524,49 @@
             return mShutdown.refusal(now);
         }
         if (choice.isPresent()) {
-            mChoice = choice.get();
-            mOpen = true;
-            mRunCounted = false;
-            mPromptRead = false;
-            mBook.onChosen(mChoice, mRequest, now);
-            return new Step.Send(mChoice, left, mLastEvent);
+            mRun = open(choice.get(), now);
+            return new Step.Send(choice.get(), left, mLastEvent);
         }
         long waitUntil = mRequest.arrivedAt() + mRequest.route().objectiveMillis() / WAIT_DIVISOR;
-        if (now + WAIT_STEP_MILLIS < Math.min(waitUntil, mRequest.answerBy())) {
-            mExcluded.clear();
+        if (!mHeadPassed && now + WAIT_STEP_MILLIS < Math.min(waitUntil, answerBy())) {
+            mHistory.forgive();
             return new Step.Wait(now + WAIT_STEP_MILLIS);
         }
-        return giveUp(ResultCode.NO_TARGET, "none but " + mExcluded, now);
+        return giveUp(ResultCode.NO_TARGET, "none but " + mHistory.unfit(), now);
+    }
+
+    private TargetRun open(Choice choice, long now) {
+        return TargetRun.open(mBook, choice, mRequest, now);
     }
 
     private Step giveUp(ResultCode code, String why, long now) {
-        return giveUp(code, mBook.retryAfterMillis(mRequest, now), why);
+        return mHeadPassed
+                ? goOn(code, now)
+                : refuse(code, mBook.retryAfterMillis(mRequest, now), why);
     }
 
-    private Step giveUp(ResultCode code, long retryAfterMillis, String why) {
+    private Step refuse(ResultCode code, long retryAfterMillis, String why) {
         if (mHeadPassed) {
             return new Step.Break(code, mLeftBy);
         }
-        if (mMayHaveRun > 0) {
+        if (mHistory.targets() > 0) {
             return new Step.Fail(ResultCode.TARGET_LOST);
         }
         return new Step.Refuse(code, retryAfterMillis, why);
     }
 
-    private void onPromptRead() {
-        if (!mPromptRead) {
-            mPromptRead = true;
-            mBook.onPromptRead(mChoice);
-        }
-    }
-
-    private void countRun() {
-        if (!mRunCounted) {
-            mRunCounted = true;
-            mMayHaveRun++;
+    private void finishAll() {
+        finishRun();
+        if (mSuccessor != null) {
+            mSuccessor.finish();
+            mSuccessor = null;
         }
     }
 
-    private void finishAttempt() {
-        if (mOpen) {
-            onPromptRead();
-            mBook.onFinished(mChoice);
+    private void finishRun() {
+        if (mRun != null) {
+            mRun.finish();
         }
-        mOpen = false;
-        mSent = false;
+        mRun = null;
     }
 }
--- /dev/null
+++ b/quilldyke-core/src/main/java/org/quilldyke/caller/RunHistory.java
@@ -0,0 +1,101 @@
+/*
+ * Copyright 2026 The quilldyke authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.quilldyke.caller;
+
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.Set;
+import org.quilldyke.routing.TargetState;
+
+/**
+ * Where one request has run, and who may run it now.
+ *
+ * <p>What is bounded is the number of targets that run a request. One that was left at work, by
+ * choice, may go on with it: its turn was taken from it, not spent by a failure.
+ */
+final class RunHistory {
+    private final int mMaxTargets;
+    private final Set<String> mRan = new HashSet<>();
+    private final Set<String> mLeftAtWork = new HashSet<>();
+    private final Set<String> mUnfit = new HashSet<>();
+
+    /**
+     * Makes a history without runs.
+     *
+     * @param maxTargets how many targets may run the request
+     */
+    RunHistory(int maxTargets) {
+        mMaxTargets = maxTargets;
+    }
+
+    /** Notes that a target runs the request, or may. */
+    void onRun(String target) {
+        mRan.add(target);
+    }
+
+    /** Notes that a target was left though it may be at work. */
+    void onLeftAtWork(String target) {
+        mLeftAtWork.add(target);
+    }
+
+    /** Notes that a target can't be reached, or refused or failed the request. */
+    void onUnfit(String target) {
+        mLeftAtWork.remove(target);
+        mUnfit.add(target);
+    }
+
+    /** Gives those that refused or failed another chance, as far as they may run the request. */
+    void forgive() {
+        mUnfit.clear();
+    }
+
+    /** Returns whether a target runs the request, or may have run it. */
+    boolean hasRun(String target) {
+        return mRan.contains(target);
+    }
+
+    /** Returns at how many targets the request has run, or may have. */
+    int targets() {
+        return mRan.size();
+    }
+
+    /** Returns those that were found unfit, for the log. */
+    Set<String> unfit() {
+        return Set.copyOf(mUnfit);
+    }
+
+    /** Returns whether one more target may run the request. */
+    boolean mayRunAtAnother() {
+        return mRan.size() < mMaxTargets;
+    }
+
+    /** Returns whether any target may run the request, once it is fit. */
+    boolean mayRunAnywhere() {
+        return mayRunAtAnother() || !mLeftAtWork.isEmpty();
+    }
+
+    /** Returns who may not run the request, of all targets that are known. */
+    Set<String> barred(Collection<TargetState> known) {
+        Set<String> barred = new HashSet<>(mUnfit);
+        for (TargetState target : known) {
+            boolean mayRun = mLeftAtWork.contains(target.id()) || mayRunAtAnother();
+            if (!mayRun) {
+                barred.add(target.id());
+            }
+        }
+        return barred;
+    }
+}
--- a/quilldyke-core/src/main/java/org/quilldyke/caller/Step.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/caller/Step.java
@@ -32,6 +32,9 @@
     /** Wait for a target; ask again at the given time. */
     record Wait(long until) implements Step {}
 
+    /** Wait for the successor, which was asked while the run before it still went on. */
+    record Follow() implements Step {}
+
     /** Pass the target's answer on to the caller. */
     record PassOn() implements Step {}
 
--- /dev/null
+++ b/quilldyke-core/src/main/java/org/quilldyke/caller/TargetRun.java
@@ -0,0 +1,70 @@
+/*
+ * Copyright 2026 The quilldyke authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.quilldyke.caller;
+
+import org.quilldyke.routing.Choice;
+import org.quilldyke.routing.TargetBook;
+
+/** One sending of a request to a target, and what the target's load counts of it. */
+final class TargetRun {
+    private final TargetBook mBook;
+    private final Choice mChoice;
+    private boolean mSent;
+    private boolean mPromptRead;
+    private boolean mFinished;
+
+    private TargetRun(TargetBook book, Choice choice) {
+        mBook = book;
+        mChoice = choice;
+    }
+
+    /** Returns a run that is about to be sent, and counts for its target's load. */
+    static TargetRun open(TargetBook book, Choice choice, ForwardRequest request, long now) {
+        book.onChosen(choice, request, now);
+        return new TargetRun(book, choice);
+    }
+
+    String target() {
+        return mChoice.target();
+    }
+
+    /** Notes that the first byte leaves: from now on it may run. */
+    void onSending() {
+        mSent = true;
+    }
+
+    /** Returns whether a byte may have reached the target. */
+    boolean isSent() {
+        return mSent;
+    }
+
+    /** Notes that the prompt is read, or never will be. */
+    void onPromptRead() {
+        if (!mPromptRead) {
+            mPromptRead = true;
+            mBook.onPromptRead(mChoice);
+        }
+    }
+
+    /** Notes that it is over, whatever became of it. */
+    void finish() {
+        if (!mFinished) {
+            mFinished = true;
+            onPromptRead();
+            mBook.onFinished(mChoice);
+        }
+    }
+}
--- a/quilldyke-core/src/main/java/org/quilldyke/manifest/Route.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/manifest/Route.java
@@ -53,6 +53,14 @@
         shares = List.copyOf(shares);
     }
 
+    /**
+     * Returns for how long a caller waits for the next event before it leaves: two seconds, four
+     * objectives or eight pauses, whatever is longest, as the users' platform has it.
+     */
+    public long callerPatienceMillis() {
+        return Math.max(2000, Math.max(4 * objectiveMillis, 8 * pauseMillis));
+    }
+
     /** Returns whether a request that may have run may be sent to another target. */
     public boolean mayRunAgain() {
         return kind.mayRunAgain(resumable);
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Entry.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Entry.java
@@ -95,14 +95,15 @@
         }
         forget(target);
         if (silent) {
-            open(target).forEach(Exchange::onTargetSilent);
+            open(target).forEach(exchange -> exchange.onTargetSilent(target));
         }
     }
 
     /** Notes that a target has started again: this start of it has ended, whatever it sent. */
     public void onTargetEnded(String target) {
         forget(target);
-        open(target).forEach(exchange -> exchange.onTargetLost("the target has started again"));
+        open(target)
+                .forEach(exchange -> exchange.onTargetLost(target, "the target has started again"));
     }
 
     private void forget(String target) {
@@ -138,7 +139,7 @@
             return;
         }
         if (mBook.isHeldUp(target, now())) {
-            open(target).forEach(Exchange::onTargetWaits);
+            open(target).forEach(exchange -> exchange.onTargetWaits(target));
         }
         mLoop.schedule(() -> checkHeldUp(target), HELD_UP_CHECK_MILLIS, TimeUnit.MILLISECONDS);
     }
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Exchange.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Exchange.java
@@ -16,71 +16,57 @@
 package org.quilldyke.gateway.caller;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
-import io.netty.handler.codec.http.HttpResponse;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.quilldyke.QuilldykeException;
 import org.quilldyke.ResultCode;
-import org.quilldyke.caller.AnswerHead;
 import org.quilldyke.caller.CutCause;
 import org.quilldyke.caller.ForwardRequest;
 import org.quilldyke.caller.Forwarding;
 import org.quilldyke.caller.StartUpWait;
 import org.quilldyke.caller.Step;
-import org.quilldyke.gateway.dialect.AnswerFacts;
-import org.quilldyke.gateway.engine.Attempt;
-import org.quilldyke.gateway.engine.AttemptListener;
 import org.quilldyke.routing.Choice;
 
 /** One request from its arrival to its answer: carries out what {@link Forwarding} decides. */
-final class Exchange implements AttemptListener {
-    /** An answer that isn't a stream is held whole; larger ones are taken for spoiled. */
-    private static final int MAX_ANSWER_BYTES = 16 << 20;
-
-    private static final int MAX_EVENT_BYTES = 1 << 20;
-
+final class Exchange {
     /** How often a request that waits for the first configuration looks for it. */
     private static final long START_UP_STEP_MILLIS = 20;
 
-    /** How often it is looked whether a silent target is still alive. */
-    private static final long SILENCE_STEP_MILLIS = 200;
-
     private final Entry mEntry;
     private final CallerConnection mCaller;
     private final HttpRequest mHead;
     private final ByteBuf mBody;
     private final ExchangeLog mLog;
     private final long mArrivedAt;
+
+    private final PassedStream mStream;
+    private final SilenceWatch mSilence;
     private long mMillisLeft = -1;
     private ForwardRequest mRequest;
     private Forwarding mForwarding;
-    private Choice mChoice;
-    private Attempt mAttempt;
-    private AnswerFacts mAnswer;
-    private HttpResponse mAnswerHead;
-    private HttpHeaders mFirstHeaders;
-    private ByteBuf mAnswerBody;
-    private EventSplitter mEvents;
+
+    /** The answer that is passed on; null between attempts. */
+    private TargetAnswer mAnswer;
+
+    /** The answer that takes its place once it begins; null if none is asked for. */
+    private TargetAnswer mSuccessor;
+
+    private String mSuccessorWhy = "";
     private ScheduledFuture<?> mTimeOver;
-    private ScheduledFuture<?> mSilence;
+    private ScheduledFuture<?> mHoldOver;
     private ScheduledFuture<?> mWait;
-    private long mHeardAt;
+
+    /** The target that was chosen last; null if none was. */
+    private Choice mChoice;
 
     /** When the last attempt that may have run was sent, 0 if there was none. */
     private long mSentAt;
 
-    private long mFirstEventMillis = -1;
-    private long mEventAt;
-    private long mStreamBegunAt;
-    private long mLongestPauseMillis;
     private long mVersionBegun;
     private ExchangeLog.LeftRun mLeft;
     private boolean mPaused;
-    private boolean mStreamBegun;
     private boolean mWhole;
     private boolean mEnded;
 
@@ -90,6 +76,8 @@
         mHead = head;
         mBody = body;
         mLog = new ExchangeLog(entry.log());
+        mStream = new PassedStream(caller);
+        mSilence = new SilenceWatch(entry, this::onSilent);
         mArrivedAt = entry.now();
     }
 
@@ -124,7 +112,6 @@
         if (mForwarding != null) {
             mForwarding.abandon();
         }
-        cancelAttempt();
         end();
     }
 
@@ -137,148 +124,163 @@
                 mForwarding == null
                         ? new Step.Refuse(ResultCode.SHUTTING_DOWN, 0, "before a target was chosen")
                         : mForwarding.onInstanceEnds();
-        cancelAttempt();
+        cancelAll();
         perform(step);
     }
 
-    /** While the caller doesn't read, the target isn't read either: that is no silence of it. */
+    /** While the caller doesn't read, the targets aren't read either. */
     void onWritable(boolean writable) {
         mPaused = !writable;
-        mHeardAt = now();
-        if (mAttempt != null) {
-            mAttempt.setReading(writable);
+        if (mAnswer != null) {
+            mAnswer.setReading(writable);
+        }
+        if (mSuccessor != null) {
+            mSuccessor.setReading(writable);
         }
     }
 
-    /** The target is silent to all: what can't go on elsewhere waits for it until its time ends. */
-    void onTargetSilent() {
-        if (mAttempt != null && !mEnded && mForwarding.isSilenceTelling(now())) {
-            giveUp(CutCause.CONTROL, "the target is silent");
+    /** A target is silent to all; it is kept until somebody else begins to answer. */
+    void onTargetSilent(String target) {
+        if (isPresentAt(target)) {
+            askSuccessor(mForwarding.onSilence(now()), "the target is silent");
         }
     }
 
-    void onTargetLost(String why) {
-        if (mAttempt != null && !mEnded) {
-            giveUp(CutCause.CONTROL, why);
+    void onTargetLost(String target, String why) {
+        if (isPresentAt(target)) {
+            leave(mAnswer);
+            logAttempt(mAnswer, "broken", ResultCode.TARGET_LOST.label() + " " + why);
+            mAnswer = null;
+            perform(mForwarding.onGivenUp(CutCause.CONTROL, now()));
+        } else if (!mEnded && mSuccessor != null && mSuccessor.isAt(target)) {
+            mSuccessor.giveUp(ResultCode.TARGET_LOST, why);
         }
     }
 
-    /** Leaves a target that is taken for lost. */
-    private void giveUp(CutCause cause, String why) {
-        cancelAttempt();
-        releaseAnswer();
-        logAttempt("broken", ResultCode.TARGET_LOST.label() + " " + why);
-        perform(mForwarding.onGivenUp(cause, now()));
+    /** A target waits for its runs to end, to load weights. */
+    void onTargetWaits(String target) {
+        if (isPresentAt(target)) {
+            askSuccessor(mForwarding.onTargetWaits(now()), "the target waits to load weights");
+        }
     }
 
-    /** The target waits for its runs to end, to load weights. */
-    void onTargetWaits() {
-        if (mAttempt == null || mEnded) {
-            return;
+    private boolean isPresentAt(String target) {
+        return !mEnded && mAnswer != null && mAnswer.isAt(target);
+    }
+
+    void onUnsent(TargetAnswer answer, String why) {
+        logAttempt(answer, "unsent", why);
+        if (answer == mSuccessor) {
+            mForwarding.onSuccessorUnsent(now());
+            stay();
+        } else {
+            mAnswer = null;
+            perform(mForwarding.onUnsent(now()));
+        }
+    }
+
+    void onSending(TargetAnswer answer) {
+        if (answer == mSuccessor) {
+            mForwarding.onSuccessorSending();
+        } else {
+            mForwarding.onSending();
+            mSentAt = now();
+            mSilence.start(mAnswer, mForwarding.silenceMillis());
         }
-        Optional<Step> step = mForwarding.onTargetWaits(now());
-        if (step.isPresent()) {
-            logAttempt("moved", "the target waits to load weights");
-            cancelAttempt();
-            releaseAnswer();
-            perform(step.get());
-        }
-    }
-
-    @Override
-    public void onUnsent(String why) {
-        closeAttempt();
-        logAttempt("unsent", why);
-        perform(mForwarding.onUnsent(now()));
-    }
-
-    @Override
-    public void onSending() {
-        mForwarding.onSending();
-        mSentAt = now();
-        mHeardAt = mSentAt;
-        watchSilence(mForwarding.silenceMillis());
-    }
-
-    @Override
-    public void onHead(HttpResponse head) {
-        onHeard();
-        mAnswerHead = head;
-        mAnswer = mEntry.dialect().targets().read(head);
-        mAnswer.weights()
-                .ifPresent(
-                        weights ->
-                                mRequest.prompt()
-                                        .ifPresent(
-                                                prompt ->
-                                                        mEntry.book()
-                                                                .onWeightsSeen(
-                                                                        mChoice.target(),
-                                                                        prompt.model(),
-                                                                        weights)));
-        AnswerHead facts = mAnswer.head();
-        if (head.headers().contains(HttpHeaderNames.CONTENT_ENCODING)) {
-            cancelAttempt();
-            onBroken(ResultCode.ANSWER_SPOILED, "encoded");
-        } else if (facts.isNotRun()) {
-            mAttempt.ignoreRest();
-            closeAttempt();
+    }
+
+    /** The target refuses the request unrun. */
+    void onRefused(TargetAnswer answer) {
+        logAttempt(answer, "refused", "status " + answer.facts().status());
+        if (answer == mSuccessor) {
+            mForwarding.onSuccessorRefused(answer.facts(), now());
+            stay();
+        } else {
             mSentAt = 0;
-            logAttempt("refused", "status " + facts.status());
-            perform(mForwarding.onAnswer(facts, now()));
-        } else if (facts.stream() && facts.isSuccess()) {
-            Step step = mForwarding.onAnswer(facts, now());
-            if (!(step instanceof Step.PassOn)) {
-                cancelAttempt();
-                logAttempt("spoiled", "no signature");
-                perform(step);
+            mAnswer = null;
+            perform(mForwarding.onAnswer(answer.facts(), now()));
+        }
+    }
+
+    /** A stream begins. */
+    void onStream(TargetAnswer answer) {
+        if (answer == mSuccessor) {
+            if (!answer.facts().isGenuine()) {
+                answer.giveUp(ResultCode.ANSWER_SPOILED, "no signature");
                 return;
             }
-            mEvents = new EventSplitter(mBody.alloc());
+            takeOver();
         } else {
-            mAnswerBody = mBody.alloc().buffer();
+            dropSuccessor();
+        }
+        Step step = mForwarding.onAnswer(answer.facts(), now());
+        if (!(step instanceof Step.PassOn)) {
+            leave(answer);
+            logAttempt(answer, "spoiled", "no signature");
+            mAnswer = null;
+            perform(step);
         }
     }
 
-    @Override
-    public void onBody(ByteBuf bytes) {
-        onHeard();
-        if (mEvents != null) {
-            passEvents(bytes);
-            return;
-        }
-        if (mAnswerBody.readableBytes() + bytes.readableBytes() > MAX_ANSWER_BYTES) {
-            cancelAttempt();
-            onBroken(ResultCode.ANSWER_TOO_LARGE, "over " + MAX_ANSWER_BYTES + " bytes");
-            return;
+    /** An event of a stream is here; it is released when it is written, or here. */
+    void onEvent(TargetAnswer answer, EventSplitter.Event event) {
+        if (mForwarding.holdsEvents()) {
+            mStream.hold(event);
+        } else {
+            dropSuccessor();
+            passOn(answer, event);
         }
-        mAnswerBody.writeBytes(bytes);
     }
 
-    @Override
-    public void onEnd() {
-        closeAttempt();
-        if (mEvents != null) {
-            endStream();
-            return;
+    /** An answer that isn't a stream is whole. */
+    void onWhole(TargetAnswer answer) {
+        if (answer == mSuccessor) {
+            if (mForwarding.isUnderWay()) {
+                answer.giveUp(ResultCode.STREAM_BROKEN, "no stream");
+                return;
+            }
+            takeOver();
         }
-        Step step = mForwarding.onAnswer(mAnswer.head(), now());
+        Step step = mForwarding.onAnswer(answer.facts(), now());
         if (step instanceof Step.PassOn) {
             mForwarding.onComplete();
             passAnswer();
         } else {
-            logAttempt("failed", "status " + mAnswer.head().status());
-            releaseAnswer();
+            logAttempt(answer, "failed", "status " + answer.facts().status());
+            leave(answer);
+            mAnswer = null;
             perform(step);
         }
     }
 
-    @Override
-    public void onBroken(ResultCode code, String why) {
-        closeAttempt();
-        releaseAnswer();
-        logAttempt("broken", code.label() + " " + why);
-        perform(mForwarding.onBroken(code, now()));
+    void onStreamEnd(TargetAnswer answer) {
+        if (answer == mSuccessor) {
+            return;
+        }
+        dropSuccessor();
+        passHeld();
+        if (mEnded) {
+            return;
+        }
+        beginStream();
+        mForwarding.onComplete();
+        mWhole = true;
+        logAnswered();
+        end();
+        mCaller.endStream();
+    }
+
+    /** An answer broke off, or is none. */
+    void onBroken(TargetAnswer answer, ResultCode code, String why) {
+        logAttempt(answer, "broken", code.label() + " " + why);
+        if (answer == mSuccessor) {
+            mForwarding.onSuccessorBroken(now());
+            stay();
+        } else {
+            leave(answer);
+            mAnswer = null;
+            perform(mForwarding.onBroken(code, now()));
+        }
     }
 
     /** Returns whether the instance has just started and the request can wait until it is ready. */
@@ -304,6 +306,8 @@
                                     () -> perform(mForwarding.onWaited(now())),
                                     millis,
                                     TimeUnit.MILLISECONDS);
+        } else if (step instanceof Step.Follow) {
+            follow();
         } else if (step instanceof Step.Refuse refuse) {
             refuse(refuse.code(), refuse.retryAfterMillis(), refuse.why());
         } else if (step instanceof Step.Fail fail) {
@@ -314,106 +318,159 @@
             mEntry.metrics().onCut(broken.cause());
             end();
             mCaller.abort();
-        } else if (step instanceof Step.PassOn) {
-            passAnswer();
+        } else {
+            throw new AssertionError(step);
         }
     }
 
     private void send(Step.Send send) {
         mChoice = send.choice();
-        boolean keyed = !mRequest.route().open() && mEntry.routes().needsKeys();
-        if (keyed && !mEntry.isConfirmed()) {
+        if (!mayUseKey()) {
             String age = "age " + mEntry.lease().age(now());
             perform(mForwarding.onUnconfirmed(CallerRequests.UNCONFIRMED_RETRY_MILLIS, age));
             return;
         }
-        mAnswer = null;
-        mLog.routed(mRequest, mChoice, send.millisLeft());
+        mAnswer = ask(send);
+    }
+
+    /**
+     * An answer under way was allowed when it began, and its rest goes on wherever it may: a
+     * confirmation that lapses meanwhile takes nothing from it, as it doesn't from one that stays.
+     */
+    private boolean mayUseKey() {
+        boolean keyed = !mRequest.route().open() && mEntry.routes().needsKeys();
+        return !keyed || mForwarding.isUnderWay() || mEntry.isConfirmed();
+    }
+
+    private TargetAnswer ask(Step.Send send) {
+        TargetAnswer answer =
+                new TargetAnswer(this, mEntry, mRequest, send.choice(), mBody.alloc());
+        mLog.routed(mRequest, send.choice(), send.millisLeft());
         mEntry.metrics().onAttempt();
-        mEntry.onOpened(mChoice.target(), this);
-        mAttempt =
-                mEntry.pool()
-                        .send(
-                                mChoice.target(),
-                                mChoice.address(),
-                                TargetRequests.of(mEntry.dialect(), mHead, mBody, mRequest, send),
-                                id(),
-                                this);
+        // What is heard of it at once is heard of the answer that is asked for here.
+        if (mAnswer == null) {
+            mAnswer = answer;
+        } else {
+            mSuccessor = answer;
+        }
+        answer.start(TargetRequests.of(mEntry.dialect(), mHead, mBody, mRequest, send));
+        return answer;
     }
 
-    private void onHeard() {
-        mHeardAt = now();
-        mEntry.book().onHeard(mChoice.target(), mHeardAt);
+    /**
+     * Asks who is to go on, while the present answer is kept: if it were left first, whatever
+     * befalls the other one would cut an answer whose target is at work.
+     */
+    private void askSuccessor(Optional<Step.Send> send, String why) {
+        if (send.isEmpty()) {
+            return;
+        }
+        mSuccessorWhy = why;
+        ask(send.get());
+        if (mForwarding.holdsEvents()) {
+            mHoldOver =
+                    mEntry.loop()
+                            .schedule(
+                                    this::onHoldOver,
+                                    mForwarding.holdMillis(),
+                                    TimeUnit.MILLISECONDS);
+        }
     }
 
-    private void passEvents(ByteBuf bytes) {
-        for (EventSplitter.Event event : mEvents.add(bytes)) {
-            if (mEnded) {
-                event.bytes().release();
-                continue;
-            }
-            boolean numbered = event.number() != EventSplitter.NO_NUMBER;
-            if (numbered && event.number() <= mForwarding.lastEvent()) {
-                event.bytes().release();
-                breakStream("event " + event.number() + " after " + mForwarding.lastEvent());
-                return;
-            }
-            beginStream();
-            notePause();
-            mForwarding.onEventPassed(numbered ? event.number() : mForwarding.lastEvent());
-            mCaller.write(event.bytes());
+    /** The successor doesn't begin in time: the caller has waited long enough for events. */
+    private void onHoldOver() {
+        if (!mEnded && mSuccessor != null) {
+            logAttempt(mSuccessor, "dropped", "not begun in time");
+            dropSuccessor();
+            passHeld();
         }
-        if (!mEnded && mEvents.partBytes() > MAX_EVENT_BYTES) {
-            breakStream("an event over " + MAX_EVENT_BYTES + " bytes");
+    }
+
+    /** The successor has begun. */
+    private void takeOver() {
+        mForwarding.onSuccessorBegun();
+        logAttempt(mAnswer, "moved", mSuccessorWhy);
+        leave(mAnswer);
+        follow();
+    }
+
+    /** The successor is the only answer from now on. */
+    private void follow() {
+        mAnswer = mSuccessor;
+        mChoice = mAnswer.choice();
+        mSentAt = mAnswer.sentAt();
+        mSuccessor = null;
+        endHold();
+        mStream.releaseHeld();
+        mSilence.start(mAnswer, mForwarding.silenceMillis());
+    }
+
+    /** The successor is none: the present answer goes on as if it hadn't been asked. */
+    private void stay() {
+        mSuccessor = null;
+        endHold();
+        passHeld();
+    }
+
+    /** The successor isn't wanted any more. */
+    private void dropSuccessor() {
+        if (mSuccessor != null) {
+            mForwarding.onSuccessorDropped();
+            mSuccessor.cancel();
+            mSuccessor = null;
         }
+        endHold();
     }
 
-    private void notePause() {
-        mLongestPauseMillis = Math.max(mLongestPauseMillis, now() - mEventAt);
-        mEventAt = now();
+    private void endHold() {
+        if (mHoldOver != null) {
+            mHoldOver.cancel(false);
+            mHoldOver = null;
+        }
     }
 
-    private void breakStream(String why) {
-        cancelAttempt();
-        onBroken(ResultCode.ANSWER_SPOILED, why);
+    private void passHeld() {
+        EventSplitter.Event event;
+        while ((event = mStream.nextHeld()) != null) {
+            if (mEnded || mAnswer == null) {
+                event.bytes().release();
+            } else {
+                passOn(mAnswer, event);
+            }
+        }
     }
 
-    private void endStream() {
-        if (mEvents.partBytes() > 0) {
-            onBroken(ResultCode.STREAM_BROKEN, "the end of the last event is missing");
+    private void passOn(TargetAnswer answer, EventSplitter.Event event) {
+        boolean numbered = event.number() != EventSplitter.NO_NUMBER;
+        if (numbered && event.number() <= mForwarding.lastEvent()) {
+            event.bytes().release();
+            answer.giveUp(
+                    ResultCode.ANSWER_SPOILED,
+                    "event " + event.number() + " after " + mForwarding.lastEvent());
             return;
         }
         beginStream();
-        mForwarding.onComplete();
-        mWhole = true;
-        logAnswered();
-        end();
-        mCaller.endStream();
+        mForwarding.onEventPassed(numbered ? event.number() : mForwarding.lastEvent());
+        mStream.write(event, now());
     }
 
-    /** Sends the head of the first target that answers; one that goes on later adds only events. */
     private void beginStream() {
-        if (mStreamBegun) {
+        if (mStream.hasBegun()) {
             return;
         }
-        mStreamBegun = true;
-        mFirstHeaders = HopByHop.passedOn(mAnswerHead.headers(), name -> false);
-        mFirstEventMillis = now() - mSentAt;
-        mEventAt = now();
-        mStreamBegunAt = mEventAt;
-        mEntry.book().onFirstEvent(mChoice, mFirstEventMillis, now());
-        mEntry.metrics().onFirstEvent(mFirstEventMillis, mChoice.expectedMillis());
-        mCaller.beginStream(mAnswerHead.status(), mFirstHeaders);
+        mStream.begin(mAnswer, now());
+        long millis = mStream.firstEventMillis();
+        mEntry.book().onFirstEvent(mChoice, millis, now());
+        mEntry.metrics().onFirstEvent(millis, mChoice.expectedMillis());
     }
 
     private void passAnswer() {
-        ByteBuf body = mAnswerBody;
-        mAnswerBody = null;
-        HttpHeaders headers = HopByHop.passedOn(mAnswerHead.headers(), name -> false);
-        mWhole = mAnswer.head().isSuccess();
+        TargetAnswer answer = mAnswer;
+        ByteBuf body = answer.takeBody();
+        mWhole = answer.facts().isSuccess();
         logAnswered();
         end();
-        mCaller.answer(mAnswerHead.status(), headers, body);
+        mCaller.answer(answer.status(), answer.headers(), body);
     }
 
     private void refuse(ResultCode code, long retryAfterMillis, String why) {
@@ -428,60 +485,37 @@
             return;
         }
         Step step = mForwarding.onTimeOver(now());
-        cancelAttempt();
+        cancelAll();
         perform(step);
     }
 
-    private void watchSilence(long millis) {
-        if (millis == Long.MAX_VALUE) {
-            return;
-        }
-        long wait = Math.max(1, mHeardAt + millis - now());
-        mSilence = mEntry.loop().schedule(() -> checkSilence(millis), wait, TimeUnit.MILLISECONDS);
-    }
-
-    private void checkSilence(long millis) {
-        if (mEnded || mAttempt == null) {
-            return;
-        }
-        if (mPaused || now() - mHeardAt < millis || !mForwarding.isSilenceTelling(now())) {
-            watchSilence(Math.max(millis, now() - mHeardAt + SILENCE_STEP_MILLIS));
-            return;
-        }
-        giveUp(CutCause.SILENCE, "silent for " + millis + " ms");
-    }
-
-    private void cancelAttempt() {
-        if (mAttempt != null) {
-            mAttempt.cancel();
+    private void onSilent(long millis) {
+        if (!mEnded && mAnswer != null && !mPaused && mayUseKey()) {
+            askSuccessor(mForwarding.onSilence(now()), "silent for " + millis + " ms");
         }
-        closeAttempt();
     }
 
-    /** The attempt is over, whatever became of it. */
-    private void closeAttempt() {
-        if (mSilence != null) {
-            mSilence.cancel(false);
-            mSilence = null;
-        }
-        if (mAttempt != null) {
-            if (mAnswer != null && !mAnswer.head().isNotRun()) {
-                mLeft = new ExchangeLog.LeftRun(mChoice.target(), now() - mHeardAt, now());
-            }
-            mEntry.onClosed(mChoice.target(), this);
-            mAttempt = null;
+    /** Wants nothing more of an answer, and keeps what a cut has to tell of it. */
+    private void leave(TargetAnswer answer) {
+        mSilence.stop();
+        answer.cancel();
+        if (answer.hasBegun()) {
+            String target = answer.choice().target();
+            mLeft = new ExchangeLog.LeftRun(target, now() - answer.heardAt(), now());
         }
     }
 
-    private void releaseAnswer() {
-        if (mAnswerBody != null) {
-            mAnswerBody.release();
-            mAnswerBody = null;
+    private void cancelAll() {
+        if (mAnswer != null) {
+            leave(mAnswer);
+            mAnswer = null;
         }
-        if (mEvents != null) {
-            mEvents.release();
-            mEvents = null;
+        if (mSuccessor != null) {
+            mSuccessor.cancel();
+            mSuccessor = null;
         }
+        endHold();
+        mStream.releaseHeld();
     }
 
     private void end() {
@@ -490,8 +524,8 @@
         }
         mEnded = true;
         noteLasted();
-        closeAttempt();
-        releaseAnswer();
+        mSilence.stop();
+        cancelAll();
         mBody.release();
         if (mTimeOver != null) {
             mTimeOver.cancel(false);
@@ -503,10 +537,10 @@
 
     /** How long answers last tells what may still be taken when the instance shuts down. */
     private void noteLasted() {
-        if (!mStreamBegun && mSentAt == 0) {
+        if (!mStream.hasBegun() && mSentAt == 0) {
             return;
         }
-        long millis = now() - (mStreamBegun ? mStreamBegunAt : mSentAt);
+        long millis = now() - (mStream.hasBegun() ? mStream.begunAt() : mSentAt);
         if (mWhole) {
             mEntry.shutdown().onEnded(mRequest, millis);
         } else {
@@ -514,8 +548,8 @@
         }
     }
 
-    private void logAttempt(String outcome, String why) {
-        mLog.attemptFailed(id(), mChoice, outcome, why);
+    private void logAttempt(TargetAnswer answer, String outcome, String why) {
+        mLog.attemptFailed(id(), answer.choice(), outcome, why);
     }
 
     private void logAnswered() {
@@ -523,10 +557,10 @@
         mEntry.metrics().onAnswered(millis);
         mLog.answered(
                 id(),
-                mAnswer.head().status(),
+                mAnswer.facts().status(),
                 mChoice,
-                mFirstEventMillis,
-                mLongestPauseMillis,
+                mStream.firstEventMillis(),
+                mStream.longestPauseMillis(),
                 mForwarding.lastEvent(),
                 millis);
     }
