--- a/quilldyke-core/src/main/java/org/quilldyke/caller/Forwarding.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/caller/Forwarding.java
@@ -360,7 +360,10 @@
             return Optional.empty();
         }
         Optional<Choice> choice = mBook.choose(mRequest, barred(), now);
-        if (choice.isEmpty() || !takeRetry(now)) {
+        boolean inTime =
+                cause == CutCause.SILENCE
+                        || choice.isPresent() && choice.get().expectedMillis() <= holdMillis();
+        if (choice.isEmpty() || !inTime || !takeRetry(now)) {
             return Optional.empty();
         }
         mHistory.onRun(mRun.target());
--- a/quilldyke-core/src/test/java/org/quilldyke/caller/ForwardingTest.java
+++ b/quilldyke-core/src/test/java/org/quilldyke/caller/ForwardingTest.java
@@ -314,6 +314,16 @@
         assertThat(moved.lastEvent()).isEqualTo(5);
     }
 
+    /** Its events would wait longer than they may, and the prompt would be read for nothing. */
+    @Test
+    void streamStaysWhereAllOthersBeginTooLate() {
+        Forwarding stays = underWay();
+        List.of("a", "b", "c").forEach(id -> mBook.onOthersLoad(id, 1000, 0));
+
+        assertThat(stays.onTargetWaits(20)).isEqualTo(Optional.empty());
+        assertThat(stays.onSilence(900)).isNotEqualTo(Optional.empty());
+    }
+
     /** Two second attempts stay for answers whose target fails. */
     @Test
     void streamIsMovedOnlyIfAttemptsAreLeftForFailures() {
