--- a/quilldyke-core/src/main/java/org/quilldyke/caller/Forwarding.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/caller/Forwarding.java
@@ -356,7 +356,8 @@
     }
 
     private Optional<Step.Send> askSuccessor(CutCause cause, long now) {
-        if (mRun == null || mSuccessor != null || !mayRunAgain(now)) {
+        // Nothing is at work before the run is sent: it goes elsewhere if it can't be.
+        if (mRun == null || !mRun.isSent() || mSuccessor != null || !mayRunAgain(now)) {
             return Optional.empty();
         }
         Optional<Choice> choice = mBook.choose(mRequest, barred(), now);
