--- a/quilldyke-core/src/main/java/org/quilldyke/caller/Forwarding.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/caller/Forwarding.java
@@ -121,7 +121,7 @@
 
     /** Notes that the first byte is about to leave: from now on the request may run. */
     public void onSending() {
-        mRun.onSending();
+        noteSending(mRun);
     }
 
     /** Returns the step after the target could not be reached; no byte was sent. */
@@ -231,7 +231,7 @@
 
     /** Notes that the first byte is about to leave for the successor. */
     public void onSuccessorSending() {
-        mSuccessor.onSending();
+        noteSending(mSuccessor);
     }
 
     /** Notes that the successor could not be reached; the run stays. */
@@ -347,9 +347,8 @@
      * more elsewhere; and not if nobody else could answer, or the request can't be sent again.
      */
     public boolean isSilenceTelling(long now) {
-        int runs = mHistory.targets() + (mHistory.hasRun(mRun.target()) ? 0 : 1);
         return mSuccessor == null
-                && runs < mRequest.route().maxAttempts()
+                && mRun.isSent()
                 && mayRunAgain(now)
                 && mRetries.hasRoom(mRequest.service(), 1, now)
                 && !mBook.isAlive(mRun.target(), now);
@@ -364,7 +363,6 @@
         if (choice.isEmpty() || !takeRetry(now)) {
             return Optional.empty();
         }
-        mHistory.onRun(mRun.target());
         mSuccessorCause = cause;
         mSuccessor = open(choice.get(), now);
         return Optional.of(new Step.Send(choice.get(), mRequest.answerBy() - now, mLastEvent));
@@ -404,7 +402,14 @@
         return giveUp(ResultCode.OVERLOADED, "refused by " + mHistory.unfit(), now);
     }
 
+    private void noteSending(TargetRun run) {
+        run.onSending(mHistory.onRun(run.target()));
+    }
+
     private void noteRefusal(TargetRun run, AnswerHead head, long now) {
+        if (run.isFirstThere()) {
+            mHistory.onNotRun(run.target());
+        }
         if (head.wrongTarget()) {
             mBook.onWrongTarget(run.target(), now);
         } else {
--- a/quilldyke-core/src/main/java/org/quilldyke/caller/RunHistory.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/caller/RunHistory.java
@@ -41,9 +41,14 @@
         mMaxTargets = maxTargets;
     }
 
-    /** Notes that a target runs the request, or may. */
-    void onRun(String target) {
-        mRan.add(target);
+    /** Notes that a target runs the request, or may; returns whether it is the first time. */
+    boolean onRun(String target) {
+        return mRan.add(target);
+    }
+
+    /** Notes that a target has not run the request, though it was sent there. */
+    void onNotRun(String target) {
+        mRan.remove(target);
     }
 
     /** Notes that a target was left though it may be at work. */
@@ -62,11 +67,6 @@
         mUnfit.clear();
     }
 
-    /** Returns whether a target runs the request, or may have run it. */
-    boolean hasRun(String target) {
-        return mRan.contains(target);
-    }
-
     /** Returns at how many targets the request has run, or may have. */
     int targets() {
         return mRan.size();
--- a/quilldyke-core/src/main/java/org/quilldyke/caller/TargetRun.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/caller/TargetRun.java
@@ -23,6 +23,7 @@
     private final TargetBook mBook;
     private final Choice mChoice;
     private boolean mSent;
+    private boolean mFirstThere;
     private boolean mPromptRead;
     private boolean mFinished;
 
@@ -41,9 +42,19 @@
         return mChoice.target();
     }
 
-    /** Notes that the first byte leaves: from now on it may run. */
-    void onSending() {
+    /**
+     * Notes that the first byte leaves: from now on it may run.
+     *
+     * @param firstThere whether its target has not run the request before, as far as is known
+     */
+    void onSending(boolean firstThere) {
         mSent = true;
+        mFirstThere = firstThere;
+    }
+
+    /** Returns whether its target has not run the request if it doesn't run it now. */
+    boolean isFirstThere() {
+        return mFirstThere;
     }
 
     /** Returns whether a byte may have reached the target. */
