--- a/quilldyke-core/src/main/java/org/quilldyke/caller/Forwarding.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/caller/Forwarding.java
@@ -196,6 +196,9 @@
 
     /** Returns the step after this instance has taken the target for lost. */
     public Step onGivenUp(CutCause cause, long now) {
+        if (!mRun.isSent()) {
+            return onUnsent(now);
+        }
         return onLost(ResultCode.TARGET_LOST, cause, now);
     }
 
