--- a/quilldyke-core/src/main/java/org/quilldyke/caller/Forwarding.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/caller/Forwarding.java
@@ -16,6 +16,7 @@
 package org.quilldyke.caller;
 
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.quilldyke.ResultCode;
 import org.quilldyke.manifest.Route;
@@ -74,8 +75,7 @@
     private int mUnsent;
     private boolean mHeadPassed;
     private long mLastEvent;
-    private long mLostAt;
-    private boolean mLost;
+    private final LostStream mLost = new LostStream();
     private ResultCode mLostBy = ResultCode.TARGET_LOST;
     private CutCause mLeftBy = CutCause.TARGET;
 
@@ -169,7 +169,7 @@
     /** Notes that events up to the given one were passed on to the caller. */
     public void onEventPassed(long event) {
         mHeadPassed = true;
-        mLost = false;
+        mLost.onEvent();
         mLastEvent = event;
         mRun.onPromptRead();
     }
@@ -443,10 +443,7 @@
      * waits for that as long as its caller does.
      */
     private Step goOn(ResultCode why, long now) {
-        if (!mLost) {
-            mLost = true;
-            mLostAt = now;
-        }
+        mLost.onLost(now);
         mLostBy = why;
         Route route = mRequest.route();
         boolean mayGoOn =
@@ -457,19 +454,23 @@
         if (!mayGoOn) {
             return new Step.Break(mLostBy, mLeftBy);
         }
-        if (hasOtherTarget(now) && takeRetry(now)) {
+        if (mLost.mayTry(now) && hasOtherTarget(now) && takeRetry(now)) {
+            mLost.onTry(now);
             return choose(now);
         }
         return waitToGoOn(now);
     }
 
     private Step waitToGoOn(long now) {
-        long until = Math.min(mLostAt + mRequest.route().callerPatienceMillis(), answerBy());
-        if (now + WAIT_STEP_MILLIS >= until) {
+        long patience = mRequest.route().callerPatienceMillis();
+        OptionalLong next = mLost.nextLook(patience, answerBy(), now);
+        if (next.isEmpty()) {
             return new Step.Break(mLostBy, mLeftBy);
         }
-        mHistory.forgive();
-        return new Step.Wait(now + WAIT_STEP_MILLIS);
+        if (!hasOtherTarget(now)) {
+            mHistory.forgive();
+        }
+        return new Step.Wait(next.getAsLong());
     }
 
     private boolean mayRunAgain(long now) {
