--- a/quilldyke-core/src/main/java/org/quilldyke/caller/Forwarding.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/caller/Forwarding.java
@@ -268,6 +268,12 @@
         dropSuccessor();
     }
 
+    /** Returns whether an answer of the successor can take the run's place. */
+    public boolean mayFollow(AnswerHead head) {
+        return head.isGenuine()
+                && (mHeadPassed ? head.stream() && head.isSuccess() : head.status() < 500);
+    }
+
     /** Notes that the successor has begun to answer: it takes the run's place. */
     public void onSuccessorBegun() {
         mLeftBy = mSuccessorCause;
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Exchange.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Exchange.java
@@ -205,16 +205,16 @@
     /** A stream begins. */
     void onStream(TargetAnswer answer) {
         if (answer == mSuccessor) {
-            if (!answer.facts().isGenuine()) {
+            if (!mForwarding.mayFollow(answer.facts())) {
                 answer.giveUp(ResultCode.ANSWER_SPOILED, "no signature");
                 return;
             }
             takeOver();
-        } else {
-            dropSuccessor();
         }
         Step step = mForwarding.onAnswer(answer.facts(), now());
-        if (!(step instanceof Step.PassOn)) {
+        if (step instanceof Step.PassOn) {
+            dropSuccessor();
+        } else {
             leave(answer);
             logAttempt(answer, "spoiled", "no signature");
             mAnswer = null;
@@ -235,8 +235,8 @@
     /** An answer that isn't a stream is whole. */
     void onWhole(TargetAnswer answer) {
         if (answer == mSuccessor) {
-            if (mForwarding.isUnderWay()) {
-                answer.giveUp(ResultCode.STREAM_BROKEN, "no stream");
+            if (!mForwarding.mayFollow(answer.facts())) {
+                answer.giveUp(ResultCode.STREAM_BROKEN, "status " + answer.facts().status());
                 return;
             }
             takeOver();
