--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Exchange.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Exchange.java
@@ -259,7 +259,8 @@
         }
         dropSuccessor();
         passHeld();
-        if (mEnded) {
+        if (mAnswer != answer) {
+            // What was held has spoiled it.
             return;
         }
         beginStream();
@@ -430,12 +431,13 @@
     }
 
     private void passHeld() {
+        TargetAnswer from = mAnswer;
         EventSplitter.Event event;
         while ((event = mStream.nextHeld()) != null) {
-            if (mEnded || mAnswer == null) {
+            if (mEnded || from == null || mAnswer != from) {
                 event.bytes().release();
             } else {
-                passOn(mAnswer, event);
+                passOn(from, event);
             }
         }
     }
