--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Exchange.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Exchange.java
@@ -141,7 +141,7 @@
 
     /** A target is silent to all; it is kept until somebody else begins to answer. */
     void onTargetSilent(String target) {
-        if (isPresentAt(target)) {
+        if (isPresentAt(target) && mayUseKey()) {
             askSuccessor(mForwarding.onSilence(now()), "the target is silent");
         }
     }
