--- a/quilldyke-core/src/test/java/org/quilldyke/caller/ForwardingWalk.java
+++ b/quilldyke-core/src/test/java/org/quilldyke/caller/ForwardingWalk.java
@@ -62,6 +62,7 @@
     private final double mRetriesAtFirst;
 
     private final Set<String> mMayHaveRun = new HashSet<>();
+    private final Set<String> mLeftAtWork = new HashSet<>();
     private int mRuns;
     private int mArrivals;
     private int mTakenByOthers;
@@ -192,6 +193,9 @@
             ask(mForwarding.onTargetWaits(mNow));
         } else if (what == 2 && mRandom.nextInt(3) == 0) {
             tell("given up by control");
+            if (mRun.mSent) {
+                mLeftAtWork.remove(mRun.mTarget);
+            }
             mRun = null;
             perform(mForwarding.onGivenUp(CutCause.CONTROL, mNow));
         } else if (!mRun.mSent) {
@@ -229,6 +233,7 @@
         }
         Step step = mForwarding.onAnswer(head, mNow);
         if (!(step instanceof Step.PassOn)) {
+            mLeftAtWork.remove(mRun.mTarget);
             mRun = null;
             perform(step);
         } else if (head.stream()) {
@@ -260,6 +265,7 @@
 
     private void onBroken() {
         tell("breaks off");
+        mLeftAtWork.remove(mRun.mTarget);
         mRun = null;
         perform(mForwarding.onBroken(ResultCode.TARGET_LOST, mNow));
     }
@@ -293,10 +299,12 @@
             stay();
         } else if (mRandom.nextInt(5) == 0 || !mForwarding.mayFollow(head)) {
             tell("it can't follow");
+            mLeftAtWork.remove(mSuccessor.mTarget);
             mForwarding.onSuccessorBroken(mNow);
             stay();
         } else {
             mForwarding.onSuccessorBegun();
+            mLeftAtWork.add(mRun.mTarget);
             follow();
             onHeadOfFollower(head);
         }
@@ -372,11 +380,11 @@
         }
     }
 
-    /** Returns whether another target may run it, and its caller still waits for events. */
+    /** Returns whether any target may run it on, and its caller still waits for events. */
     private boolean mayGoOn() {
         return mRoute.mayRunAgain()
                 && mRoute.resumable()
-                && mMayHaveRun.size() < mRoute.maxAttempts()
+                && (mMayHaveRun.size() < mRoute.maxAttempts() || !mLeftAtWork.isEmpty())
                 && mNow + ENOUGH_MILLIS < mRoute.timeoutMillis()
                 && mNow + ENOUGH_MILLIS < mLostAt + mRoute.callerPatienceMillis();
     }
@@ -405,6 +413,9 @@
     private void dropSuccessor() {
         if (mSuccessor != null) {
             mForwarding.onSuccessorDropped();
+            if (mSuccessor.mSent) {
+                mLeftAtWork.add(mSuccessor.mTarget);
+            }
             mSuccessor = null;
         }
     }
--- a/quilldyke-core/src/test/java/org/quilldyke/caller/SuccessorTest.java
+++ b/quilldyke-core/src/test/java/org/quilldyke/caller/SuccessorTest.java
@@ -95,6 +95,27 @@
         assertThat(again.map(send -> send.choice().target())).isEqualTo(Optional.of(second));
     }
 
+    /** Where a stream may go back to was out of the question for good once it was full. */
+    @Test
+    void streamWaitsForTheTargetThatItLeftIfThatRefusesItOnce() {
+        Forwarding forwarding = forwarding(RequestKind.STREAMING, 2);
+        begin(forwarding);
+        forwarding.onTargetWaits(20).get();
+        forwarding.onSuccessorSending();
+        forwarding.onSuccessorBegun();
+        forwarding.onAnswer(STREAM, 30);
+        forwarding.onEventPassed(5);
+        String first = sent(forwarding.onBroken(ResultCode.TARGET_LOST, 40), forwarding);
+
+        Step step = forwarding.onAnswer(SHED, 50);
+        assertThat(step).isInstanceOf(Step.Wait.class);
+        while (step instanceof Step.Wait wait) {
+            step = forwarding.onWaited(wait.until());
+        }
+
+        assertThat(sent(step, forwarding)).isEqualTo(first);
+    }
+
     /** It was sent, but is known not to have run. */
     @Test
     void refusalsOfBothAreARefusal() {
