--- a/quilldyke-core/src/main/java/org/quilldyke/caller/Forwarding.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/caller/Forwarding.java
@@ -145,7 +145,7 @@
         mHistory.onRun(mRun.target());
         if (!head.isGenuine()) {
             mBook.onSpoiled(mRun.target(), now);
-            mHistory.onUnfit(mRun.target());
+            mHistory.onFailed(mRun.target());
             finishRun();
             return sendAgainOr(ResultCode.ANSWER_SPOILED, now);
         }
@@ -156,7 +156,7 @@
         if (head.status() >= 500 && !head.isSuccess()) {
             mBook.onFailure(mRun.target(), now);
             if (mSuccessor != null || mayRunAgain(now) && takeRetry(now)) {
-                mHistory.onUnfit(mRun.target());
+                mHistory.onFailed(mRun.target());
                 finishRun();
                 return follow().orElseGet(() -> choose(now));
             }
@@ -206,7 +206,7 @@
         mLeftBy = cause;
         mBook.onFailure(mRun.target(), now);
         mHistory.onRun(mRun.target());
-        mHistory.onUnfit(mRun.target());
+        mHistory.onFailed(mRun.target());
         finishRun();
         return sendAgainOr(why, now);
     }
@@ -255,7 +255,7 @@
     public void onSuccessorBroken(long now) {
         mBook.onFailure(mSuccessor.target(), now);
         mHistory.onRun(mSuccessor.target());
-        mHistory.onUnfit(mSuccessor.target());
+        mHistory.onFailed(mSuccessor.target());
         dropSuccessor();
     }
 
--- a/quilldyke-core/src/main/java/org/quilldyke/caller/RunHistory.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/caller/RunHistory.java
@@ -56,8 +56,13 @@
         mLeftAtWork.add(target);
     }
 
-    /** Notes that a target can't be reached, or refused or failed the request. */
+    /** Notes that a target can't be reached, or refused the request: another time it may not. */
     void onUnfit(String target) {
+        mUnfit.add(target);
+    }
+
+    /** Notes that a target failed the request. */
+    void onFailed(String target) {
         mLeftAtWork.remove(target);
         mUnfit.add(target);
     }
