--- a/quilldyke-core/src/main/java/org/quilldyke/routing/CostModel.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/routing/CostModel.java
@@ -40,6 +40,14 @@
      */
     private static final double DELAY_TOKENS_PER_MILLI = 0.14;
 
+    /** What an engine alone takes for an event of four tokens: 20 to 25 ms on today's sites. */
+    private static final double IDLE_EVENT_MILLIS = 25;
+
+    private static final int EVENT_TOKENS = 4;
+
+    /** Prompts that others will send to an engine while a stream runs are on no list. */
+    private static final double UNSEEN_PROMPTS = 1.5;
+
     /** Returns the model for engines of today's sites; refined by what is seen. */
     public static CostModel standard() {
         return new CostModel(50, 15, 3.5, 0.1);
@@ -61,6 +69,11 @@
         return readingMillis(backlogTokens) + line;
     }
 
+    /** Returns how long an engine is expected to take for an event if none of its was seen. */
+    public double unseenEventMillis(int running) {
+        return UNSEEN_PROMPTS * (IDLE_EVENT_MILLIS + EVENT_TOKENS * stepMillisPerRequest * running);
+    }
+
     private double stepMillis(int running) {
         return stepMillis + stepMillisPerRequest * running;
     }
--- /dev/null
+++ b/quilldyke-core/src/main/java/org/quilldyke/routing/PacedChoice.java
@@ -0,0 +1,29 @@
+/*
+ * Copyright 2026 The quilldyke authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.quilldyke.routing;
+
+/**
+ * A target that was chosen for the rest of a stream, and how quick it is expected to be.
+ *
+ * @param choice the target, and what is expected of the first event
+ * @param paceMillis how long each further event takes there
+ */
+public record PacedChoice(Choice choice, double paceMillis) {
+    /** Returns how long the rest of a stream of so many events would last there. */
+    public double restMillis(int events) {
+        return choice.expectedMillis() + events * paceMillis;
+    }
+}
--- a/quilldyke-core/src/main/java/org/quilldyke/routing/TargetBook.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/routing/TargetBook.java
@@ -22,6 +22,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.random.RandomGenerator;
 import org.quilldyke.caller.Admission;
@@ -172,24 +173,51 @@
                         .filter(r -> r.cost() <= dearest)
                         .findFirst()
                         .orElse(rated.get(0));
+        return Optional.of(choiceOf(best, rated, request));
+    }
+
+    /**
+     * Returns the target that is expected to end the rest of a stream first, if one in good
+     * standing can take it.
+     *
+     * @param events how many events the rest has at most
+     */
+    public Optional<PacedChoice> chooseQuickest(
+            ForwardRequest request, Set<String> excluded, int events, long now) {
+        List<RatedTarget> rated = new ArrayList<>();
+        for (TargetState state : candidates(request, excluded, now)) {
+            if (!state.isSuspect(now)) {
+                rated.add(mRatings.rate(state, request, now));
+            }
+        }
+        rated.sort(
+                Comparator.comparingDouble(
+                        r -> r.expected() + events * mRatings.paceMillis(r.state(), now)));
+        return rated.stream()
+                .findFirst()
+                .map(
+                        best ->
+                                new PacedChoice(
+                                        choiceOf(best, rated, request),
+                                        mRatings.paceMillis(best.state(), now)));
+    }
+
+    private Choice choiceOf(RatedTarget best, List<RatedTarget> rated, ForwardRequest request) {
         RatedTarget next = rated.stream().filter(r -> r != best).findFirst().orElse(null);
-        return Optional.of(
-                new Choice(
-                        best.state().id(),
-                        best.state().address(),
-                        best.weights(),
-                        best.salt(),
-                        best.cached(),
-                        best.missing(),
-                        best.fetched(),
-                        best.source().isEmpty()
-                                ? mRatings.spareSource(best, request)
-                                : best.source(),
-                        mRatings.storeFor(best, request),
-                        Math.round(best.admission()),
-                        Math.round(best.expected()),
-                        next == null ? "" : next.state().id(),
-                        next == null ? 0 : Math.round(next.expected())));
+        return new Choice(
+                best.state().id(),
+                best.state().address(),
+                best.weights(),
+                best.salt(),
+                best.cached(),
+                best.missing(),
+                best.fetched(),
+                best.source().isEmpty() ? mRatings.spareSource(best, request) : best.source(),
+                mRatings.storeFor(best, request),
+                Math.round(best.admission()),
+                Math.round(best.expected()),
+                next == null ? "" : next.state().id(),
+                next == null ? 0 : Math.round(next.expected()));
     }
 
     /** Returns whether another target could take a request. */
@@ -234,6 +262,20 @@
         }
     }
 
+    /** Notes a further event of an answer, so many milliseconds after the one before it. */
+    public void onEvent(String id, long sinceLastMillis, long now) {
+        TargetState state = mTargets.get(id);
+        if (state != null) {
+            state.onEvent(sinceLastMillis, now);
+        }
+    }
+
+    /** Returns how long a target takes for an event, if streams from there were seen lately. */
+    public OptionalDouble paceMillis(String id, long now) {
+        TargetState state = mTargets.get(id);
+        return state == null ? OptionalDouble.empty() : state.paceMillis(now);
+    }
+
     /** Notes that a target has sent something. */
     public void onHeard(String id, long now) {
         TargetState state = mTargets.get(id);
--- a/quilldyke-core/src/main/java/org/quilldyke/routing/TargetRatings.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/routing/TargetRatings.java
@@ -78,6 +78,11 @@
         return rateEngine(state, request, request.prompt().get(), noise, now);
     }
 
+    /** Returns how long an event takes at a target: as seen here, or else as expected. */
+    double paceMillis(TargetState state, long now) {
+        return state.paceMillis(mCosts.unseenEventMillis(state.openRequests()), now);
+    }
+
     private RatedTarget rateEngine(
             TargetState state, ForwardRequest request, Prompt prompt, double noise, long now) {
         String salt = salt(state, request);
--- a/quilldyke-core/src/main/java/org/quilldyke/routing/TargetState.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/routing/TargetState.java
@@ -17,6 +17,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.OptionalDouble;
 import org.quilldyke.caller.Prompt;
 import org.quilldyke.engine.TargetReport;
 
@@ -50,6 +51,7 @@
     private final Map<String, Long> mWeights = new HashMap<>();
     private final CacheView mCache = new CacheView();
     private final DelayTracker mDelay = new DelayTracker();
+    private final PaceTracker mPace = new PaceTracker();
     private TargetReport mReport;
     private int mRequests;
     private long mTokens;
@@ -182,6 +184,19 @@
         mDelay.onSeen(seenMillis, expectedMillis, now);
     }
 
+    void onEvent(long sinceLastMillis, long now) {
+        mPace.onEvent(sinceLastMillis, now);
+    }
+
+    /** Returns how long an event takes, by the streams that this instance has or had here. */
+    OptionalDouble paceMillis(long now) {
+        return mPace.millis(now);
+    }
+
+    double paceMillis(double expected, long now) {
+        return mPace.millis(expected, now);
+    }
+
     void onChosen(Choice choice, Prompt prompt, long now) {
         mWaitingSince = mRequests == 0 ? now : mWaitingSince;
         mRequests++;
--- a/quilldyke-core/src/test/java/org/quilldyke/routing/TargetBookTest.java
+++ b/quilldyke-core/src/test/java/org/quilldyke/routing/TargetBookTest.java
@@ -339,6 +339,71 @@
         assertThat(choose(1).target()).isNotEqualTo(home.target());
     }
 
+    @Test
+    void paceOfATargetIsKnownByItsEvents() {
+        assertThat(mBook.paceMillis("a", 0).isPresent()).isFalse();
+        seePace("a", 40);
+
+        assertThat(mBook.paceMillis("a", 1000).getAsDouble()).isWithin(0.001).of(40);
+        assertThat(mBook.paceMillis("b", 1000).isPresent()).isFalse();
+        assertThat(mBook.paceMillis("gone", 1000).isPresent()).isFalse();
+    }
+
+    @Test
+    void restOfAStreamGoesWhereItEndsFirst() {
+        seePace("a", 100);
+        seePace("b", 20);
+        seePace("c", 40);
+
+        PacedChoice quickest = quickest(100, Set.of()).get();
+        assertThat(quickest.choice().target()).isEqualTo("b");
+        assertThat(quickest.choice().runnerUp()).isEqualTo("c");
+        assertThat(quickest.paceMillis()).isWithin(0.001).of(20);
+        assertThat(quickest(100, Set.of("b")).get().choice().target()).isEqualTo("c");
+    }
+
+    /** The line of prompts there counts against its pace. */
+    @Test
+    void fewEventsGoWhereTheirPromptIsReadFirst() {
+        seePace("a", 100);
+        seePace("b", 20);
+        seePace("c", 100);
+        mBook.onOthersLoad("b", 2, 40_000);
+        mBook.onOthersLoad("c", 2, 80_000);
+
+        assertThat(quickest(5, Set.of()).get().choice().target()).isEqualTo("a");
+        assertThat(quickest(100, Set.of()).get().choice().target()).isEqualTo("b");
+    }
+
+    /** What was not seen may be slowed by others' prompts: one that was seen is taken first. */
+    @Test
+    void targetOfUnknownPaceIsTakenBeforeASlowOneAndAfterAQuickOne() {
+        mBook.onGone("c");
+        seePace("a", 30);
+        assertThat(quickest(100, Set.of()).get().choice().target()).isEqualTo("a");
+
+        seePace("a", 60);
+        assertThat(quickest(100, Set.of()).get().choice().target()).isEqualTo("b");
+    }
+
+    @Test
+    void suspectTargetIsNeverTheQuickest() {
+        mBook.onGone("c");
+        mBook.onFailure("a", 1000);
+        assertThat(quickest(100, Set.of()).get().choice().target()).isEqualTo("b");
+        assertThat(quickest(100, Set.of("b")).isPresent()).isFalse();
+    }
+
+    private void seePace(String id, long millis) {
+        for (long at = 0; at <= 1000; at += millis) {
+            mBook.onEvent(id, millis, at);
+        }
+    }
+
+    private Optional<PacedChoice> quickest(int events, Set<String> excluded) {
+        return mBook.chooseQuickest(request(false), excluded, events, 1000);
+    }
+
     private void tellKept(String holder, String salt, long... parts) {
         List<Long> keys = new ArrayList<>();
         for (long part : parts) {
