--- a/quilldyke-core/src/main/java/org/quilldyke/caller/RunTimes.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/caller/RunTimes.java
@@ -28,7 +28,7 @@
     /**
      * Lengths are spread over a factor of four above their median (log-normal, sigma 0.7, cut off
      * at four times the median): the longest of forty is below two thirds of that for one in
-     * twenty.
+     * twenty. Paces are spread by less: the slowest of a hundred is twice the median.
      */
     private static final double MARGIN = 1.5;
 
--- a/quilldyke-core/src/main/java/org/quilldyke/caller/ShutdownAdmission.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/caller/ShutdownAdmission.java
@@ -18,7 +18,9 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.OptionalDouble;
+import java.util.OptionalInt;
 import org.quilldyke.ResultCode;
+import org.quilldyke.manifest.RequestKind;
 
 /**
  * Which requests an instance still takes while it shuts down: those that end before it has to.
@@ -26,8 +28,9 @@
  * <p>Until the balancer has noticed, callers still come, and the instance has a few seconds less
  * than a stream may last. A stream that it took and couldn't finish would be cut amid its answer;
  * one that is refused at once may be served by another instance. What a request lasts is learnt
- * from those that ended: streams by the tokens that they might have had, others by themselves. One
- * object for all requests of an instance, used by one thread.
+ * from those that ended: streams by their pace and the events that they might have had, since most
+ * use a small part of their allowance; others by themselves. One object for all requests of an
+ * instance, used by one thread.
  */
 public final class ShutdownAdmission {
     private static final long RUNNING = Long.MAX_VALUE;
@@ -41,6 +44,7 @@
      */
     private static final double UNKNOWN_TOKEN_MILLIS = 80;
 
+    private final Map<String, StreamTimes> mStreams = new HashMap<>();
     private final Map<String, RunTimes> mTokens = new HashMap<>();
     private final Map<String, RunTimes> mOthers = new HashMap<>();
     private long mEndsAt = RUNNING;
@@ -83,32 +87,64 @@
     /**
      * Takes how long a whole answer lasted.
      *
+     * @param events how many events it had, 0 if it is no stream
      * @param millis from its first event, or from its sending if it is no stream, to its end
      */
-    public void onEnded(ForwardRequest request, long millis) {
+    public void onEnded(ForwardRequest request, int events, long millis) {
+        if (isMeasuredByEvents(request) && events == 0) {
+            // A whole answer where a stream was due says nothing of streams.
+            return;
+        }
         if (request.lastEvent() >= 0) {
             // A part of an answer alone, which says of whole ones as much as one that broke off.
-            onBrokenOff(request, millis);
+            onBrokenOff(request, events, millis);
+        } else if (isMeasuredByEvents(request)) {
+            streams(request).onEnded(maxTokens(request), events, millis);
         } else {
             times(request).onEnded(measure(request, millis));
         }
     }
 
-    /** Takes how long an answer lasted until it broke off: it would have lasted longer. */
-    public void onBrokenOff(ForwardRequest request, long millis) {
-        times(request).onBrokenOff(measure(request, millis));
+    /**
+     * Takes how long an answer lasted until it broke off: it would have lasted longer.
+     *
+     * @param events how many events it had, 0 if none had come
+     * @param millis from its first event to its last, or from its sending if none had come
+     */
+    public void onBrokenOff(ForwardRequest request, int events, long millis) {
+        if (!isMeasuredByEvents(request)) {
+            times(request).onBrokenOff(measure(request, millis));
+        } else if (events > 0) {
+            streams(request).onPart(maxTokens(request), events, millis);
+        }
+    }
+
+    /** Returns how many events an answer has at most, if that is known. */
+    public OptionalInt mostEvents(ForwardRequest request) {
+        return isMeasuredByEvents(request)
+                ? OptionalInt.of(streams(request).mostEvents(maxTokens(request)))
+                : OptionalInt.empty();
     }
 
     /** A stream that goes on after an event is taken for a whole one: its rest isn't known. */
     private double mostMillis(ForwardRequest request) {
         int maxTokens = maxTokens(request);
-        OptionalDouble most = times(request).most();
-        return maxTokens > 0
-                ? maxTokens * most.orElse(UNKNOWN_TOKEN_MILLIS)
-                : most.orElse(request.route().timeoutMillis());
+        OptionalDouble most =
+                isMeasuredByEvents(request)
+                        ? streams(request).mostMillis(maxTokens)
+                        : mostOf(times(request), maxTokens);
+        return most.orElse(
+                maxTokens > 0 ? maxTokens * UNKNOWN_TOKEN_MILLIS : request.route().timeoutMillis());
     }
 
-    /** Streams are measured by the tokens that they may have, others by themselves. */
+    private static OptionalDouble mostOf(RunTimes times, int maxTokens) {
+        OptionalDouble most = times.most();
+        return most.isEmpty()
+                ? most
+                : OptionalDouble.of(most.getAsDouble() * Math.max(1, maxTokens));
+    }
+
+    /** Answers without events are measured by the tokens that they may have, or by themselves. */
     private static double measure(ForwardRequest request, long millis) {
         return (double) millis / Math.max(1, maxTokens(request));
     }
@@ -117,6 +153,14 @@
         return request.prompt().map(Prompt::maxOutputTokens).orElse(0);
     }
 
+    private static boolean isMeasuredByEvents(ForwardRequest request) {
+        return maxTokens(request) > 0 && request.route().kind() == RequestKind.STREAMING;
+    }
+
+    private StreamTimes streams(ForwardRequest request) {
+        return mStreams.computeIfAbsent(request.service(), service -> new StreamTimes());
+    }
+
     private RunTimes times(ForwardRequest request) {
         Map<String, RunTimes> all = maxTokens(request) > 0 ? mTokens : mOthers;
         return all.computeIfAbsent(request.service(), service -> new RunTimes());
--- a/quilldyke-core/src/test/java/org/quilldyke/caller/ShutdownAdmissionTest.java
+++ b/quilldyke-core/src/test/java/org/quilldyke/caller/ShutdownAdmissionTest.java
@@ -32,6 +32,7 @@
     private static final long ENDS_AT = 7800;
     private static final int LONG_STREAM = 955;
     private static final int SHORT_STREAM = 205;
+    private static final int EVENT_TOKENS = 5;
     private static final int ENOUGH = 40;
 
     private final ShutdownAdmission mAdmission = ShutdownAdmission.create();
@@ -87,12 +88,64 @@
      */
     @Test
     void shortAnswersDontLetInOneThatMayUseItsWholeAllowance() {
-        see(ENOUGH, LONG_STREAM, 700);
+        seeParts(ENOUGH, LONG_STREAM, LONG_STREAM / 50, 700);
         mAdmission.onShutdown(ENDS_AT);
 
         assertThat(mAdmission.admits(stream(LONG_STREAM, 15_000), 20, 1200)).isFalse();
     }
 
+    /** Nor do some that use half of it tell how many events the whole of it makes. */
+    @Test
+    void answersThatUseAHalfDontTellTheTokensOfAnEvent() {
+        seeParts(ENOUGH, LONG_STREAM, 95, 1000);
+        see(2, LONG_STREAM, 2000);
+        mAdmission.onShutdown(ENDS_AT);
+        assertThat(mAdmission.mostEvents(stream(LONG_STREAM, 15_000)).getAsInt())
+                .isEqualTo(LONG_STREAM);
+
+        see(1, LONG_STREAM, 2000);
+        assertThat(mAdmission.mostEvents(stream(LONG_STREAM, 15_000)).getAsInt()).isEqualTo(191);
+    }
+
+    /** Most of what is asked for during a shutdown is short: it is still served. */
+    @Test
+    void shortStreamsAreTakenBesideLongOnes() {
+        seeParts(ENOUGH, LONG_STREAM, LONG_STREAM / 50, 700);
+        see(3, LONG_STREAM, 7000);
+        mAdmission.onShutdown(ENDS_AT);
+
+        assertThat(mAdmission.admits(stream(SHORT_STREAM, 15_000), 250, 2600)).isTrue();
+        assertThat(mAdmission.admits(stream(LONG_STREAM, 15_000), 250, 0)).isFalse();
+    }
+
+    /** A stream of two events with a pause between them said that all streams are as slow. */
+    @Test
+    void pauseInAShortAnswerIsNotTakenForThePaceOfLongOnes() {
+        see(ENOUGH, SHORT_STREAM, 900);
+        seeParts(1, SHORT_STREAM, 2, 400);
+        mAdmission.onShutdown(ENDS_AT);
+
+        assertThat(mAdmission.admits(stream(SHORT_STREAM, 15_000), 20, 2000)).isTrue();
+    }
+
+    /** A whole answer on a route of streams was over at once, and so were forty streams. */
+    @Test
+    void answersWithoutEventsTeachNothing() {
+        seeParts(ENOUGH, SHORT_STREAM, 0, 10);
+        mAdmission.onShutdown(ENDS_AT);
+
+        assertThat(mAdmission.admits(stream(SHORT_STREAM, 15_000), 20, 0)).isFalse();
+    }
+
+    @Test
+    void partThatWasSlowerThanAllWholeOnesCounts() {
+        see(ENOUGH, SHORT_STREAM, 900);
+        mAdmission.onBrokenOff(stream(SHORT_STREAM, 15_000), 20, 4000);
+        mAdmission.onShutdown(ENDS_AT);
+
+        assertThat(mAdmission.admits(stream(SHORT_STREAM, 15_000), 20, 0)).isFalse();
+    }
+
     @Test
     void fewRunsTeachNothing() {
         see(ENOUGH - 1, SHORT_STREAM, 10);
@@ -107,7 +160,7 @@
     @Test
     void streamsThatGoOnAfterAnEventTeachNothingShort() {
         for (int i = 0; i < ENOUGH; i++) {
-            mAdmission.onEnded(resumed(LONG_STREAM), 20);
+            mAdmission.onEnded(resumed(LONG_STREAM), 3, 20);
         }
         mAdmission.onShutdown(ENDS_AT);
 
@@ -137,7 +190,7 @@
     @Test
     void quickRequestWithALongTimeoutIsTakenOnceItIsKnownToBeQuick() {
         for (int i = 0; i < ENOUGH; i++) {
-            mAdmission.onEnded(plain(15_000), 20);
+            mAdmission.onEnded(plain(15_000), 0, 20);
         }
         mAdmission.onShutdown(ENDS_AT);
 
@@ -145,9 +198,14 @@
         assertThat(mAdmission.admits(plain(17_600), 5, ENDS_AT - 30)).isFalse();
     }
 
+    /** Has streams end that used all that they might. */
     private void see(int runs, int maxTokens, long millis) {
+        seeParts(runs, maxTokens, maxTokens / EVENT_TOKENS, millis);
+    }
+
+    private void seeParts(int runs, int maxTokens, int events, long millis) {
         for (int i = 0; i < runs; i++) {
-            mAdmission.onEnded(stream(maxTokens, 15_000), millis);
+            mAdmission.onEnded(stream(maxTokens, 15_000), events, millis);
         }
     }
 
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Exchange.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Exchange.java
@@ -523,7 +523,9 @@
             return;
         }
         mEnded = true;
-        noteLasted();
+        if (mRequest != null) {
+            mStream.tellLasted(mEntry.shutdown(), mRequest, mWhole, mSentAt, now());
+        }
         mSilence.stop();
         cancelAll();
         mBody.release();
@@ -535,19 +537,6 @@
         }
     }
 
-    /** How long answers last tells what may still be taken when the instance shuts down. */
-    private void noteLasted() {
-        if (!mStream.hasBegun() && mSentAt == 0) {
-            return;
-        }
-        long millis = now() - (mStream.hasBegun() ? mStream.begunAt() : mSentAt);
-        if (mWhole) {
-            mEntry.shutdown().onEnded(mRequest, millis);
-        } else {
-            mEntry.shutdown().onBrokenOff(mRequest, millis);
-        }
-    }
-
     private void logAttempt(TargetAnswer answer, String outcome, String why) {
         mLog.attemptFailed(id(), answer.choice(), outcome, why);
     }
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/PassedStream.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/PassedStream.java
@@ -17,6 +17,8 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
+import org.quilldyke.caller.ForwardRequest;
+import org.quilldyke.caller.ShutdownAdmission;
 
 /**
  * The events of one answer on their way to its caller, from whatever target they come: when the
@@ -30,6 +32,7 @@
     private long mFirstEventMillis = -1;
     private long mEventAt;
     private long mLongestPauseMillis;
+    private int mEvents;
 
     PassedStream(CallerConnection caller) {
         mCaller = caller;
@@ -48,9 +51,28 @@
         return mBegun;
     }
 
-    /** Returns when the head was passed on, by the entry's clock. */
-    long begunAt() {
-        return mBegunAt;
+    /**
+     * Tells how long the answer lasted: by that it is known what may still be taken when the
+     * instance shuts down.
+     *
+     * @param whole whether it is passed on whole
+     * @param sentAt when the last request was sent that may have run, 0 if none was
+     */
+    void tellLasted(
+            ShutdownAdmission shutdown,
+            ForwardRequest request,
+            boolean whole,
+            long sentAt,
+            long now) {
+        long begun = mBegun ? mBegunAt : sentAt;
+        if (begun == 0) {
+            return;
+        }
+        if (whole) {
+            shutdown.onEnded(request, mEvents, now - begun);
+        } else {
+            shutdown.onBrokenOff(request, mEvents, (mEvents > 0 ? mEventAt : now) - begun);
+        }
     }
 
     /** Returns the time from the sending to the first event, -1 if there was none. */
@@ -67,6 +89,7 @@
     void write(EventSplitter.Event event, long now) {
         mLongestPauseMillis = Math.max(mLongestPauseMillis, now - mEventAt);
         mEventAt = now;
+        mEvents++;
         mCaller.write(event.bytes());
     }
 
