--- a/quilldyke-core/src/main/java/org/quilldyke/caller/Forwarding.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/caller/Forwarding.java
@@ -62,6 +62,7 @@
     private final RetryAllowance mRetries;
     private final ShutdownAdmission mShutdown;
     private final RunHistory mHistory;
+    private final TimelyEnd mTimelyEnd;
 
     /** The run whose answer is passed on, null if there is none. */
     private TargetRun mRun;
@@ -89,6 +90,7 @@
         mRetries = retries;
         mShutdown = shutdown;
         mHistory = new RunHistory(request.route().maxAttempts());
+        mTimelyEnd = new TimelyEnd(request, book, shutdown);
         mLastEvent = request.lastEvent();
     }
 
@@ -171,6 +173,7 @@
         mHeadPassed = true;
         mLost = false;
         mLastEvent = event;
+        mTimelyEnd.onEventPassed();
         mRun.onPromptRead();
     }
 
@@ -229,6 +232,20 @@
         return isSilenceTelling(now) ? askSuccessor(CutCause.SILENCE, now) : Optional.empty();
     }
 
+    /**
+     * Returns where a stream under way has to go on now since it won't end before this instance has
+     * to; nothing if it stays. Its run is kept until the successor has begun.
+     */
+    public Optional<Step.Send> onInstanceEnding(long now) {
+        if (!mHeadPassed || mRun == null || mSuccessor != null || !mayRunAgain(now)) {
+            return Optional.empty();
+        }
+        Optional<Choice> quicker = mTimelyEnd.quicker(mRun.target(), barred(), holdMillis(), now);
+        Optional<Step.Send> send = askSuccessor(CutCause.SHUTDOWN, quicker, now);
+        send.ifPresent(asked -> mTimelyEnd.onAsked(asked.choice().target()));
+        return send;
+    }
+
     /** Notes that the first byte is about to leave for the successor. */
     public void onSuccessorSending() {
         mSuccessor.onSending();
@@ -359,7 +376,10 @@
         if (mRun == null || mSuccessor != null || !mayRunAgain(now)) {
             return Optional.empty();
         }
-        Optional<Choice> choice = mBook.choose(mRequest, barred(), now);
+        return askSuccessor(cause, mBook.choose(mRequest, barred(), now), now);
+    }
+
+    private Optional<Step.Send> askSuccessor(CutCause cause, Optional<Choice> choice, long now) {
         if (choice.isEmpty() || !takeRetry(now)) {
             return Optional.empty();
         }
--- a/quilldyke-core/src/main/java/org/quilldyke/caller/ShutdownAdmission.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/caller/ShutdownAdmission.java
@@ -66,6 +66,11 @@
         return mEndsAt != RUNNING;
     }
 
+    /** Returns when the instance has to end; never if it doesn't shut down. */
+    long endsAt() {
+        return mEndsAt;
+    }
+
     /**
      * Returns whether a request is taken: its own time is over before the instance ends, or its
      * answer is expected to be.
@@ -120,7 +125,7 @@
     }
 
     /** Returns how many events an answer has at most, if that is known. */
-    public OptionalInt mostEvents(ForwardRequest request) {
+    OptionalInt mostEvents(ForwardRequest request) {
         return isMeasuredByEvents(request)
                 ? OptionalInt.of(streams(request).mostEvents(maxTokens(request)))
                 : OptionalInt.empty();
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Entry.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Entry.java
@@ -45,6 +45,9 @@
     /** How often it is looked whether a few streams keep a target from loading weights. */
     private static final long HELD_UP_CHECK_MILLIS = 100;
 
+    /** How often it is looked, during a shutdown, which streams won't end in time. */
+    private static final long ENDING_CHECK_MILLIS = 100;
+
     private static final long NO_VERSION = -1;
 
     private final EventLoop mLoop;
@@ -160,6 +163,18 @@
     public void drain(long begunAt, long endsAt) {
         mDrainBegunAt = OptionalLong.of(begunAt);
         mShutdown.onShutdown(endsAt);
+        checkEnding(endsAt);
+    }
+
+    /** Streams that would outlast the instance go on where they may end in time. */
+    private void checkEnding(long endsAt) {
+        if (now() >= endsAt) {
+            return;
+        }
+        Set<Exchange> all = new HashSet<>();
+        mExchanges.values().forEach(all::addAll);
+        all.forEach(Exchange::onInstanceEnding);
+        mLoop.schedule(() -> checkEnding(endsAt), ENDING_CHECK_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     /** Returns the present configuration, or null if none is known. */
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Exchange.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Exchange.java
@@ -164,6 +164,15 @@
         }
     }
 
+    /**
+     * The instance has to end soon: a stream that would last longer goes on where it is quicker.
+     */
+    void onInstanceEnding() {
+        if (!mEnded && mAnswer != null && !mPaused) {
+            askSuccessor(mForwarding.onInstanceEnding(now()), "it would outlast the instance");
+        }
+    }
+
     private boolean isPresentAt(String target) {
         return !mEnded && mAnswer != null && mAnswer.isAt(target);
     }
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/TargetAnswer.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/TargetAnswer.java
@@ -37,6 +37,8 @@
 
     private static final int MAX_EVENT_BYTES = 1 << 20;
 
+    private static final long NO_EVENT = -1;
+
     private final Exchange mExchange;
     private final Entry mEntry;
     private final ForwardRequest mRequest;
@@ -50,6 +52,9 @@
     private long mSentAt;
     private long mHeardAt;
 
+    /** When its last event came; the next one tells no pace if there was none, or a pause. */
+    private long mEventAt = NO_EVENT;
+
     TargetAnswer(
             Exchange exchange,
             Entry entry,
@@ -83,6 +88,7 @@
     /** Pauses or resumes the reading: while the caller doesn't read, no silence is the target's. */
     void setReading(boolean reading) {
         mHeardAt = mEntry.now();
+        mEventAt = NO_EVENT;
         if (mAttempt != null) {
             mAttempt.setReading(reading);
         }
@@ -207,6 +213,7 @@
             if (mAttempt == null) {
                 event.bytes().release();
             } else {
+                notePace();
                 mExchange.onEvent(this, event);
             }
         }
@@ -215,6 +222,13 @@
         }
     }
 
+    private void notePace() {
+        if (mEventAt != NO_EVENT) {
+            mEntry.book().onEvent(mChoice.target(), mHeardAt - mEventAt, mHeardAt);
+        }
+        mEventAt = mHeardAt;
+    }
+
     private void onHeard() {
         mHeardAt = mEntry.now();
         mEntry.book().onHeard(mChoice.target(), mHeardAt);
