--- a/quilldyke-core/src/main/java/org/quilldyke/caller/Forwarding.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/caller/Forwarding.java
@@ -63,15 +63,12 @@
     private final RetryAllowance mRetries;
     private final ShutdownAdmission mShutdown;
     private final RunHistory mHistory;
+    private final TimelyEnd mTimelyEnd;
+    private final Handover mHandover;
 
     /** The run whose answer is passed on, null if there is none. */
     private TargetRun mRun;
 
-    /** The run that takes its place once it has begun to answer, null if there is none. */
-    private TargetRun mSuccessor;
-
-    private CutCause mSuccessorCause;
-    private boolean mStays;
     private int mUnsent;
     private boolean mHeadPassed;
     private long mLastEvent;
@@ -89,6 +86,8 @@
         mRetries = retries;
         mShutdown = shutdown;
         mHistory = new RunHistory(request.route().maxAttempts());
+        mHandover = new Handover(request.route());
+        mTimelyEnd = new TimelyEnd(request, book, shutdown);
         mLastEvent = request.lastEvent();
     }
 
@@ -155,7 +154,7 @@
         }
         if (head.status() >= 500 && !head.isSuccess()) {
             mBook.onFailure(mRun.target(), now);
-            if (mSuccessor != null || mayRunAgain(now) && takeRetry(now)) {
+            if (mHandover.isAsked() || mayRunAgain(now) && takeRetry(now)) {
                 mHistory.onFailed(mRun.target());
                 finishRun();
                 return follow().orElseGet(() -> choose(now));
@@ -171,6 +170,7 @@
         mHeadPassed = true;
         mLost.onEvent();
         mLastEvent = event;
+        mTimelyEnd.onEventPassed();
         mRun.onPromptRead();
     }
 
@@ -218,7 +218,7 @@
     public Optional<Step.Send> onTargetWaits(long now) {
         boolean mayMove =
                 mHeadPassed
-                        && !mStays
+                        && mHandover.mayMove()
                         && mHistory.mayRunAtAnother()
                         && mRetries.hasRoom(mRequest.service(), MOVE_ATTEMPTS, now);
         return mayMove ? askSuccessor(CutCause.MOVE, now) : Optional.empty();
@@ -232,40 +232,56 @@
         return isSilenceTelling(now) ? askSuccessor(CutCause.SILENCE, now) : Optional.empty();
     }
 
+    /**
+     * Returns where a stream under way has to go on now since it won't end before this instance has
+     * to; nothing if it stays. Its run is kept until the successor has begun.
+     */
+    public Optional<Step.Send> onInstanceEnding(long now) {
+        if (!mHeadPassed || mRun == null || mHandover.isAsked() || !mayRunAgain(now)) {
+            return Optional.empty();
+        }
+        Optional<Choice> quicker =
+                mTimelyEnd.quicker(
+                        mRun.target(), barred(), mHandover.holdMillis(CutCause.SHUTDOWN), now);
+        Optional<Step.Send> send = askSuccessor(CutCause.SHUTDOWN, quicker, now);
+        send.ifPresent(asked -> mTimelyEnd.onAsked(asked.choice().target()));
+        return send;
+    }
+
     /** Notes that the first byte is about to leave for the successor. */
     public void onSuccessorSending() {
-        noteSending(mSuccessor);
+        noteSending(mHandover.successor());
     }
 
     /** Notes that the successor could not be reached; the run stays. */
     public void onSuccessorUnsent(long now) {
-        mBook.onUnreachable(mSuccessor.target(), now);
-        mHistory.onUnfit(mSuccessor.target());
-        dropSuccessor();
+        mBook.onUnreachable(mHandover.successor().target(), now);
+        mHistory.onUnfit(mHandover.successor().target());
+        mHandover.drop();
     }
 
     /** Notes that the successor has refused the request unrun; the run stays. */
     public void onSuccessorRefused(AnswerHead head, long now) {
-        noteRefusal(mSuccessor, head, now);
-        mHistory.onUnfit(mSuccessor.target());
-        dropSuccessor();
+        noteRefusal(mHandover.successor(), head, now);
+        mHistory.onUnfit(mHandover.successor().target());
+        mHandover.drop();
     }
 
     /** Notes that the successor failed, or sent no answer that can follow; the run stays. */
     public void onSuccessorBroken(long now) {
-        mBook.onFailure(mSuccessor.target(), now);
-        mHistory.onRun(mSuccessor.target());
-        mHistory.onFailed(mSuccessor.target());
-        dropSuccessor();
+        mBook.onFailure(mHandover.successor().target(), now);
+        mHistory.onRun(mHandover.successor().target());
+        mHistory.onFailed(mHandover.successor().target());
+        mHandover.drop();
     }
 
     /** Notes that the successor isn't wanted any more: the run goes on, or has ended. */
     public void onSuccessorDropped() {
-        if (mSuccessor.isSent()) {
-            mHistory.onRun(mSuccessor.target());
-            mHistory.onLeftAtWork(mSuccessor.target());
+        if (mHandover.successor().isSent()) {
+            mHistory.onRun(mHandover.successor().target());
+            mHistory.onLeftAtWork(mHandover.successor().target());
         }
-        dropSuccessor();
+        mHandover.drop();
     }
 
     /** Returns whether an answer of the successor can take the run's place. */
@@ -276,23 +292,20 @@
 
     /** Notes that the successor has begun to answer: it takes the run's place. */
     public void onSuccessorBegun() {
-        mLeftBy = mSuccessorCause;
+        mLeftBy = mHandover.cause();
         mHistory.onLeftAtWork(mRun.target());
         finishRun();
         follow();
     }
 
-    /**
-     * Returns whether events of the run wait for the successor to begin: it goes on after the last
-     * event that was passed when it was asked. A run that was silent and speaks again needs none.
-     */
+    /** Returns whether events of the run wait for the successor to begin. */
     public boolean holdsEvents() {
-        return mSuccessor != null && mSuccessorCause != CutCause.SILENCE;
+        return mHandover.holdsEvents();
     }
 
-    /** Returns for how long events of the run may wait for the successor to begin. */
+    /** Returns how long after the last event that was passed on the next ones may be held. */
     public long holdMillis() {
-        return 2 * mRequest.route().pauseMillis();
+        return mHandover.holdMillis();
     }
 
     /** Returns whether an answer is passed on already, so that only its rest may come elsewhere. */
@@ -356,7 +369,7 @@
      * more elsewhere; and not if nobody else could answer, or the request can't be sent again.
      */
     public boolean isSilenceTelling(long now) {
-        return mSuccessor == null
+        return !mHandover.isAsked()
                 && mRun.isSent()
                 && mayRunAgain(now)
                 && mRetries.hasRoom(mRequest.service(), 1, now)
@@ -365,34 +378,30 @@
 
     private Optional<Step.Send> askSuccessor(CutCause cause, long now) {
         // Nothing is at work before the run is sent: it goes elsewhere if it can't be.
-        if (mRun == null || !mRun.isSent() || mSuccessor != null || !mayRunAgain(now)) {
+        if (mRun == null || !mRun.isSent() || mHandover.isAsked() || !mayRunAgain(now)) {
             return Optional.empty();
         }
         Optional<Choice> choice = mBook.choose(mRequest, barred(), now);
-        boolean inTime =
-                cause == CutCause.SILENCE
-                        || choice.isPresent() && choice.get().expectedMillis() <= holdMillis();
-        if (choice.isEmpty() || !inTime || !takeRetry(now)) {
-            return Optional.empty();
+        if (cause == CutCause.MOVE) {
+            choice = choice.filter(c -> c.expectedMillis() <= mHandover.holdMillis(cause));
         }
-        mSuccessorCause = cause;
-        mSuccessor = open(choice.get(), now);
-        return Optional.of(new Step.Send(choice.get(), mRequest.answerBy() - now, mLastEvent));
+        return askSuccessor(cause, choice, now);
     }
 
-    private void dropSuccessor() {
-        mStays |= mSuccessorCause == CutCause.MOVE;
-        mSuccessor.finish();
-        mSuccessor = null;
+    private Optional<Step.Send> askSuccessor(CutCause cause, Optional<Choice> choice, long now) {
+        if (choice.isEmpty() || !takeRetry(now)) {
+            return Optional.empty();
+        }
+        mHandover.ask(open(choice.get(), now), cause);
+        return Optional.of(new Step.Send(choice.get(), mRequest.answerBy() - now, mLastEvent));
     }
 
     /** Returns the step by which the successor, if there is one, is the run from now on. */
     private Optional<Step> follow() {
-        if (mSuccessor == null) {
+        if (!mHandover.isAsked()) {
             return Optional.empty();
         }
-        mRun = mSuccessor;
-        mSuccessor = null;
+        mRun = mHandover.take();
         return Optional.of(new Step.Follow());
     }
 
@@ -505,8 +514,8 @@
         if (mRun != null) {
             barred.add(mRun.target());
         }
-        if (mSuccessor != null) {
-            barred.add(mSuccessor.target());
+        if (mHandover.isAsked()) {
+            barred.add(mHandover.successor().target());
         }
         return barred;
     }
@@ -576,10 +585,7 @@
 
     private void finishAll() {
         finishRun();
-        if (mSuccessor != null) {
-            mSuccessor.finish();
-            mSuccessor = null;
-        }
+        mHandover.end();
     }
 
     private void finishRun() {
