--- a/quilldyke-core/src/main/java/org/quilldyke/routing/TargetBook.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/routing/TargetBook.java
@@ -37,7 +37,7 @@
  */
 public final class TargetBook {
     /** A target that sent something this lately is alive, however long one answer takes. */
-    private static final long ALIVE_MILLIS = 600;
+    public static final long ALIVE_MILLIS = 600;
 
     private final long mOldestWeightsMillis;
     private final RandomGenerator mRandom;
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Entry.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Entry.java
@@ -99,11 +99,15 @@
         }
     }
 
-    /** Notes that a target has started again: this start of it has ended, whatever it sent. */
+    /**
+     * Notes that a target is said to have started again: it is asked for nothing more, and what it
+     * hasn't begun to answer is lost.
+     */
     public void onTargetEnded(String target) {
         forget(target);
         open(target)
-                .forEach(exchange -> exchange.onTargetLost(target, "the target has started again"));
+                .forEach(
+                        exchange -> exchange.onTargetEnded(target, "the target has started again"));
     }
 
     private void forget(String target) {
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Exchange.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Exchange.java
@@ -146,8 +146,11 @@
         }
     }
 
-    void onTargetLost(String target, String why) {
-        if (isPresentAt(target)) {
+    /** Who has begun to answer is judged by what is heard of it, whatever is said. */
+    void onTargetEnded(String target, String why) {
+        if (isPresentAt(target) && mAnswer.hasBegun()) {
+            mSilence.onTargetEnded();
+        } else if (isPresentAt(target)) {
             leave(mAnswer);
             logAttempt(mAnswer, "broken", ResultCode.TARGET_LOST.label() + " " + why);
             mAnswer = null;
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/SilenceWatch.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/SilenceWatch.java
@@ -18,6 +18,7 @@
 import io.netty.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongConsumer;
+import org.quilldyke.caller.RestartWord;
 
 /** Looks, and looks again, whether the target of an answer has been silent for too long. */
 final class SilenceWatch {
@@ -27,12 +28,17 @@
     private final Entry mEntry;
     private final LongConsumer mOnSilent;
     private ScheduledFuture<?> mTimer;
+    private TargetAnswer mAnswer;
+    private long mMillis;
+
+    /** The word that the target has started again, null if it isn't told or has proved wrong. */
+    private RestartWord mWord;
 
     /**
      * Makes a watch that watches nothing yet.
      *
      * @param entry whose thread and clock are used
-     * @param onSilent told at each look that finds silence, with the milliseconds allowed
+     * @param onSilent told at each look that finds silence, with its milliseconds
      */
     SilenceWatch(Entry entry, LongConsumer onSilent) {
         mEntry = entry;
@@ -42,9 +48,17 @@
     /** Watches an answer instead of what was watched before; never silent for that long: not. */
     void start(TargetAnswer answer, long millis) {
         stop();
-        if (millis != Long.MAX_VALUE) {
-            lookAfter(answer, answer.heardAt() + millis - mEntry.now(), millis);
-        }
+        mAnswer = answer;
+        mMillis = millis;
+        mWord = null;
+        lookWhenSilent();
+    }
+
+    /** Notes that the answer's target is said to have started again: silence tells more now. */
+    void onTargetEnded() {
+        stop();
+        mWord = new RestartWord(mEntry.now());
+        lookWhenSilent();
     }
 
     void stop() {
@@ -54,22 +68,33 @@
         }
     }
 
-    private void lookAfter(TargetAnswer answer, long wait, long millis) {
-        mTimer =
-                mEntry.loop()
-                        .schedule(
-                                () -> look(answer, millis),
-                                Math.max(1, wait),
-                                TimeUnit.MILLISECONDS);
+    private void look() {
+        long now = mEntry.now();
+        if (now < silentAt()) {
+            lookWhenSilent();
+            return;
+        }
+        lookAfter(STEP_MILLIS);
+        mOnSilent.accept(now - mAnswer.heardAt());
     }
 
-    private void look(TargetAnswer answer, long millis) {
-        long silent = mEntry.now() - answer.heardAt();
-        if (silent < millis) {
-            lookAfter(answer, millis - silent, millis);
-            return;
+    private void lookWhenSilent() {
+        if (mMillis != Long.MAX_VALUE) {
+            lookAfter(Math.max(1, silentAt() - mEntry.now()));
+        }
+    }
+
+    /** Returns when the target has been silent for too long if it isn't heard before. */
+    private long silentAt() {
+        long heardAt = mAnswer.heardAt();
+        if (mWord != null && mWord.isWrong(heardAt)) {
+            mWord = null;
         }
-        lookAfter(answer, STEP_MILLIS, millis);
-        mOnSilent.accept(millis);
+        long silentAt = heardAt + mMillis;
+        return mWord == null ? silentAt : Math.min(silentAt, mWord.believedAt(heardAt));
+    }
+
+    private void lookAfter(long millis) {
+        mTimer = mEntry.loop().schedule(this::look, millis, TimeUnit.MILLISECONDS);
     }
 }
