--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Exchange.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Exchange.java
@@ -40,7 +40,6 @@
     private final ByteBuf mBody;
     private final ExchangeLog mLog;
     private final long mArrivedAt;
-
     private final PassedStream mStream;
     private final SilenceWatch mSilence;
     private long mMillisLeft = -1;
