--- a/quilldyke-core/src/main/java/org/quilldyke/engine/TargetRegistry.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/engine/TargetRegistry.java
@@ -45,6 +45,7 @@
     private final Map<String, Lapsed> mLapsed = new HashMap<>();
     private final LatestIncarnations mLatest = LatestIncarnations.create();
     private final List<String> mEnded = new ArrayList<>();
+    private final List<String> mDropped = new ArrayList<>();
     private final boolean mJudges;
 
     private TargetRegistry(boolean judges) {
@@ -137,6 +138,16 @@
         return ended;
     }
 
+    /**
+     * Returns the targets that were known, and whose address another one has taken, since this was
+     * asked last: they are sent nothing more.
+     */
+    public List<String> takeDropped() {
+        List<String> dropped = List.copyOf(mDropped);
+        mDropped.clear();
+        return dropped;
+    }
+
     /**
      * Returns who leaves with a word that needn't tell a birth: without one, the latest that is
      * known under the id now. But one that has just taken the place of another doesn't: it is most
@@ -163,6 +174,7 @@
                         .toList();
         for (Entry other : ended) {
             mEntries.remove(other.mReport.id());
+            mDropped.add(other.mReport.id());
             mDisplaced.put(other.mReport.id(), new Displaced(report.id(), heardAt));
         }
         mLapsed.remove(report.id());
--- a/quilldyke-core/src/test/java/org/quilldyke/engine/TargetRegistryTest.java
+++ b/quilldyke-core/src/test/java/org/quilldyke/engine/TargetRegistryTest.java
@@ -71,6 +71,8 @@
         mRegistry.onReport(report("b", "1:1", 1, false), 10);
 
         assertThat(ids(mRegistry.reports())).containsExactly("b");
+        assertThat(mRegistry.takeDropped()).containsExactly("a");
+        assertThat(mRegistry.takeDropped()).isEmpty();
     }
 
     /** A report was held up by a cut until its sender had crashed and started again. */
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/EntrySubscriber.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/EntrySubscriber.java
@@ -219,7 +219,13 @@
     }
 
     private void onReport(TargetReport report, long heardAt) {
-        if (mRegistry.onReport(report, heardAt)) {
+        boolean news = mRegistry.onReport(report, heardAt);
+        for (String id : mRegistry.takeDropped()) {
+            mLog.write(Event.TARGET_CHANGED, "target", id, "displaced", true);
+            // A late report may displace who lives: it stays while it answers.
+            mEntry.loop().execute(() -> mEntry.onTargetLost(id, true));
+        }
+        if (news) {
             mLog.write(
                     Event.TARGET_CHANGED,
                     "target",
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/TargetAnswer.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/TargetAnswer.java
@@ -146,9 +146,12 @@
 
     @Override
     public void onHead(HttpResponse head) {
-        onHeard();
         mHead = head;
         mFacts = mEntry.dialect().targets().read(head);
+        if (!facts().wrongTarget()) {
+            // Else somebody else may have answered: no sign that this target is there.
+            onHeard();
+        }
         noteWeights();
         if (head.headers().contains(HttpHeaderNames.CONTENT_ENCODING)) {
             giveUp(ResultCode.ANSWER_SPOILED, "encoded");
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/TargetSpread.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/TargetSpread.java
@@ -227,6 +227,9 @@
             mLog.write(Event.TARGET_CHANGED, "target", id, "ended", true);
             mToSave = true;
         }
+        for (String id : mRegistry.takeDropped()) {
+            mLog.write(Event.TARGET_CHANGED, "target", id, "displaced", true);
+        }
     }
 
     /** Returns all that is known, for entries. */
