--- a/quilldyke-core/src/main/java/org/quilldyke/caller/Forwarding.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/caller/Forwarding.java
@@ -241,8 +241,7 @@
             return Optional.empty();
         }
         Optional<Choice> quicker =
-                mTimelyEnd.quicker(
-                        mRun.target(), barred(), mHandover.holdMillis(CutCause.SHUTDOWN), now);
+                mTimelyEnd.quicker(mRun.target(), barred(), mHandover.holdMillis(), now);
         Optional<Step.Send> send = askSuccessor(CutCause.SHUTDOWN, quicker, now);
         send.ifPresent(asked -> mTimelyEnd.onAsked(asked.choice().target()));
         return send;
@@ -383,7 +382,7 @@
         }
         Optional<Choice> choice = mBook.choose(mRequest, barred(), now);
         if (cause == CutCause.MOVE) {
-            choice = choice.filter(c -> c.expectedMillis() <= mHandover.holdMillis(cause));
+            choice = choice.filter(c -> c.expectedMillis() <= mHandover.onTimeMillis());
         }
         return askSuccessor(cause, choice, now);
     }
--- a/quilldyke-core/src/main/java/org/quilldyke/caller/Handover.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/caller/Handover.java
@@ -23,9 +23,12 @@
  */
 final class Handover {
     /** The part of the longest pause that is on time; what is left of it is for the way. */
-    private static final double MOVE_HOLD_PAUSES = 0.8;
+    private static final double ON_TIME_PAUSES = 0.8;
 
-    /** A stream that has to be moved is late then, but whole; callers leave after eight pauses. */
+    /**
+     * A successor that was expected in time may still begin up to then. Given up sooner, within the
+     * pause that is on time, 64 of 146 were asked for nothing, not 15 of 134 (two days played).
+     */
     private static final double HOLD_PAUSES = 2;
 
     private final Route mRoute;
@@ -94,12 +97,11 @@
 
     /** Returns how long after the last event that was passed on the next ones may be held. */
     long holdMillis() {
-        return holdMillis(mCause);
+        return Math.round(HOLD_PAUSES * mRoute.pauseMillis());
     }
 
-    /** What is only a wish makes no answer late; what would cut it otherwise may. */
-    long holdMillis(CutCause cause) {
-        double pauses = cause == CutCause.MOVE ? MOVE_HOLD_PAUSES : HOLD_PAUSES;
-        return Math.round(pauses * mRoute.pauseMillis());
+    /** Returns within what time a successor has to be expected: a wish makes no answer late. */
+    long onTimeMillis() {
+        return Math.round(ON_TIME_PAUSES * mRoute.pauseMillis());
     }
 }
