--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/CallerConnection.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/CallerConnection.java
@@ -36,6 +36,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.ScheduledFuture;
+import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -124,7 +125,10 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-        // A reset by the caller; channelInactive follows.
+        if (!(cause instanceof IOException)) {
+            mEntry.log().fault(cause, "while a caller is read");
+        }
+        // Else a reset by the caller; channelInactive follows.
         ctx.close();
     }
 
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Entry.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Entry.java
@@ -67,10 +67,15 @@
         mClock = parts.clock();
         mDialect = parts.dialect();
         mBook = parts.book();
-        mPool = TargetPool.create(mLoop, mDialect.targets(), mClock);
         mRetries = parts.retries();
         mLease = parts.lease();
         mLog = parts.log();
+        mPool =
+                TargetPool.create(
+                        mLoop,
+                        mDialect.targets(),
+                        mClock,
+                        fault -> mLog.fault(fault, "while a target is read"));
         mMetrics = parts.metrics();
     }
 
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/engine/TargetConnection.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/engine/TargetConnection.java
@@ -26,6 +26,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import java.io.IOException;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import org.quilldyke.ResultCode;
@@ -54,6 +55,7 @@
     private ChannelFuture mWritten;
     private Part mPart = Part.HEAD;
     private boolean mReset;
+    private boolean mFault;
     private boolean mLast;
     private long mUsableUntil;
     private long mIdleMillis = IDLE_MILLIS;
@@ -102,7 +104,9 @@
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) {
         try {
-            onObject((HttpObject) message);
+            if (!mFault) {
+                onObject((HttpObject) message);
+            }
         } finally {
             ReferenceCountUtil.release(message);
         }
@@ -110,6 +114,10 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        if (!(cause instanceof IOException)) {
+            mFault = true;
+            mSlot.onFault(cause);
+        }
         // A reset: what was read so far may not be whole, whatever its framing says.
         mReset = true;
         ctx.close();
@@ -121,8 +129,9 @@
         mAttempt = null;
         mSlot.onClosed(this);
         if (attempt != null) {
+            String reset = mFault ? "a fault of this instance" : "reset";
             attempt.listener()
-                    .onBroken(ResultCode.TARGET_LOST, mReset ? "reset" : "connection closed");
+                    .onBroken(ResultCode.TARGET_LOST, mReset ? reset : "connection closed");
         }
     }
 
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/engine/TargetPool.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/engine/TargetPool.java
@@ -32,6 +32,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.quilldyke.daemon.settings.Addresses;
 import org.quilldyke.engine.SocketAddresses;
@@ -47,12 +48,18 @@
     private final EventLoop mLoop;
     private final TargetDialect mDialect;
     private final LongSupplier mClock;
+    private final Consumer<Throwable> mOnFault;
     private final Map<String, Slot> mSlots = new HashMap<>();
 
-    private TargetPool(EventLoop loop, TargetDialect dialect, LongSupplier clock) {
+    private TargetPool(
+            EventLoop loop,
+            TargetDialect dialect,
+            LongSupplier clock,
+            Consumer<Throwable> onFault) {
         mLoop = loop;
         mDialect = dialect;
         mClock = clock;
+        mOnFault = onFault;
     }
 
     /**
@@ -63,7 +70,23 @@
      * @param clock monotonic milliseconds
      */
     public static TargetPool create(EventLoop loop, TargetDialect dialect, LongSupplier clock) {
-        return new TargetPool(loop, dialect, clock);
+        return create(loop, dialect, clock, fault -> {});
+    }
+
+    /**
+     * Returns a pool without connections that tells what goes wrong in its listeners.
+     *
+     * @param loop the traffic thread
+     * @param dialect how targets speak
+     * @param clock monotonic milliseconds
+     * @param onFault takes what listeners throw, which ends their connections
+     */
+    public static TargetPool create(
+            EventLoop loop,
+            TargetDialect dialect,
+            LongSupplier clock,
+            Consumer<Throwable> onFault) {
+        return new TargetPool(loop, dialect, clock, onFault);
     }
 
     /**
@@ -125,6 +148,10 @@
             return mClock.getAsLong();
         }
 
+        void onFault(Throwable fault) {
+            mOnFault.accept(fault);
+        }
+
         /** Returns the free connection that was used last, or null. */
         TargetConnection takeFree() {
             TargetConnection connection;
