--- a/quilldyke-core/src/main/java/org/quilldyke/caller/Admission.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/caller/Admission.java
@@ -16,6 +16,7 @@
 package org.quilldyke.caller;
 
 import java.util.random.RandomGenerator;
+import org.quilldyke.routing.Choice;
 
 /**
  * Whether a prompt is sent on although there is a line, and when its caller may come back if not.
@@ -58,6 +59,18 @@
         return admissionMillis <= objective * (request.priority() == 0 ? URGENT_PART : OTHERS_PART);
     }
 
+    /** Returns what a refusal rests on, for the log. */
+    static String whyRefused(ForwardRequest request, Choice best) {
+        return "best "
+                + best.target()
+                + " in "
+                + best.expectedMillis()
+                + " ms, counted as "
+                + best.admissionMillis()
+                + ", objective "
+                + request.route().objectiveMillis();
+    }
+
     /** Returns how much of the reading of a prompt's own part doesn't count. */
     public static double pardonedMillis(ForwardRequest request, double ownReadingMillis) {
         double counted = OWN_READING_PART * request.route().objectiveMillis();
--- a/quilldyke-core/src/main/java/org/quilldyke/caller/Forwarding.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/caller/Forwarding.java
@@ -16,6 +16,7 @@
 package org.quilldyke.caller;
 
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.quilldyke.ResultCode;
 import org.quilldyke.manifest.Route;
@@ -75,8 +76,7 @@
     private int mUnsent;
     private boolean mHeadPassed;
     private long mLastEvent;
-    private long mLostAt;
-    private boolean mLost;
+    private final LostStream mLost = new LostStream();
     private ResultCode mLostBy = ResultCode.TARGET_LOST;
     private CutCause mLeftBy = CutCause.TARGET;
 
@@ -123,7 +123,7 @@
 
     /** Notes that the first byte is about to leave: from now on the request may run. */
     public void onSending() {
-        mRun.onSending();
+        noteSending(mRun);
     }
 
     /** Returns the step after the target could not be reached; no byte was sent. */
@@ -171,7 +171,7 @@
     /** Notes that events up to the given one were passed on to the caller. */
     public void onEventPassed(long event) {
         mHeadPassed = true;
-        mLost = false;
+        mLost.onEvent();
         mLastEvent = event;
         mTimelyEnd.onEventPassed();
         mRun.onPromptRead();
@@ -199,6 +199,9 @@
 
     /** Returns the step after this instance has taken the target for lost. */
     public Step onGivenUp(CutCause cause, long now) {
+        if (!mRun.isSent()) {
+            return onUnsent(now);
+        }
         return onLost(ResultCode.TARGET_LOST, cause, now);
     }
 
@@ -237,10 +240,10 @@
      * to; nothing if it stays. Its run is kept until the successor has begun.
      */
     public Optional<Step.Send> onInstanceEnding(long now) {
-        if (!mHeadPassed || mRun == null || mSuccessor != null || !mayRunAgain(now)) {
+        if (!mHeadPassed || !mayAskSuccessor(now)) {
             return Optional.empty();
         }
-        Optional<Choice> quicker = mTimelyEnd.quicker(mRun.target(), barred(), holdMillis(), now);
+        Optional<Choice> quicker = mTimelyEnd.quicker(mRun.target(), barred(), now);
         Optional<Step.Send> send = askSuccessor(CutCause.SHUTDOWN, quicker, now);
         send.ifPresent(asked -> mTimelyEnd.onAsked(asked.choice().target()));
         return send;
@@ -248,7 +251,7 @@
 
     /** Notes that the first byte is about to leave for the successor. */
     public void onSuccessorSending() {
-        mSuccessor.onSending();
+        noteSending(mSuccessor);
     }
 
     /** Notes that the successor could not be reached; the run stays. */
@@ -282,6 +285,12 @@
         dropSuccessor();
     }
 
+    /** Returns whether an answer of the successor can take the run's place. */
+    public boolean mayFollow(AnswerHead head) {
+        return head.isGenuine()
+                && (mHeadPassed ? head.stream() && head.isSuccess() : head.status() < 500);
+    }
+
     /** Notes that the successor has begun to answer: it takes the run's place. */
     public void onSuccessorBegun() {
         mLeftBy = mSuccessorCause;
@@ -364,28 +373,33 @@
      * more elsewhere; and not if nobody else could answer, or the request can't be sent again.
      */
     public boolean isSilenceTelling(long now) {
-        int runs = mHistory.targets() + (mHistory.hasRun(mRun.target()) ? 0 : 1);
         return mSuccessor == null
-                && runs < mRequest.route().maxAttempts()
+                && mRun.isSent()
                 && mayRunAgain(now)
                 && mRetries.hasRoom(mRequest.service(), 1, now)
                 && !mBook.isAlive(mRun.target(), now);
     }
 
     private Optional<Step.Send> askSuccessor(CutCause cause, long now) {
-        if (mRun == null || mSuccessor != null || !mayRunAgain(now)) {
-            return Optional.empty();
-        }
-        return askSuccessor(cause, mBook.choose(mRequest, barred(), now), now);
+        return mayAskSuccessor(now)
+                ? askSuccessor(cause, mBook.choose(mRequest, barred(), now), now)
+                : Optional.empty();
+    }
+
+    /** Nothing is at work before the run is sent: it goes elsewhere if it can't be. */
+    private boolean mayAskSuccessor(long now) {
+        return mRun != null && mRun.isSent() && mSuccessor == null && mayRunAgain(now);
     }
 
     private Optional<Step.Send> askSuccessor(CutCause cause, Optional<Choice> choice, long now) {
-        if (choice.isEmpty() || !takeRetry(now)) {
+        boolean inTime =
+                cause == CutCause.SILENCE
+                        || choice.isPresent() && choice.get().expectedMillis() <= holdMillis();
+        if (choice.isEmpty() || !inTime || !takeRetry(now)) {
             return Optional.empty();
         }
-        mHistory.onRun(mRun.target());
         mSuccessorCause = cause;
-        mSuccessor = open(choice.get(), now);
+        mSuccessor = TargetRun.open(mBook, choice.get(), mRequest, now);
         return Optional.of(new Step.Send(choice.get(), mRequest.answerBy() - now, mLastEvent));
     }
 
@@ -423,7 +437,14 @@
         return giveUp(ResultCode.OVERLOADED, "refused by " + mHistory.unfit(), now);
     }
 
+    private void noteSending(TargetRun run) {
+        run.onSending(mHistory.onRun(run.target()));
+    }
+
     private void noteRefusal(TargetRun run, AnswerHead head, long now) {
+        if (run.isFirstThere()) {
+            mHistory.onNotRun(run.target());
+        }
         if (head.wrongTarget()) {
             mBook.onWrongTarget(run.target(), now);
         } else {
@@ -454,10 +475,7 @@
      * waits for that as long as its caller does.
      */
     private Step goOn(ResultCode why, long now) {
-        if (!mLost) {
-            mLost = true;
-            mLostAt = now;
-        }
+        mLost.onLost(now);
         mLostBy = why;
         Route route = mRequest.route();
         boolean mayGoOn =
@@ -468,19 +486,23 @@
         if (!mayGoOn) {
             return new Step.Break(mLostBy, mLeftBy);
         }
-        if (hasOtherTarget(now) && takeRetry(now)) {
+        if (mLost.mayTry(now) && hasOtherTarget(now) && takeRetry(now)) {
+            mLost.onTry(now);
             return choose(now);
         }
         return waitToGoOn(now);
     }
 
     private Step waitToGoOn(long now) {
-        long until = Math.min(mLostAt + mRequest.route().callerPatienceMillis(), answerBy());
-        if (now + WAIT_STEP_MILLIS >= until) {
+        long patience = mRequest.route().callerPatienceMillis();
+        OptionalLong next = mLost.nextLook(patience, mRequest.answerBy(), now);
+        if (next.isEmpty()) {
             return new Step.Break(mLostBy, mLeftBy);
         }
-        mHistory.forgive();
-        return new Step.Wait(now + WAIT_STEP_MILLIS);
+        if (!hasOtherTarget(now)) {
+            mHistory.forgive();
+        }
+        return new Step.Wait(next.getAsLong());
     }
 
     private boolean mayRunAgain(long now) {
@@ -488,12 +510,8 @@
         return mRequest.route().mayRunAgain() && mayGoOn && hasTimeLeft(now) && hasOtherTarget(now);
     }
 
-    private long answerBy() {
-        return mRequest.answerBy();
-    }
-
     private boolean hasTimeLeft(long now) {
-        return now + MIN_MILLIS_LEFT < answerBy();
+        return now + MIN_MILLIS_LEFT < mRequest.answerBy();
     }
 
     /** Returns whether a target other than the present ones could answer. */
@@ -517,7 +535,7 @@
     }
 
     private Step choose(long now) {
-        long left = answerBy() - now;
+        long left = mRequest.answerBy() - now;
         if (left <= 0) {
             return giveUp(ResultCode.DEADLINE_PASSED, "no target in time", now);
         }
@@ -526,17 +544,7 @@
         if (choice.isPresent()
                 && fresh
                 && !Admission.admits(mRequest, choice.get().admissionMillis())) {
-            Choice best = choice.get();
-            String why =
-                    "best "
-                            + best.target()
-                            + " in "
-                            + best.expectedMillis()
-                            + " ms, counted as "
-                            + best.admissionMillis()
-                            + ", objective "
-                            + mRequest.route().objectiveMillis();
-            return giveUp(ResultCode.OVERLOADED, why, now);
+            return giveUp(ResultCode.OVERLOADED, Admission.whyRefused(mRequest, choice.get()), now);
         }
         if (choice.isPresent()
                 && fresh
@@ -544,21 +552,17 @@
             return mShutdown.refusal(now);
         }
         if (choice.isPresent()) {
-            mRun = open(choice.get(), now);
+            mRun = TargetRun.open(mBook, choice.get(), mRequest, now);
             return new Step.Send(choice.get(), left, mLastEvent);
         }
         long waitUntil = mRequest.arrivedAt() + mRequest.route().objectiveMillis() / WAIT_DIVISOR;
-        if (!mHeadPassed && now + WAIT_STEP_MILLIS < Math.min(waitUntil, answerBy())) {
+        if (!mHeadPassed && now + WAIT_STEP_MILLIS < Math.min(waitUntil, mRequest.answerBy())) {
             mHistory.forgive();
             return new Step.Wait(now + WAIT_STEP_MILLIS);
         }
         return giveUp(ResultCode.NO_TARGET, "none but " + mHistory.unfit(), now);
     }
 
-    private TargetRun open(Choice choice, long now) {
-        return TargetRun.open(mBook, choice, mRequest, now);
-    }
-
     private Step giveUp(ResultCode code, String why, long now) {
         return mHeadPassed
                 ? goOn(code, now)
--- a/quilldyke-core/src/main/java/org/quilldyke/caller/TimelyEnd.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/caller/TimelyEnd.java
@@ -57,9 +57,8 @@
      *
      * @param present the target that makes the stream
      * @param barred those that may not go on with it
-     * @param holdMillis how long its events may wait for another target to begin
      */
-    Optional<Choice> quicker(String present, Set<String> barred, long holdMillis, long now) {
+    Optional<Choice> quicker(String present, Set<String> barred, long now) {
         long endsAt = mShutdown.endsAt();
         OptionalDouble pace = mBook.paceMillis(present, now);
         if (mRequest.answerBy() <= endsAt || pace.isEmpty()) {
@@ -70,7 +69,6 @@
         Set<String> excluded = new HashSet<>(barred);
         excluded.addAll(mAsked);
         return mBook.chooseQuickest(mRequest, excluded, forecast.eventsLeft(), now)
-                .filter(other -> other.choice().expectedMillis() < holdMillis)
                 .filter(other -> forecast.mustGoOn(other, endsAt, now))
                 .map(PacedChoice::choice);
     }
