--- a/quilldyke-core/src/main/java/org/quilldyke/caller/Forwarding.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/caller/Forwarding.java
@@ -237,11 +237,10 @@
      * to; nothing if it stays. Its run is kept until the successor has begun.
      */
     public Optional<Step.Send> onInstanceEnding(long now) {
-        if (!mHeadPassed || mRun == null || mHandover.isAsked() || !mayRunAgain(now)) {
+        if (!mHeadPassed || !mayAskSuccessor(now)) {
             return Optional.empty();
         }
-        Optional<Choice> quicker =
-                mTimelyEnd.quicker(mRun.target(), barred(), mHandover.holdMillis(), now);
+        Optional<Choice> quicker = mTimelyEnd.quicker(mRun.target(), barred(), now);
         Optional<Step.Send> send = askSuccessor(CutCause.SHUTDOWN, quicker, now);
         send.ifPresent(asked -> mTimelyEnd.onAsked(asked.choice().target()));
         return send;
@@ -376,22 +375,24 @@
     }
 
     private Optional<Step.Send> askSuccessor(CutCause cause, long now) {
-        // Nothing is at work before the run is sent: it goes elsewhere if it can't be.
-        if (mRun == null || !mRun.isSent() || mHandover.isAsked() || !mayRunAgain(now)) {
-            return Optional.empty();
-        }
-        Optional<Choice> choice = mBook.choose(mRequest, barred(), now);
-        if (cause == CutCause.MOVE) {
-            choice = choice.filter(c -> c.expectedMillis() <= mHandover.onTimeMillis());
-        }
-        return askSuccessor(cause, choice, now);
+        return mayAskSuccessor(now)
+                ? askSuccessor(cause, mBook.choose(mRequest, barred(), now), now)
+                : Optional.empty();
+    }
+
+    /** Nothing is at work before the run is sent: it goes elsewhere if it can't be. */
+    private boolean mayAskSuccessor(long now) {
+        return mRun != null && mRun.isSent() && !mHandover.isAsked() && mayRunAgain(now);
     }
 
     private Optional<Step.Send> askSuccessor(CutCause cause, Optional<Choice> choice, long now) {
-        if (choice.isEmpty() || !takeRetry(now)) {
+        boolean inTime =
+                choice.isPresent()
+                        && choice.get().expectedMillis() <= mHandover.expectedWithin(cause);
+        if (!inTime || !takeRetry(now)) {
             return Optional.empty();
         }
-        mHandover.ask(open(choice.get(), now), cause);
+        mHandover.ask(TargetRun.open(mBook, choice.get(), mRequest, now), cause);
         return Optional.of(new Step.Send(choice.get(), mRequest.answerBy() - now, mLastEvent));
     }
 
@@ -480,7 +481,7 @@
 
     private Step waitToGoOn(long now) {
         long patience = mRequest.route().callerPatienceMillis();
-        OptionalLong next = mLost.nextLook(patience, answerBy(), now);
+        OptionalLong next = mLost.nextLook(patience, mRequest.answerBy(), now);
         if (next.isEmpty()) {
             return new Step.Break(mLostBy, mLeftBy);
         }
@@ -495,12 +496,8 @@
         return mRequest.route().mayRunAgain() && mayGoOn && hasTimeLeft(now) && hasOtherTarget(now);
     }
 
-    private long answerBy() {
-        return mRequest.answerBy();
-    }
-
     private boolean hasTimeLeft(long now) {
-        return now + MIN_MILLIS_LEFT < answerBy();
+        return now + MIN_MILLIS_LEFT < mRequest.answerBy();
     }
 
     /** Returns whether a target other than the present ones could answer. */
@@ -524,7 +521,7 @@
     }
 
     private Step choose(long now) {
-        long left = answerBy() - now;
+        long left = mRequest.answerBy() - now;
         if (left <= 0) {
             return giveUp(ResultCode.DEADLINE_PASSED, "no target in time", now);
         }
@@ -533,17 +530,7 @@
         if (choice.isPresent()
                 && fresh
                 && !Admission.admits(mRequest, choice.get().admissionMillis())) {
-            Choice best = choice.get();
-            String why =
-                    "best "
-                            + best.target()
-                            + " in "
-                            + best.expectedMillis()
-                            + " ms, counted as "
-                            + best.admissionMillis()
-                            + ", objective "
-                            + mRequest.route().objectiveMillis();
-            return giveUp(ResultCode.OVERLOADED, why, now);
+            return giveUp(ResultCode.OVERLOADED, Admission.whyRefused(mRequest, choice.get()), now);
         }
         if (choice.isPresent()
                 && fresh
@@ -551,21 +538,17 @@
             return mShutdown.refusal(now);
         }
         if (choice.isPresent()) {
-            mRun = open(choice.get(), now);
+            mRun = TargetRun.open(mBook, choice.get(), mRequest, now);
             return new Step.Send(choice.get(), left, mLastEvent);
         }
         long waitUntil = mRequest.arrivedAt() + mRequest.route().objectiveMillis() / WAIT_DIVISOR;
-        if (!mHeadPassed && now + WAIT_STEP_MILLIS < Math.min(waitUntil, answerBy())) {
+        if (!mHeadPassed && now + WAIT_STEP_MILLIS < Math.min(waitUntil, mRequest.answerBy())) {
             mHistory.forgive();
             return new Step.Wait(now + WAIT_STEP_MILLIS);
         }
         return giveUp(ResultCode.NO_TARGET, "none but " + mHistory.unfit(), now);
     }
 
-    private TargetRun open(Choice choice, long now) {
-        return TargetRun.open(mBook, choice, mRequest, now);
-    }
-
     private Step giveUp(ResultCode code, String why, long now) {
         return mHeadPassed
                 ? goOn(code, now)
--- a/quilldyke-core/src/main/java/org/quilldyke/caller/Handover.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/caller/Handover.java
@@ -100,8 +100,15 @@
         return Math.round(HOLD_PAUSES * mRoute.pauseMillis());
     }
 
-    /** Returns within what time a successor has to be expected: a wish makes no answer late. */
-    long onTimeMillis() {
-        return Math.round(ON_TIME_PAUSES * mRoute.pauseMillis());
+    /**
+     * Returns within what time a successor has to be expected: a wish makes no answer late, and a
+     * run that is silent has no events to hold.
+     */
+    long expectedWithin(CutCause cause) {
+        return switch (cause) {
+            case MOVE -> Math.round(ON_TIME_PAUSES * mRoute.pauseMillis());
+            case SHUTDOWN -> holdMillis();
+            default -> Long.MAX_VALUE;
+        };
     }
 }
--- a/quilldyke-core/src/test/java/org/quilldyke/caller/ForwardingWalk.java
+++ b/quilldyke-core/src/test/java/org/quilldyke/caller/ForwardingWalk.java
@@ -77,6 +77,7 @@
     private long mLostAt;
     private boolean mLost;
     private int mTargets;
+    private boolean mHurried;
     private String mEnd = "";
 
     ForwardingWalk(long seed) {
@@ -139,6 +140,11 @@
         return mEnd;
     }
 
+    /** Returns whether another target was asked since the instance is ending. */
+    boolean wasHurried() {
+        return mHurried;
+    }
+
     /** Returns what has happened, one event a line. */
     String told() {
         return mTold.toString();
@@ -185,7 +191,13 @@
 
     private void stepOfRun() {
         int what = mRandom.nextInt(8);
-        if (what == 0) {
+        if (mRandom.nextInt(8) == 0) {
+            mBook.onEvent(mRun.mTarget, 1 + mRandom.nextInt(100), mNow);
+            tell("instance is ending");
+            Optional<Step.Send> send = mForwarding.onInstanceEnding(mNow);
+            mHurried |= send.isPresent();
+            ask(send);
+        } else if (what == 0) {
             tell("silent");
             ask(mForwarding.onSilence(mNow));
         } else if (what == 1) {
