--- a/quilldyke-testkit/src/main/java/org/quilldyke/testkit/engine/EngineFaults.java
+++ b/quilldyke-testkit/src/main/java/org/quilldyke/testkit/engine/EngineFaults.java
@@ -26,6 +26,12 @@
     /** New requests are refused unrun. */
     boolean mRefuse;
 
+    /** The rest of a run's answer is refused; the run goes on. */
+    boolean mRefuseResumes;
+
+    /** Grows when all answer streams that are open break; the runs go on. */
+    int mBreaks;
+
     /** Answers carry the id of another request. */
     boolean mCrossIds;
 }
--- a/quilldyke-testkit/src/main/java/org/quilldyke/testkit/engine/EngineStandIn.java
+++ b/quilldyke-testkit/src/main/java/org/quilldyke/testkit/engine/EngineStandIn.java
@@ -131,6 +131,21 @@
         set(() -> mFaults.mRefuse = refuse);
     }
 
+    /** Refuses to go on with runs that it holds, or does so again. */
+    public void refuseResumes(boolean refuse) {
+        set(() -> mFaults.mRefuseResumes = refuse);
+    }
+
+    /** Breaks the connections of all answers under way; their runs go on. */
+    public void breakStreams() {
+        set(() -> mFaults.mBreaks++);
+    }
+
+    /** Announces nothing any more, so that its lease lapses. */
+    public void stopAnnouncing() {
+        set(() -> mAnnouncer.stop());
+    }
+
     /** Writes a wrong request into the ids of answers, or stops doing so. */
     public void crossIds(boolean cross) {
         set(() -> mFaults.mCrossIds = cross);
@@ -326,13 +341,11 @@
     private ChannelSupplier<ByteBuf> streamOf(EngineRun run, int position) {
         EngineRun shown = mFaults.mCrossIds ? crossed(run) : run;
         RunStream stream = new RunStream(shown, mSettings.model(), position, () -> run.mReaders--);
-        if (mFaults.mBreakAfterTokens < 0) {
-            return stream;
-        }
         int[] left = {mFaults.mBreakAfterTokens};
+        int breaks = mFaults.mBreaks;
         return stream.mapAsync(
                 buf -> {
-                    if (left[0]-- <= 0) {
+                    if (left[0]-- == 0 || breaks != mFaults.mBreaks) {
                         buf.recycle();
                         return Promise.ofException(new IOException("fault: stream broken"));
                     }
@@ -365,6 +378,9 @@
         if (run == null || run.mCancelled || !run.mSalt.equals(salt)) {
             return Json.refusal(404, "no such run");
         }
+        if (mFaults.mRefuseResumes) {
+            return Json.refusal(503, "not now");
+        }
         int from = Integer.parseInt(request.getQueryParameter("from"));
         return stream(streamOf(run, from));
     }
