--- a/quilldyke-core/src/main/java/org/quilldyke/caller/RetryBudget.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/caller/RetryBudget.java
@@ -55,4 +55,9 @@
         mReserve -= 1;
         return true;
     }
+
+    /** Gives back what was taken for a retry that has not run. */
+    public synchronized void giveBack() {
+        mReserve = Math.min(mLimit, mReserve + 1);
+    }
 }
--- a/quilldyke-core/src/main/java/org/quilldyke/caller/StreamCursor.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/caller/StreamCursor.java
@@ -27,12 +27,14 @@
 public final class StreamCursor {
     private final String mRequest;
     private int mAttempt;
+    private int mAttempts;
     private int mNext;
     private boolean mFinished;
 
     private StreamCursor(String request, int attempt, int next) {
         mRequest = request;
         mAttempt = attempt;
+        mAttempts = attempt;
         mNext = next;
     }
 
@@ -48,10 +50,16 @@
 
     /** Starts the next attempt, which goes on at {@link #next}; returns its number. */
     public int startAttempt() {
-        mAttempt++;
+        mAttempts++;
+        mAttempt = mAttempts;
         return mAttempt;
     }
 
+    /** Goes on with an earlier attempt; the next one to start still gets a number of its own. */
+    public void returnTo(int attempt) {
+        mAttempt = attempt;
+    }
+
     /** Returns what to do with a chunk; one that is accepted moves the cursor. */
     public Verdict accept(ChunkId id) throws QuilldykeException {
         if (id == null || !id.request().equals(mRequest) || id.attempt() != mAttempt) {
@@ -94,6 +102,11 @@
         return mAttempt;
     }
 
+    /** Returns how many attempts were started, 0 before the first. */
+    public int attempts() {
+        return mAttempts;
+    }
+
     /** Returns the request. */
     public String request() {
         return mRequest;
--- a/quilldyke-core/src/test/java/org/quilldyke/caller/RetryBudgetTest.java
+++ b/quilldyke-core/src/test/java/org/quilldyke/caller/RetryBudgetTest.java
@@ -45,4 +45,15 @@
         assertThat(budget.tryRetry()).isTrue();
         assertThat(budget.tryRetry()).isFalse();
     }
+
+    @Test
+    void whatIsGivenBackIsNoMoreThanTheLimit() {
+        RetryBudget budget = RetryBudget.create(0.5, 1);
+        budget.giveBack();
+
+        assertThat(budget.tryRetry()).isTrue();
+        assertThat(budget.tryRetry()).isFalse();
+        budget.giveBack();
+        assertThat(budget.tryRetry()).isTrue();
+    }
 }
--- a/quilldyke-core/src/test/java/org/quilldyke/caller/StreamCursorTest.java
+++ b/quilldyke-core/src/test/java/org/quilldyke/caller/StreamCursorTest.java
@@ -47,6 +47,21 @@
         assertThat(mCursor.accept(new ChunkId("r1", 2, 1))).isEqualTo(Verdict.NEXT);
     }
 
+    @Test
+    void goesBackToAnEarlierAttemptAndNumbersTheNextOneAnew() throws QuilldykeException {
+        mCursor.startAttempt();
+        mCursor.accept(new ChunkId("r1", 1, 0));
+        mCursor.startAttempt();
+
+        mCursor.returnTo(1);
+
+        assertThat(mCursor.accept(new ChunkId("r1", 2, 1))).isEqualTo(Verdict.CROSSED);
+        assertThat(mCursor.accept(new ChunkId("r1", 1, 1))).isEqualTo(Verdict.NEXT);
+        assertThat(mCursor.attempt()).isEqualTo(1);
+        assertThat(mCursor.attempts()).isEqualTo(2);
+        assertThat(mCursor.startAttempt()).isEqualTo(3);
+    }
+
     @Test
     void nothingFollowsTheEnd() throws QuilldykeException {
         mCursor.startAttempt();
--- a/quilldyke-daemon/src/main/java/org/quilldyke/daemon/caller/Completion.java
+++ b/quilldyke-daemon/src/main/java/org/quilldyke/daemon/caller/Completion.java
@@ -85,6 +85,7 @@
             return;
         }
         if (mBody != null) {
+            mRelay.onShutdownCut(e);
             mBody.cut(e);
         }
         endFailed(e);
@@ -179,6 +180,9 @@
         if (mEnded) {
             return e;
         }
+        if (mBody != null) {
+            mRelay.onCut(e);
+        }
         endFailed(e);
         mContext.log()
                 .write(
--- a/quilldyke-daemon/src/main/java/org/quilldyke/daemon/caller/RelayLog.java
+++ b/quilldyke-daemon/src/main/java/org/quilldyke/daemon/caller/RelayLog.java
@@ -15,9 +15,12 @@
  */
 package org.quilldyke.daemon.caller;
 
+import org.quilldyke.QuilldykeException;
 import org.quilldyke.caller.Attempt;
+import org.quilldyke.caller.CutCause;
 import org.quilldyke.caller.StreamCursor;
 import org.quilldyke.daemon.log.Event;
+import org.quilldyke.daemon.routing.CellView;
 import org.quilldyke.engine.TargetRecord;
 import org.quilldyke.routing.Decision;
 
@@ -102,4 +105,44 @@
                         "cause",
                         why);
     }
+
+    /** Writes that the answer is cut in its middle, and whose decision that was. */
+    void cut(
+            CutCause cause, QuilldykeException e, TargetRecord target, long begunAt, long heardAt) {
+        long now = mContext.clock().getAsLong();
+        CellView view = mContext.view().get();
+        mContext.log()
+                .write(
+                        Event.ANSWER_CUT,
+                        "request",
+                        mCursor.request(),
+                        "code",
+                        e.code().label(),
+                        "by",
+                        cause.label(),
+                        "events",
+                        mCursor.next(),
+                        "target",
+                        target.id(),
+                        "known",
+                        view.find(target.id()) != null,
+                        "heard_ms",
+                        now - heardAt,
+                        "ms",
+                        now - begunAt,
+                        "runs",
+                        mCursor.attempts(),
+                        "max_runs",
+                        mContext.site().limits().attempts(),
+                        "repeatable",
+                        mRequest.repeatable(),
+                        "version",
+                        view.configuration().version(),
+                        "leaving",
+                        view.leaving(),
+                        "left_ms",
+                        mRequest.deadlineAt() == Long.MAX_VALUE
+                                ? "none"
+                                : mRequest.deadlineAt() - now);
+    }
 }
--- a/quilldyke-daemon/src/main/java/org/quilldyke/daemon/caller/RelayedAnswer.java
+++ b/quilldyke-daemon/src/main/java/org/quilldyke/daemon/caller/RelayedAnswer.java
@@ -77,7 +77,7 @@
 
     /** Returns the number of attempts made. */
     int attempts() {
-        return mCursor.attempt();
+        return mCursor.attempts();
     }
 
     /** Returns the id of the request. */
--- a/quilldyke-daemon/src/main/java/org/quilldyke/daemon/caller/Resumed.java
+++ b/quilldyke-daemon/src/main/java/org/quilldyke/daemon/caller/Resumed.java
@@ -72,6 +72,7 @@
     @Override
     public void cut(QuilldykeException e) {
         if (mBody != null) {
+            mRelay.onShutdownCut(e);
             mBody.cut(e);
         }
         mRelay.close();
@@ -101,7 +102,9 @@
                     },
                     e -> {
                         mEnded = true;
-                        return Promise.of(Answers.errorEvent(Responses.failureOf(e, Outcome.RAN)));
+                        QuilldykeException known = Responses.failureOf(e, Outcome.RAN);
+                        mRelay.onCut(known);
+                        return Promise.of(Answers.errorEvent(known));
                     });
         }
 
--- a/quilldyke-daemon/src/main/java/org/quilldyke/daemon/caller/RunRelay.java
+++ b/quilldyke-daemon/src/main/java/org/quilldyke/daemon/caller/RunRelay.java
@@ -15,6 +15,7 @@
  */
 package org.quilldyke.daemon.caller;
 
+import io.activej.async.exception.AsyncTimeoutException;
 import io.activej.promise.Promise;
 import io.activej.promise.Promises;
 import java.io.IOException;
@@ -29,6 +30,7 @@
 import org.quilldyke.ResultCode;
 import org.quilldyke.caller.Attempt;
 import org.quilldyke.caller.ChunkId;
+import org.quilldyke.caller.CutCause;
 import org.quilldyke.caller.StreamCursor;
 import org.quilldyke.daemon.engine.Chunk;
 import org.quilldyke.daemon.engine.EngineClient;
@@ -43,15 +45,27 @@
 /**
  * Runs one request: routes it, reads its answer, and goes on after a break.
  *
- * <p>A broken connection is resumed at the same engine first. If the engine is gone, a request that
- * may be repeated goes on at another one, from the prompt and the text relayed so far; any other
- * ends with an explicit error. Pulled by its reader, so that a slow caller slows its engine and
- * nobody else. Lives on one traffic thread.
+ * <p>A broken connection is resumed at the same engine first. If that doesn't help, a request that
+ * may be repeated goes on at another one, from the prompt and the text relayed so far. A run that
+ * may be at work is kept until another one has begun, and gone back to if none does. An answer
+ * under way waits for an engine or an allowance; it ends with an explicit error once its run is
+ * lost and may not be repeated, or its time or patience is over. Pulled by its reader, so that a
+ * slow caller slows its engine and nobody else. Lives on one traffic thread.
  */
 final class RunRelay {
-    private static final int RESUMES_PER_ATTEMPT = 2;
+    /** Continuations in a row without an event before another engine is looked for. */
+    private static final int RESUMES_IN_A_ROW = 2;
+
     private static final long RESUME_PAUSE_MILLIS = 20;
 
+    /**
+     * Before an answer under way asks again for what it didn't get, in milliseconds: a tenth of
+     * what callers notice at first, doubled each time up to what engines' announcements take.
+     */
+    private static final long FIRST_WAIT_MILLIS = 100;
+
+    private static final long LONGEST_WAIT_MILLIS = 1000;
+
     private final TrafficContext mContext;
     private final EngineRequest mRequest;
     private final StreamCursor mCursor;
@@ -60,18 +74,29 @@
     private final Map<String, BlockChain> mChains;
     private final Set<String> mTried = new HashSet<>();
     private final long mStartedAt;
+    private final long mPatienceMillis;
     private TargetRecord mTarget;
     private SseReader mEvents;
     private Attempt mAttempt = Attempt.QUEUED;
     private Outcome mOutcome = Outcome.NOT_RUN;
     private int mResumesLeft;
+    private KeptRun mKept;
+    private boolean mLost;
+    private int mUnrunAttempts;
+    private String mFailure = "";
+    private ResultCode mFailureCode = ResultCode.TARGET_REFUSED;
+    private CutCause mCause = CutCause.TARGET;
+    private long mHeardAt;
+    private long mWaitMillis = FIRST_WAIT_MILLIS;
+    private boolean mCut;
     private boolean mClosed;
 
     private RunRelay(
             TrafficContext context,
             EngineRequest request,
             StreamCursor cursor,
-            Map<String, BlockChain> chains) {
+            Map<String, BlockChain> chains,
+            long patienceMillis) {
         mContext = context;
         mRequest = request;
         mCursor = cursor;
@@ -79,6 +104,8 @@
         mLog = RelayLog.of(context, request, cursor);
         mChains = chains;
         mStartedAt = context.clock().getAsLong();
+        mHeardAt = mStartedAt;
+        mPatienceMillis = patienceMillis;
     }
 
     /** Returns a relay for a new request. */
@@ -88,17 +115,22 @@
                         context.view().get().enginesFor(request.model()),
                         weights -> BlockChain.of(scope(request, weights), request.prompt()));
         return new RunRelay(
-                context, EngineRequest.of(request), StreamCursor.create(request.id()), chains);
+                context,
+                EngineRequest.of(request),
+                StreamCursor.create(request.id()),
+                chains,
+                context.site().timings().firstToken());
     }
 
     /** Returns a relay that resumes an answer for a caller who has it up to the cursor. */
     static RunRelay resume(
             TrafficContext context, EngineRequest request, StreamCursor cursor, TargetRecord at) {
-        RunRelay relay = new RunRelay(context, request, cursor, Map.of());
+        long patience = context.site().timings().stall();
+        RunRelay relay = new RunRelay(context, request, cursor, Map.of(), patience);
         relay.mTarget = at;
         relay.mAttempt = Attempt.ACCEPTED;
         relay.mOutcome = Outcome.RAN;
-        relay.mResumesLeft = RESUMES_PER_ATTEMPT;
+        relay.mResumesLeft = RESUMES_IN_A_ROW;
         return relay;
     }
 
@@ -116,7 +148,7 @@
             return Promise.of(List.of(closing));
         }
         if (mEvents == null) {
-            Promise<Void> opened = mTarget == null ? startAttempt() : resumeOrRestart("reconnect");
+            Promise<Void> opened = mTarget == null ? startAttempt() : goOn("reconnect");
             return opened.then(this::next);
         }
         return Promises.timeout(Duration.ofMillis(patience()), mEvents.read())
@@ -132,9 +164,21 @@
         }
         mClosed = true;
         endAttempt();
+        long grace = mContext.site().timings().resumeGrace();
         if (!mCursor.isFinished() && mTarget != null) {
-            cancelRun(mContext.site().timings().resumeGrace());
+            cancelRun(grace);
         }
+        cancelKept(grace);
+    }
+
+    /** Notes that the answer is cut in its middle by this instance's end. */
+    void onShutdownCut(QuilldykeException e) {
+        noteCut(CutCause.SHUTDOWN, e);
+    }
+
+    /** Notes that the answer is cut in its middle. */
+    void onCut(QuilldykeException e) {
+        noteCut(e.code() == ResultCode.DEADLINE_PASSED ? CutCause.TIME : mCause, e);
     }
 
     /** Returns what was relayed so far. */
@@ -168,47 +212,79 @@
             return Promise.complete();
         }
         long now = mContext.clock().getAsLong();
+        if (now >= mRequest.deadlineAt()) {
+            return failed(ResultCode.DEADLINE_PASSED, "");
+        }
         Decision decision;
         try {
-            if (now >= mRequest.deadlineAt()) {
-                throw QuilldykeException.of(ResultCode.DEADLINE_PASSED, mOutcome, "");
-            }
             decision =
                     mContext.router()
                             .decide(
-                                    mContext.view().get().enginesFor(mRequest.model()),
+                                    targets(),
                                     mTried,
                                     mChains,
                                     mRequest.number(),
                                     mRequest.isUrgent(),
                                     now);
         } catch (QuilldykeException e) {
-            return Promise.ofException(withOutcome(e));
+            return onNobody(e);
         }
         mTarget = decision.target();
         int attempt = mCursor.startAttempt();
         mLog.routed(decision, attempt);
-        if (now + decision.predictedMillis() > mRequest.deadlineAt()) {
+        if (!isUnderWay() && now + decision.predictedMillis() > mRequest.deadlineAt()) {
             mContext.router().onEnd(mTarget.id(), mRequest.number());
             return Promise.ofException(
                     QuilldykeException.of(ResultCode.DEADLINE_PASSED, mOutcome, "predicted"));
         }
+        return send(attempt);
+    }
+
+    private Promise<Void> send(int attempt) {
         mContext.metrics().attempts().inc();
         mAttempt = Attempt.SENDING;
-        mResumesLeft = RESUMES_PER_ATTEMPT;
+        mLost = false;
+        mResumesLeft = RESUMES_IN_A_ROW;
         byte[] body = mRequest.bodyFor(mTarget, mAnswer.text(), mCursor.next());
         return mContext.client()
                 .complete(mTarget, mRequest.path(), mCursor.request(), attempt, body)
                 .then(this::onAccepted, this::onAttemptFailed);
     }
 
+    /** Returns who may run the request; the engine of a kept run is asked for that one only. */
+    private List<TargetRecord> targets() {
+        List<TargetRecord> targets = mContext.view().get().enginesFor(mRequest.model());
+        if (mKept != null) {
+            targets.removeIf(target -> target.id().equals(mKept.target().id()));
+        }
+        return targets;
+    }
+
+    /** Nobody takes the request now: its end, unless an answer is under way. */
+    private Promise<Void> onNobody(QuilldykeException e) {
+        if (!isUnderWay()) {
+            return Promise.ofException(withOutcome(e));
+        }
+        mContext.budget().giveBack();
+        return await(withOutcome(e), true);
+    }
+
     /** Frees the engine of a run that it has accepted, unless somebody resumes it meanwhile. */
     private void cancelRun(long afterMillis) {
-        if (mAttempt != Attempt.ACCEPTED) {
-            return;
+        if (mAttempt == Attempt.ACCEPTED && !mLost) {
+            cancel(mTarget, mCursor.attempt(), afterMillis);
         }
-        TargetRecord target = mTarget;
-        int attempt = mCursor.attempt();
+    }
+
+    private void cancelKept(long afterMillis) {
+        if (mKept != null) {
+            mContext.router().onEnd(mKept.target().id(), mRequest.number());
+            cancel(mKept.target(), mKept.attempt(), afterMillis);
+            mKept = null;
+        }
+    }
+
+    private void cancel(TargetRecord target, int attempt, long afterMillis) {
         mContext.reactor()
                 .delayBackground(
                         afterMillis,
@@ -228,35 +304,96 @@
         if (e instanceof EngineClient.AttemptException failure) {
             mAttempt = failure.state();
         }
-        return retry(e.getMessage(), ResultCode.TARGET_REFUSED);
+        return restart(e.getMessage(), ResultCode.TARGET_REFUSED);
     }
 
-    private Promise<Void> retry(String why, ResultCode code) {
-        endAttempt();
+    /** Leaves the present run, but for one that may be at work, and looks for another engine. */
+    private Promise<Void> restart(String why, ResultCode code) {
+        closeEvents();
         if (mClosed) {
             // Nobody waits for another attempt, and the run may be resumed at another instance.
+            endAttempt();
             return failed(code, why);
         }
-        cancelRun(0);
+        mFailure = why;
+        mFailureCode = code;
+        mLog.failed(mTarget, mAttempt, why);
         mOutcome = outcome();
         mTried.add(mTarget.id());
-        mLog.failed(mTarget, mAttempt, why);
+        if (mAttempt == Attempt.ACCEPTED && !mLost && mKept == null) {
+            mKept = new KeptRun(mTarget, mCursor.attempt());
+        } else {
+            endAttempt();
+            cancelRun(0);
+        }
+        return isUnderWay() && mAttempt.outcome() == Outcome.NOT_RUN ? onUnrun() : tryElsewhere();
+    }
+
+    /** Another engine hasn't run what it was sent, which costs an answer under way nothing. */
+    private Promise<Void> onUnrun() {
+        mUnrunAttempts++;
+        mContext.budget().giveBack();
+        return await(failure(mFailureCode), true);
+    }
 
+    private Promise<Void> tryElsewhere() {
+        if (mClosed) {
+            return failed(mFailureCode, mFailure);
+        }
         if (!mAttempt.outcome().mayRetry(mRequest.repeatable())) {
-            return failed(mAttempt == Attempt.SENDING ? ResultCode.TARGET_LOST : code, why);
+            boolean unknown = mAttempt == Attempt.SENDING;
+            return await(failure(unknown ? ResultCode.TARGET_LOST : mFailureCode), false);
         }
-        if (mCursor.attempt() >= mContext.site().limits().attempts()) {
-            return failed(code, why);
+        int spent = mCursor.attempts() - mUnrunAttempts;
+        if (spent >= mContext.site().limits().attempts()) {
+            return await(failure(mFailureCode), false);
         }
         if (!mContext.budget().tryRetry()) {
-            return failed(ResultCode.RETRIES_EXHAUSTED, why);
+            return await(failure(ResultCode.RETRIES_EXHAUSTED), true);
         }
         return startAttempt();
     }
 
+    /**
+     * Waits a moment and tries on, if an answer is under way that somebody may go on with.
+     *
+     * @param end what ends the answer otherwise
+     * @param passes whether another engine may take it in a moment
+     */
+    private Promise<Void> await(QuilldykeException end, boolean passes) {
+        boolean mayGoOn = mKept != null || passes;
+        long now = mContext.clock().getAsLong();
+        if (now >= mRequest.deadlineAt()) {
+            return failed(ResultCode.DEADLINE_PASSED, mFailure);
+        }
+        long left = Math.min(mHeardAt + mPatienceMillis, mRequest.deadlineAt()) - now;
+        if (!isUnderWay() || !mayGoOn || left <= 0) {
+            return Promise.ofException(end);
+        }
+        long wait = Math.min(mWaitMillis, left);
+        mWaitMillis = Math.min(2 * mWaitMillis, LONGEST_WAIT_MILLIS);
+        return Promises.delay(wait).then(() -> mKept != null ? goBack() : tryElsewhere());
+    }
+
+    /** Goes back to the run that was kept, since no other one has begun. */
+    private Promise<Void> goBack() {
+        mTarget = mKept.target();
+        mCursor.returnTo(mKept.attempt());
+        mKept = null;
+        mAttempt = Attempt.ACCEPTED;
+        mLost = false;
+        mResumesLeft = 1;
+        return goOn(mFailure);
+    }
+
+    /** Returns whether something of an answer was relayed, or may be coming. */
+    private boolean isUnderWay() {
+        return mCursor.next() > 0 || mKept != null;
+    }
+
     private Promise<List<Chunk>> onRead(List<SseReader.SseEvent> events) {
         if (events == null) {
-            return resumeOrRestart("ended early").then(this::next);
+            return onBroken("ended early");
         }
         List<Chunk> chunks = new ArrayList<>(events.size());
         try {
@@ -266,16 +403,14 @@
                 }
                 StreamCursor.Verdict verdict = accept(event, chunks);
                 if (verdict == StreamCursor.Verdict.GAP) {
-                    return chunks.isEmpty()
-                            ? resumeOrRestart("gap").then(this::next)
-                            : Promise.of(chunks);
+                    return chunks.isEmpty() ? onBroken("gap") : Promise.of(chunks);
                 }
             }
         } catch (QuilldykeException e) {
             mContext.log().write(Event.INVARIANT, "detail", e.getMessage());
             return Promise.ofException(e);
         } catch (IOException e) {
-            return resumeOrRestart(e.getMessage()).then(this::next);
+            return onBroken(e.getMessage());
         }
         if (mCursor.isFinished()) {
             onFinished();
@@ -287,19 +422,35 @@
         if (mContext.clock().getAsLong() >= mRequest.deadlineAt()) {
             return this.<List<Chunk>>failed(ResultCode.DEADLINE_PASSED, "while running");
         }
-        return resumeOrRestart(e.toString()).then(this::next);
+        mCause = e instanceof AsyncTimeoutException ? CutCause.SILENCE : CutCause.TARGET;
+        return goOn(e.toString()).then(this::next);
+    }
+
+    private Promise<List<Chunk>> onBroken(String why) {
+        mCause = CutCause.TARGET;
+        return goOn(why).then(this::next);
     }
 
     private StreamCursor.Verdict accept(SseReader.SseEvent event, List<Chunk> chunks)
             throws IOException, QuilldykeException {
         int position = mCursor.next();
         StreamCursor.Verdict verdict = mAnswer.accept(event, chunks);
-        if (position == 0 && verdict == StreamCursor.Verdict.NEXT) {
-            mContext.router().onFirstToken(mTarget.id(), mRequest.number());
+        if (verdict == StreamCursor.Verdict.NEXT) {
+            onHeard(position);
         }
         return verdict;
     }
 
+    private void onHeard(int position) {
+        if (position == 0) {
+            mContext.router().onFirstToken(mTarget.id(), mRequest.number());
+        }
+        mHeardAt = mContext.clock().getAsLong();
+        mWaitMillis = FIRST_WAIT_MILLIS;
+        mResumesLeft = RESUMES_IN_A_ROW;
+        cancelKept(0);
+    }
+
     private void onFinished() {
         BlockChain chain = mChains.get(mTarget.weights());
         if (chain != null && mCursor.attempt() == 1) {
@@ -310,43 +461,46 @@
         endAttempt();
     }
 
-    private Promise<Void> resumeOrRestart(String why) {
+    /** Goes on after a break: at the same engine, as long as that may help. */
+    private Promise<Void> goOn(String why) {
         closeEvents();
-        TargetRecord live = mContext.view().get().find(mTarget.id());
-        boolean sameLife = live != null && live.incarnation() == mTarget.incarnation();
-        if (!sameLife || mResumesLeft == 0 || mClosed) {
-            return retry(why, ResultCode.STREAM_BROKEN);
+        if (mResumesLeft == 0 || mLost || mClosed) {
+            return restart(why, ResultCode.STREAM_BROKEN);
         }
         mResumesLeft--;
         mContext.metrics().continued().inc();
         mLog.continued(mTarget, why);
-
         return Promises.delay(RESUME_PAUSE_MILLIS)
-                .then(
-                        () ->
-                                mContext.client()
-                                        .resume(
-                                                mTarget,
-                                                mCursor.request(),
-                                                mCursor.attempt(),
-                                                mCursor.next(),
-                                                mRequest.saltFor(mTarget.weights())))
-                .then(
-                        events -> {
-                            mEvents = events;
-                            if (mClosed) {
-                                closeEvents();
-                            }
-                            return Promise.complete();
-                        },
-                        e -> {
-                            EngineClient.AttemptException failure =
-                                    (EngineClient.AttemptException) e;
-                            boolean gone = failure.state() != Attempt.SENDING;
-                            return gone
-                                    ? retry(e.getMessage(), ResultCode.STREAM_BROKEN)
-                                    : resumeOrRestart(e.getMessage());
-                        });
+                .then(this::resume)
+                .then(this::onResumed, this::onResumeFailed);
+    }
+
+    private Promise<SseReader> resume() {
+        if (mClosed) {
+            return failed(ResultCode.STREAM_BROKEN, "closed");
+        }
+        return mContext.client()
+                .resume(
+                        mTarget,
+                        mCursor.request(),
+                        mCursor.attempt(),
+                        mCursor.next(),
+                        mRequest.saltFor(mTarget.weights()));
+    }
+
+    private Promise<Void> onResumed(SseReader events) {
+        mEvents = events;
+        if (mClosed) {
+            closeEvents();
+        }
+        return Promise.complete();
+    }
+
+    private Promise<Void> onResumeFailed(Exception e) {
+        if (e instanceof EngineClient.AttemptException failure) {
+            mLost = failure.isRunLost();
+        }
+        return goOn(e.getMessage());
     }
 
     private long patience() {
@@ -373,6 +527,19 @@
         }
     }
 
+    private void noteCut(CutCause cause, QuilldykeException e) {
+        if (mCut || mCursor.isFinished()) {
+            return;
+        }
+        mCut = true;
+        mContext.metrics().cut(cause).inc();
+        mLog.cut(cause, e, mTarget, mStartedAt, mHeardAt);
+    }
+
+    private QuilldykeException failure(ResultCode code) {
+        return QuilldykeException.of(code, outcome(), mFailure);
+    }
+
     private <T> Promise<T> failed(ResultCode code, String why) {
         return Promise.ofException(QuilldykeException.of(code, outcome(), why));
     }
@@ -389,4 +556,7 @@
     private static CacheScope scope(CallerRequest request, String weights) {
         return EngineRequest.scope(request.organisation().name(), request.model().name(), weights);
     }
+
+    /** A run that may be at work and is gone back to, unless another one begins. */
+    private record KeptRun(TargetRecord target, int attempt) {}
 }
--- a/quilldyke-daemon/src/main/java/org/quilldyke/daemon/engine/EngineClient.java
+++ b/quilldyke-daemon/src/main/java/org/quilldyke/daemon/engine/EngineClient.java
@@ -117,8 +117,8 @@
                 .mapException(
                         e ->
                                 isUnconnected(e)
-                                        ? new AttemptException(Attempt.UNREACHABLE, e.toString())
-                                        : new AttemptException(Attempt.SENDING, e.toString()));
+                                        ? new AttemptException(Attempt.UNREACHABLE, 0, e.toString())
+                                        : new AttemptException(Attempt.SENDING, 0, e.toString()));
     }
 
     private static Promise<SseReader> events(HttpResponse response) {
@@ -139,6 +139,7 @@
                             return Promise.ofException(
                                     new AttemptException(
                                             notRun ? Attempt.REFUSED : Attempt.SENDING,
+                                            status,
                                             "status " + status + " " + text));
                         });
     }
@@ -164,11 +165,28 @@
 
     /** An attempt that failed. */
     public static final class AttemptException extends Exception {
+        private static final int NOT_FOUND = 404;
+        private static final int CONFLICT = 409;
+        private static final int GONE = 410;
+
         private final Attempt mState;
+        private final int mStatus;
 
-        AttemptException(Attempt state, String detail) {
+        AttemptException(Attempt state, int status, String detail) {
             super(detail);
             mState = state;
+            mStatus = status;
+        }
+
+        /**
+         * Returns whether the failure of a resume tells that its run is lost: the target says that
+         * it holds none, or nobody listens at its address. Any other says nothing of the run.
+         */
+        public boolean isRunLost() {
+            return mState == Attempt.UNREACHABLE
+                    || mStatus == NOT_FOUND
+                    || mStatus == CONFLICT
+                    || mStatus == GONE;
         }
 
         /** Returns how far the attempt had come. */
--- a/quilldyke-daemon/src/main/java/org/quilldyke/daemon/platform/Metrics.java
+++ b/quilldyke-daemon/src/main/java/org/quilldyke/daemon/platform/Metrics.java
@@ -18,6 +18,9 @@
 import com.codahale.metrics.Counter;
 import com.codahale.metrics.Histogram;
 import com.codahale.metrics.MetricRegistry;
+import java.util.EnumMap;
+import java.util.Map;
+import org.quilldyke.caller.CutCause;
 
 /** The instance's metrics, by the names under which they are served. */
 public final class Metrics {
@@ -35,7 +38,14 @@
     private final Counter mCachedUnits = mRegistry.counter("prompt.units-cached");
     private final Histogram mFirstToken = mRegistry.histogram("first-token.ms");
 
-    private Metrics() {}
+    private final Map<CutCause, Counter> mCut = new EnumMap<>(CutCause.class);
+
+    private Metrics() {
+        for (CutCause cause : CutCause.values()) {
+            // Told from the start, so that none is told from not counted.
+            mCut.put(cause, mRegistry.counter("answers.cut." + cause.label()));
+        }
+    }
 
     /** Returns metrics that are all zero. */
     public static Metrics create() {
@@ -72,6 +82,11 @@
         return mCallersGone;
     }
 
+    /** Answers that were cut in their middle, by whose decision. */
+    public Counter cut(CutCause cause) {
+        return mCut.get(cause);
+    }
+
     /** Attempts sent to targets. */
     public Counter attempts() {
         return mAttempts;
--- a/quilldyke-tools/src/test/java/org/quilldyke/tools/demo/InstanceShutdownTest.java
+++ b/quilldyke-tools/src/test/java/org/quilldyke/tools/demo/InstanceShutdownTest.java
@@ -34,6 +34,7 @@
 import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.quilldyke.caller.CutCause;
 import org.quilldyke.daemon.QuilldykeInstance;
 import org.quilldyke.daemon.json.Json;
 import org.quilldyke.daemon.log.Event;
@@ -214,6 +215,8 @@
         assertThat(stream.text() + rest.text()).isEqualTo(answer(prompt, TOKENS_TOO_MANY));
         assertThat(mDrained.join()).isFalse();
         assertThat(instance().log().count(Event.REFUSED)).isEqualTo(1);
+        assertThat(instance().log().count(Event.ANSWER_CUT)).isEqualTo(1);
+        assertThat(instance().metrics().cut(CutCause.SHUTDOWN).getCount()).isEqualTo(1);
         assertWithMessage("attempts").that(attempts()).isEqualTo(1);
     }
 
--- a/quilldyke-tools/src/test/java/org/quilldyke/tools/demo/OwnDecisionTest.java
+++ b/quilldyke-tools/src/test/java/org/quilldyke/tools/demo/OwnDecisionTest.java
@@ -147,7 +147,9 @@
         Running stream = begin("no allowance for a moment", TOKENS);
         mSite.mSite.killEngine(stream.engine());
         Thread.sleep(MOMENT_MILLIS);
-        assertWithMessage(stream.mStream.error()).that(stream.mStream.error()).isEmpty();
+        assertThat(stream.mStream.error()).isEmpty();
+        // Before, requests go to the lost engine too, and use what they bring.
+        SmallSite.await(() -> entry().usableEngines(DemoSite.MODEL) == 1);
         for (int i = 0; i < 10; i++) {
             complete("brings allowance " + i);
         }
