--- a/quilldyke-tools/src/test/java/org/quilldyke/tools/demo/InstanceShutdownTest.java
+++ b/quilldyke-tools/src/test/java/org/quilldyke/tools/demo/InstanceShutdownTest.java
@@ -339,6 +339,33 @@
         assertThat(sSite.mSite.services().get(0).runs()).doesNotContainKey("hold-unrun");
     }
 
+    /**
+     * Users saw an answer cut whose request had come after the signal, while requests are still
+     * taken. It was taken however long it would last, and the limit cut it. The evidence is the
+     * answer that its caller has, and that no engine was asked.
+     */
+    @Test
+    void requestThatCannotEndInTimeIsRefusedUnrun() throws Exception {
+        String body = SmallSite.completion("too long", TOKENS_TOO_MANY, false);
+        try (RawCaller caller = caller()) {
+            caller.head("POST", COMPLETIONS, SmallSite.TOKEN, body.length());
+            caller.send(body.substring(0, 20));
+            awaitServed();
+            long attemptsBefore = attempts();
+
+            shutDown();
+            SmallSite.await(() -> !instance().isReady());
+            caller.send(body.substring(20));
+
+            String answer = caller.untilEnd();
+            assertThat(answer).startsWith("HTTP/1.1 503");
+            assertThat(answer).contains("QR2014");
+            assertThat(answer).contains("not-run");
+            assertWithMessage("attempts").that(attempts()).isEqualTo(attemptsBefore);
+        }
+        assertThat(mDrained.join()).isTrue();
+    }
+
     /**
      * Users saw a connection closed under a request that they sent on it. It was kept open by an
      * answer after the signal, so that its caller used it again in the instance's last moment.
