--- a/quilldyke-daemon/src/main/java/org/quilldyke/daemon/GracefulShutdown.java
+++ b/quilldyke-daemon/src/main/java/org/quilldyke/daemon/GracefulShutdown.java
@@ -73,6 +73,7 @@
                 timings.readyGrace(),
                 "drain_ms",
                 timings.drain());
+        traffic.endsAt(startedAt + timings.readyGrace() + timings.drain());
         traffic.enter(RequestGate.Phase.LEAVING);
         leave.run();
         pause(timings.readyGrace());
--- a/quilldyke-daemon/src/main/java/org/quilldyke/daemon/QuilldykeInstance.java
+++ b/quilldyke-daemon/src/main/java/org/quilldyke/daemon/QuilldykeInstance.java
@@ -34,6 +34,7 @@
 import org.quilldyke.control.Configuration;
 import org.quilldyke.control.ReplicaSettings;
 import org.quilldyke.daemon.caller.Admission;
+import org.quilldyke.daemon.caller.DrainForecast;
 import org.quilldyke.daemon.caller.Responses;
 import org.quilldyke.daemon.control.ControlClient;
 import org.quilldyke.daemon.control.ControlLoop;
@@ -343,6 +344,7 @@
                                     client,
                                     mAdmission,
                                     RetryBudget.create(mSite.limits().retryShare(), RETRY_RESERVE),
+                                    DrainForecast.create(),
                                     mClock,
                                     mLog,
                                     mMetrics));
--- a/quilldyke-daemon/src/main/java/org/quilldyke/daemon/TrafficServers.java
+++ b/quilldyke-daemon/src/main/java/org/quilldyke/daemon/TrafficServers.java
@@ -39,6 +39,7 @@
 import org.quilldyke.caller.RetryBudget;
 import org.quilldyke.daemon.caller.Admission;
 import org.quilldyke.daemon.caller.CompletionServlet;
+import org.quilldyke.daemon.caller.DrainForecast;
 import org.quilldyke.daemon.caller.RequestGate;
 import org.quilldyke.daemon.caller.Responses;
 import org.quilldyke.daemon.caller.TrafficContext;
@@ -94,6 +95,11 @@
         return servers;
     }
 
+    /** Notes when the instance has to end, so that what lasts longer is refused. */
+    void endsAt(long time) {
+        mShared.drain().onShutdown(time);
+    }
+
     /** Enters a phase of the shutdown. */
     void enter(RequestGate.Phase phase) {
         mWorkers.forEach(worker -> worker.gate().enter(phase));
@@ -196,6 +202,7 @@
                         mShared.control(),
                         mShared.admission(),
                         mShared.budget(),
+                        mShared.drain(),
                         mSite,
                         mShared.clock(),
                         System::currentTimeMillis,
@@ -345,6 +352,7 @@
             ControlClient control,
             Admission admission,
             RetryBudget budget,
+            DrainForecast drain,
             LongSupplier clock,
             EventLog log,
             Metrics metrics) {}
--- a/quilldyke-daemon/src/main/java/org/quilldyke/daemon/caller/Completion.java
+++ b/quilldyke-daemon/src/main/java/org/quilldyke/daemon/caller/Completion.java
@@ -153,6 +153,8 @@
         }
         end();
         mRelay.close();
+        long millis = mContext.clock().getAsLong() - mRelay.startedAt();
+        mContext.drain().onAnswered(mRelay.answer().tokens(), millis);
         mContext.metrics().answered().inc();
         mContext.metrics().promptUnits().inc(mRequest.prompt().length);
         mContext.metrics().cachedUnits().inc(mRelay.answer().cachedUnits());
@@ -172,7 +174,7 @@
                         "cached",
                         mRelay.answer().cachedUnits(),
                         "ms",
-                        mContext.clock().getAsLong() - mRelay.startedAt());
+                        millis);
     }
 
     private QuilldykeException fail(Exception cause) {
--- a/quilldyke-daemon/src/main/java/org/quilldyke/daemon/caller/CompletionServlet.java
+++ b/quilldyke-daemon/src/main/java/org/quilldyke/daemon/caller/CompletionServlet.java
@@ -80,8 +80,11 @@
             throws QuilldykeException {
         CellView view = mContext.view().get();
         mContext.metrics().requests().inc();
-        CallerRequest read =
-                mReader.read(request, body, view.configuration(), mContext.clock().getAsLong());
+        long now = mContext.clock().getAsLong();
+        CallerRequest read = mReader.read(request, body, view.configuration(), now);
+        if (!mContext.drain().admits(read.maxTokens(), read.deadlineAt(), now)) {
+            throw OpenRequest.refusal();
+        }
         mContext.admission().enter(read.organisation());
         return Completion.serve(mContext, read, OpenRequest.of(request));
     }
--- a/quilldyke-daemon/src/main/java/org/quilldyke/daemon/caller/TrafficContext.java
+++ b/quilldyke-daemon/src/main/java/org/quilldyke/daemon/caller/TrafficContext.java
@@ -37,6 +37,7 @@
  * @param control proposes claims
  * @param admission counts open requests
  * @param budget bounds retries
+ * @param drain knows what ends before a shutdown does
  * @param site limits and timings
  * @param clock monotonic milliseconds
  * @param wallClock milliseconds since the epoch
@@ -51,6 +52,7 @@
         ControlClient control,
         Admission admission,
         RetryBudget budget,
+        DrainForecast drain,
         Site site,
         LongSupplier clock,
         LongSupplier wallClock,
