--- a/quilldyke-core/src/main/java/org/quilldyke/caller/Forwarding.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/caller/Forwarding.java
@@ -16,6 +16,7 @@
 package org.quilldyke.caller;
 
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.quilldyke.ResultCode;
 import org.quilldyke.manifest.Route;
@@ -74,8 +75,7 @@
     private int mUnsent;
     private boolean mHeadPassed;
     private long mLastEvent;
-    private long mLostAt;
-    private boolean mLost;
+    private final LostStream mLost = new LostStream();
     private ResultCode mLostBy = ResultCode.TARGET_LOST;
     private CutCause mLeftBy = CutCause.TARGET;
 
@@ -121,7 +121,7 @@
 
     /** Notes that the first byte is about to leave: from now on the request may run. */
     public void onSending() {
-        mRun.onSending();
+        noteSending(mRun);
     }
 
     /** Returns the step after the target could not be reached; no byte was sent. */
@@ -169,7 +169,7 @@
     /** Notes that events up to the given one were passed on to the caller. */
     public void onEventPassed(long event) {
         mHeadPassed = true;
-        mLost = false;
+        mLost.onEvent();
         mLastEvent = event;
         mRun.onPromptRead();
     }
@@ -196,6 +196,9 @@
 
     /** Returns the step after this instance has taken the target for lost. */
     public Step onGivenUp(CutCause cause, long now) {
+        if (!mRun.isSent()) {
+            return onUnsent(now);
+        }
         return onLost(ResultCode.TARGET_LOST, cause, now);
     }
 
@@ -231,7 +234,7 @@
 
     /** Notes that the first byte is about to leave for the successor. */
     public void onSuccessorSending() {
-        mSuccessor.onSending();
+        noteSending(mSuccessor);
     }
 
     /** Notes that the successor could not be reached; the run stays. */
@@ -265,6 +268,12 @@
         dropSuccessor();
     }
 
+    /** Returns whether an answer of the successor can take the run's place. */
+    public boolean mayFollow(AnswerHead head) {
+        return head.isGenuine()
+                && (mHeadPassed ? head.stream() && head.isSuccess() : head.status() < 500);
+    }
+
     /** Notes that the successor has begun to answer: it takes the run's place. */
     public void onSuccessorBegun() {
         mLeftBy = mSuccessorCause;
@@ -347,23 +356,25 @@
      * more elsewhere; and not if nobody else could answer, or the request can't be sent again.
      */
     public boolean isSilenceTelling(long now) {
-        int runs = mHistory.targets() + (mHistory.hasRun(mRun.target()) ? 0 : 1);
         return mSuccessor == null
-                && runs < mRequest.route().maxAttempts()
+                && mRun.isSent()
                 && mayRunAgain(now)
                 && mRetries.hasRoom(mRequest.service(), 1, now)
                 && !mBook.isAlive(mRun.target(), now);
     }
 
     private Optional<Step.Send> askSuccessor(CutCause cause, long now) {
-        if (mRun == null || mSuccessor != null || !mayRunAgain(now)) {
+        // Nothing is at work before the run is sent: it goes elsewhere if it can't be.
+        if (mRun == null || !mRun.isSent() || mSuccessor != null || !mayRunAgain(now)) {
             return Optional.empty();
         }
         Optional<Choice> choice = mBook.choose(mRequest, barred(), now);
-        if (choice.isEmpty() || !takeRetry(now)) {
+        boolean inTime =
+                cause == CutCause.SILENCE
+                        || choice.isPresent() && choice.get().expectedMillis() <= holdMillis();
+        if (choice.isEmpty() || !inTime || !takeRetry(now)) {
             return Optional.empty();
         }
-        mHistory.onRun(mRun.target());
         mSuccessorCause = cause;
         mSuccessor = open(choice.get(), now);
         return Optional.of(new Step.Send(choice.get(), mRequest.answerBy() - now, mLastEvent));
@@ -403,7 +414,14 @@
         return giveUp(ResultCode.OVERLOADED, "refused by " + mHistory.unfit(), now);
     }
 
+    private void noteSending(TargetRun run) {
+        run.onSending(mHistory.onRun(run.target()));
+    }
+
     private void noteRefusal(TargetRun run, AnswerHead head, long now) {
+        if (run.isFirstThere()) {
+            mHistory.onNotRun(run.target());
+        }
         if (head.wrongTarget()) {
             mBook.onWrongTarget(run.target(), now);
         } else {
@@ -434,10 +452,7 @@
      * waits for that as long as its caller does.
      */
     private Step goOn(ResultCode why, long now) {
-        if (!mLost) {
-            mLost = true;
-            mLostAt = now;
-        }
+        mLost.onLost(now);
         mLostBy = why;
         Route route = mRequest.route();
         boolean mayGoOn =
@@ -448,19 +463,23 @@
         if (!mayGoOn) {
             return new Step.Break(mLostBy, mLeftBy);
         }
-        if (hasOtherTarget(now) && takeRetry(now)) {
+        if (mLost.mayTry(now) && hasOtherTarget(now) && takeRetry(now)) {
+            mLost.onTry(now);
             return choose(now);
         }
         return waitToGoOn(now);
     }
 
     private Step waitToGoOn(long now) {
-        long until = Math.min(mLostAt + mRequest.route().callerPatienceMillis(), answerBy());
-        if (now + WAIT_STEP_MILLIS >= until) {
+        long patience = mRequest.route().callerPatienceMillis();
+        OptionalLong next = mLost.nextLook(patience, answerBy(), now);
+        if (next.isEmpty()) {
             return new Step.Break(mLostBy, mLeftBy);
         }
-        mHistory.forgive();
-        return new Step.Wait(now + WAIT_STEP_MILLIS);
+        if (!hasOtherTarget(now)) {
+            mHistory.forgive();
+        }
+        return new Step.Wait(next.getAsLong());
     }
 
     private boolean mayRunAgain(long now) {
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Exchange.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Exchange.java
@@ -141,7 +141,7 @@
 
     /** A target is silent to all; it is kept until somebody else begins to answer. */
     void onTargetSilent(String target) {
-        if (isPresentAt(target)) {
+        if (isPresentAt(target) && mayUseKey()) {
             askSuccessor(mForwarding.onSilence(now()), "the target is silent");
         }
     }
@@ -205,16 +205,16 @@
     /** A stream begins. */
     void onStream(TargetAnswer answer) {
         if (answer == mSuccessor) {
-            if (!answer.facts().isGenuine()) {
+            if (!mForwarding.mayFollow(answer.facts())) {
                 answer.giveUp(ResultCode.ANSWER_SPOILED, "no signature");
                 return;
             }
             takeOver();
-        } else {
-            dropSuccessor();
         }
         Step step = mForwarding.onAnswer(answer.facts(), now());
-        if (!(step instanceof Step.PassOn)) {
+        if (step instanceof Step.PassOn) {
+            dropSuccessor();
+        } else {
             leave(answer);
             logAttempt(answer, "spoiled", "no signature");
             mAnswer = null;
@@ -235,8 +235,8 @@
     /** An answer that isn't a stream is whole. */
     void onWhole(TargetAnswer answer) {
         if (answer == mSuccessor) {
-            if (mForwarding.isUnderWay()) {
-                answer.giveUp(ResultCode.STREAM_BROKEN, "no stream");
+            if (!mForwarding.mayFollow(answer.facts())) {
+                answer.giveUp(ResultCode.STREAM_BROKEN, "status " + answer.facts().status());
                 return;
             }
             takeOver();
@@ -259,7 +259,8 @@
         }
         dropSuccessor();
         passHeld();
-        if (mEnded) {
+        if (mAnswer != answer) {
+            // What was held has spoiled it.
             return;
         }
         beginStream();
@@ -430,12 +431,13 @@
     }
 
     private void passHeld() {
+        TargetAnswer from = mAnswer;
         EventSplitter.Event event;
         while ((event = mStream.nextHeld()) != null) {
-            if (mEnded || mAnswer == null) {
+            if (mEnded || from == null || mAnswer != from) {
                 event.bytes().release();
             } else {
-                passOn(mAnswer, event);
+                passOn(from, event);
             }
         }
     }
