--- a/quilldyke-core/src/main/java/org/quilldyke/caller/StreamForecast.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/caller/StreamForecast.java
@@ -41,17 +41,16 @@
 
     private static final double SHORTEST_PACE_MILLIS = 0.1;
 
-    /**
-     * Returns the forecast of a stream whose own time may end before its events do.
-     *
-     * @param mostEvents how many events follow at most, if there is time for them
-     * @param paceMillis how long an event takes where the stream is
-     * @param millisLeft until the stream's own time is over
-     */
-    public static StreamForecast of(int mostEvents, double paceMillis, long millisLeft) {
+    /** Returns the forecast of a stream of which it is known how many events follow at most. */
+    public static StreamForecast of(int mostEvents, double paceMillis) {
+        return new StreamForecast(
+                Math.max(0, mostEvents), Math.max(SHORTEST_PACE_MILLIS, paceMillis));
+    }
+
+    /** Returns the forecast of a stream that may go on until its own time is over. */
+    public static StreamForecast untilTimeOver(long millisLeft, double paceMillis) {
         double pace = Math.max(SHORTEST_PACE_MILLIS, paceMillis);
-        int inTime = (int) Math.ceil(Math.max(0, millisLeft) / pace);
-        return new StreamForecast(Math.max(0, Math.min(mostEvents, inTime)), pace);
+        return of((int) Math.ceil(Math.max(0, millisLeft) / pace), pace);
     }
 
     /** Returns how long the rest lasts at most where the stream is. */
--- a/quilldyke-core/src/main/java/org/quilldyke/caller/TimelyEnd.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/caller/TimelyEnd.java
@@ -18,6 +18,7 @@
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.OptionalInt;
 import java.util.Set;
 import org.quilldyke.routing.Choice;
 import org.quilldyke.routing.PacedChoice;
@@ -64,8 +65,7 @@
         if (mRequest.answerBy() <= endsAt || pace.isEmpty()) {
             return Optional.empty();
         }
-        StreamForecast forecast =
-                StreamForecast.of(mostEventsLeft(), pace.getAsDouble(), mRequest.answerBy() - now);
+        StreamForecast forecast = forecast(pace.getAsDouble(), now);
         Set<String> excluded = new HashSet<>(barred);
         excluded.addAll(mAsked);
         return mBook.chooseQuickest(mRequest, excluded, forecast.eventsLeft(), now)
@@ -74,7 +74,10 @@
     }
 
     /** A stream that its caller had resumed is taken for a whole one: its rest isn't known. */
-    private int mostEventsLeft() {
-        return Math.max(0, mShutdown.mostEvents(mRequest).orElse(Integer.MAX_VALUE) - mEvents);
+    private StreamForecast forecast(double paceMillis, long now) {
+        OptionalInt most = mShutdown.mostEvents(mRequest);
+        return most.isPresent()
+                ? StreamForecast.of(most.getAsInt() - mEvents, paceMillis)
+                : StreamForecast.untilTimeOver(mRequest.answerBy() - now, paceMillis);
     }
 }
