--- a/quilldyke-tools/src/test/java/org/quilldyke/tools/demo/OwnDecisionTest.java
+++ b/quilldyke-tools/src/test/java/org/quilldyke/tools/demo/OwnDecisionTest.java
@@ -18,6 +18,7 @@
 import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
 
+import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.List;
@@ -171,6 +172,37 @@
         assertThat(stream.runs()).isEqualTo(1);
     }
 
+    /** Another engine took the run and broke it off before its first event. */
+    @Test
+    void goesBackIfTheOtherEngineBreaksOffBeforeItsFirstEvent() throws Exception {
+        Running stream = begin("other breaks off", TOKENS);
+        int own = stream.engine();
+        engines().get(1 - own).breakStreamsAfter(0);
+        engines().get(own).refuseResumes(true);
+        engines().get(own).breakStreams();
+        SmallSite.await(() -> stream.runs() > 1);
+        engines().get(own).refuseResumes(false);
+
+        stream.assertWhole();
+        assertThat(stream.engine()).isEqualTo(own);
+        assertThat(stream.attempt()).isEqualTo(1);
+    }
+
+    /** A run that is kept for long burdens its engine for nobody. */
+    @Test
+    void leavesItsRunOnceAnotherHasBegun() throws Exception {
+        Running stream = begin("taken over", TOKENS_OVER_A_LEASE);
+        int own = stream.engine();
+        engines().get(own).refuseResumes(true);
+        engines().get(own).breakStreams();
+        SmallSite.await(() -> stream.attempt() > 1);
+        SmallSite.await(() -> open(own) == 0);
+
+        assertThat(stream.mStream.isDone()).isFalse();
+        stream.assertWhole();
+        assertThat(stream.runs()).isEqualTo(2);
+    }
+
     /** No change of what an operator sets acts on a stream that is open. */
     @Test
     void endsWholeBesideChanges() throws Exception {
@@ -228,6 +260,14 @@
         return mSite.mSite.engines();
     }
 
+    private int open(int engine) {
+        try {
+            return engines().get(engine).open();
+        } catch (IOException e) {
+            throw new AssertionError(e);
+        }
+    }
+
     private QuilldykeInstance entry() {
         return mSite.mSite.instances().get(ENTRY);
     }
@@ -255,6 +295,11 @@
             return mStream.lastEventId().startsWith(engines().get(0).id() + "/") ? 0 : 1;
         }
 
+        /** Returns the number of the attempt that answers. */
+        int attempt() {
+            return Integer.parseInt(mStream.lastEventId().split("/")[2]);
+        }
+
         /** Returns how often engines took the request. */
         int runs() {
             String request = mStream.lastEventId().split("/")[1];
