--- a/quilldyke-core/src/main/java/org/quilldyke/caller/ShutdownAdmission.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/caller/ShutdownAdmission.java
@@ -124,10 +124,15 @@
         }
     }
 
-    /** Returns how many events an answer has at most, if that is known. */
-    OptionalInt mostEvents(ForwardRequest request) {
+    /**
+     * Returns how many events an answer is likely to have, if that is known; where too few were
+     * seen, how many it has at most.
+     *
+     * @param events how many it has had
+     */
+    OptionalInt likelyEvents(ForwardRequest request, int events) {
         return isMeasuredByEvents(request)
-                ? OptionalInt.of(streams(request).mostEvents(maxTokens(request)))
+                ? OptionalInt.of(streams(request).likelyEvents(maxTokens(request), events))
                 : OptionalInt.empty();
     }
 
--- a/quilldyke-core/src/main/java/org/quilldyke/caller/StreamTimes.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/caller/StreamTimes.java
@@ -27,10 +27,12 @@
 
     private final RunTimes mEventMillis = new RunTimes();
     private final EventBound mEvents = new EventBound();
+    private final EventShares mShares = new EventShares();
 
     /** Takes a whole stream, from its first event to its end. */
     void onEnded(int maxTokens, int events, long millis) {
         mEvents.onSeen(maxTokens, events);
+        mShares.onEnded(maxTokens, events);
         mEventMillis.onEnded(pace(events, millis));
     }
 
@@ -45,6 +47,11 @@
         return mEvents.mostEvents(maxTokens);
     }
 
+    /** Returns how many events a stream is likely to have that has had some, or else at most. */
+    int likelyEvents(int maxTokens, int events) {
+        return mShares.likelyEvents(maxTokens, events).orElse(mostEvents(maxTokens));
+    }
+
     /** Returns how long such a stream lasts at most; nothing as long as too few were seen. */
     OptionalDouble mostMillis(int maxTokens) {
         OptionalDouble pace = mEventMillis.most();
--- a/quilldyke-core/src/main/java/org/quilldyke/caller/TimelyEnd.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/caller/TimelyEnd.java
@@ -75,9 +75,9 @@
 
     /** A stream that its caller had resumed is taken for a whole one: its rest isn't known. */
     private StreamForecast forecast(double paceMillis, long now) {
-        OptionalInt most = mShutdown.mostEvents(mRequest);
-        return most.isPresent()
-                ? StreamForecast.of(most.getAsInt() - mEvents, paceMillis)
+        OptionalInt likely = mShutdown.likelyEvents(mRequest, mEvents);
+        return likely.isPresent()
+                ? StreamForecast.of(likely.getAsInt() - mEvents, paceMillis)
                 : StreamForecast.untilTimeOver(mRequest.answerBy() - now, paceMillis);
     }
 }
--- a/quilldyke-core/src/test/java/org/quilldyke/caller/ShutdownAdmissionTest.java
+++ b/quilldyke-core/src/test/java/org/quilldyke/caller/ShutdownAdmissionTest.java
@@ -100,11 +100,12 @@
         seeParts(ENOUGH, LONG_STREAM, 95, 1000);
         see(1, LONG_STREAM, 2000);
         mAdmission.onShutdown(ENDS_AT);
-        assertThat(mAdmission.mostEvents(stream(LONG_STREAM, 15_000)).getAsInt())
+        assertThat(mAdmission.likelyEvents(stream(LONG_STREAM, 15_000), LONG_STREAM).getAsInt())
                 .isEqualTo(LONG_STREAM);
 
         see(1, LONG_STREAM, 2000);
-        assertThat(mAdmission.mostEvents(stream(LONG_STREAM, 15_000)).getAsInt()).isEqualTo(191);
+        assertThat(mAdmission.likelyEvents(stream(LONG_STREAM, 15_000), LONG_STREAM).getAsInt())
+                .isEqualTo(191);
     }
 
     /** Most of what is asked for during a shutdown is short: it is still served. */
