--- a/quilldyke-core/src/test/java/org/quilldyke/caller/ForwardingWalk.java
+++ b/quilldyke-core/src/test/java/org/quilldyke/caller/ForwardingWalk.java
@@ -62,6 +62,7 @@
     private final double mRetriesAtFirst;
 
     private final Set<String> mMayHaveRun = new HashSet<>();
+    private final Set<String> mLeftAtWork = new HashSet<>();
     private int mRuns;
     private int mArrivals;
     private int mTakenByOthers;
@@ -76,6 +77,7 @@
     private long mLostAt;
     private boolean mLost;
     private int mTargets;
+    private boolean mHurried;
     private String mEnd = "";
 
     ForwardingWalk(long seed) {
@@ -138,6 +140,11 @@
         return mEnd;
     }
 
+    /** Returns whether another target was asked since the instance is ending. */
+    boolean wasHurried() {
+        return mHurried;
+    }
+
     /** Returns what has happened, one event a line. */
     String told() {
         return mTold.toString();
@@ -184,7 +191,13 @@
 
     private void stepOfRun() {
         int what = mRandom.nextInt(8);
-        if (what == 0) {
+        if (mRandom.nextInt(8) == 0) {
+            mBook.onEvent(mRun.mTarget, 1 + mRandom.nextInt(100), mNow);
+            tell("instance is ending");
+            Optional<Step.Send> send = mForwarding.onInstanceEnding(mNow);
+            mHurried |= send.isPresent();
+            ask(send);
+        } else if (what == 0) {
             tell("silent");
             ask(mForwarding.onSilence(mNow));
         } else if (what == 1) {
@@ -192,6 +205,9 @@
             ask(mForwarding.onTargetWaits(mNow));
         } else if (what == 2 && mRandom.nextInt(3) == 0) {
             tell("given up by control");
+            if (mRun.mSent) {
+                mLeftAtWork.remove(mRun.mTarget);
+            }
             mRun = null;
             perform(mForwarding.onGivenUp(CutCause.CONTROL, mNow));
         } else if (!mRun.mSent) {
@@ -229,6 +245,7 @@
         }
         Step step = mForwarding.onAnswer(head, mNow);
         if (!(step instanceof Step.PassOn)) {
+            mLeftAtWork.remove(mRun.mTarget);
             mRun = null;
             perform(step);
         } else if (head.stream()) {
@@ -260,6 +277,7 @@
 
     private void onBroken() {
         tell("breaks off");
+        mLeftAtWork.remove(mRun.mTarget);
         mRun = null;
         perform(mForwarding.onBroken(ResultCode.TARGET_LOST, mNow));
     }
@@ -293,10 +311,12 @@
             stay();
         } else if (mRandom.nextInt(5) == 0 || !mForwarding.mayFollow(head)) {
             tell("it can't follow");
+            mLeftAtWork.remove(mSuccessor.mTarget);
             mForwarding.onSuccessorBroken(mNow);
             stay();
         } else {
             mForwarding.onSuccessorBegun();
+            mLeftAtWork.add(mRun.mTarget);
             follow();
             onHeadOfFollower(head);
         }
@@ -372,11 +392,11 @@
         }
     }
 
-    /** Returns whether another target may run it, and its caller still waits for events. */
+    /** Returns whether any target may run it on, and its caller still waits for events. */
     private boolean mayGoOn() {
         return mRoute.mayRunAgain()
                 && mRoute.resumable()
-                && mMayHaveRun.size() < mRoute.maxAttempts()
+                && (mMayHaveRun.size() < mRoute.maxAttempts() || !mLeftAtWork.isEmpty())
                 && mNow + ENOUGH_MILLIS < mRoute.timeoutMillis()
                 && mNow + ENOUGH_MILLIS < mLostAt + mRoute.callerPatienceMillis();
     }
@@ -405,6 +425,9 @@
     private void dropSuccessor() {
         if (mSuccessor != null) {
             mForwarding.onSuccessorDropped();
+            if (mSuccessor.mSent) {
+                mLeftAtWork.add(mSuccessor.mTarget);
+            }
             mSuccessor = null;
         }
     }
--- a/quilldyke-core/src/test/java/org/quilldyke/caller/ForwardingWalkTest.java
+++ b/quilldyke-core/src/test/java/org/quilldyke/caller/ForwardingWalkTest.java
@@ -34,6 +34,9 @@
             ForwardingWalk walk = new ForwardingWalk(seed);
             try {
                 ends.merge(walk.play(), 1, Integer::sum);
+                if (walk.wasHurried()) {
+                    ends.merge("hurried", 1, Integer::sum);
+                }
             } catch (RuntimeException | AssertionError e) {
                 throw new AssertionError("seed " + seed + "\n" + walk.told(), e);
             }
@@ -42,6 +45,6 @@
         // Each way to end was walked, or the walks show less than they seem to.
         assertWithMessage("%s", ends)
                 .that(ends.keySet())
-                .containsAtLeast("whole", "cut", "failed", "refused", "caller gone");
+                .containsAtLeast("whole", "cut", "failed", "refused", "caller gone", "hurried");
     }
 }
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Exchange.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Exchange.java
@@ -166,6 +166,15 @@
         }
     }
 
+    /**
+     * The instance has to end soon: a stream that would last longer goes on where it is quicker.
+     */
+    void onInstanceEnding() {
+        if (!mEnded && mAnswer != null && !mPaused) {
+            askSuccessor(mForwarding.onInstanceEnding(now()), "it would outlast the instance");
+        }
+    }
+
     private boolean isPresentAt(String target) {
         return !mEnded && mAnswer != null && mAnswer.isAt(target);
     }
@@ -375,7 +384,9 @@
                     mEntry.loop()
                             .schedule(
                                     this::onHoldOver,
-                                    mForwarding.holdMillis(),
+                                    Math.max(
+                                            1,
+                                            mStream.eventAt() + mForwarding.holdMillis() - now()),
                                     TimeUnit.MILLISECONDS);
         }
     }
@@ -527,7 +538,9 @@
             return;
         }
         mEnded = true;
-        noteLasted();
+        if (mRequest != null) {
+            mStream.tellLasted(mEntry.shutdown(), mRequest, mWhole, mSentAt, now());
+        }
         mSilence.stop();
         cancelAll();
         mBody.release();
@@ -539,19 +552,6 @@
         }
     }
 
-    /** How long answers last tells what may still be taken when the instance shuts down. */
-    private void noteLasted() {
-        if (!mStream.hasBegun() && mSentAt == 0) {
-            return;
-        }
-        long millis = now() - (mStream.hasBegun() ? mStream.begunAt() : mSentAt);
-        if (mWhole) {
-            mEntry.shutdown().onEnded(mRequest, millis);
-        } else {
-            mEntry.shutdown().onBrokenOff(mRequest, millis);
-        }
-    }
-
     private void logAttempt(TargetAnswer answer, String outcome, String why) {
         mLog.attemptFailed(id(), answer.choice(), outcome, why);
     }
