A stream that would outlast its entry's shutdown asks again who refused it unrun

Cause: an engine that refused a stream unrun was barred for good, and the look for a timely end asked each engine once. Two quick engines that were full for a moment left nobody, and the stream was cut at the limit, seconds later. Now whoever refused unrun is asked again after 200 ms, doubled each time; who began too late or failed isn't. Test first: TimelyEndTest.targetThatRefusedUnrunIsAskedAgainAtGrowingDistances (1 ask before, 5 now).

--- a/quilldyke-core/src/main/java/org/quilldyke/caller/Forwarding.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/caller/Forwarding.java
@@ -260,8 +260,13 @@
 
     /** Notes that the successor has refused the request unrun; the run stays. */
     public void onSuccessorRefused(AnswerHead head, long now) {
+        String target = mHandover.successor().target();
         noteRefusal(mHandover.successor(), head, now);
-        mHistory.onUnfit(mHandover.successor().target());
+        if (mHandover.cause() == CutCause.SHUTDOWN) {
+            mTimelyEnd.onRefused(target, now);
+        } else {
+            mHistory.onUnfit(target);
+        }
         mHandover.drop();
     }
 
--- a/quilldyke-core/src/main/java/org/quilldyke/caller/TimelyEnd.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/caller/TimelyEnd.java
@@ -15,7 +15,9 @@
  */
 package org.quilldyke.caller;
 
+import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.OptionalInt;
@@ -27,14 +29,15 @@
 /**
  * Where a stream under way goes on so that it ends before its instance has to.
  *
- * <p>Each target is asked for that once at most: one that took too long to begin held the events
- * up, and would again.
+ * <p>A target that took too long to begin held the events up and would again: it isn't asked once
+ * more. One that refused the stream unrun is.
  */
 final class TimelyEnd {
     private final ForwardRequest mRequest;
     private final TargetBook mBook;
     private final ShutdownAdmission mShutdown;
     private final Set<String> mAsked = new HashSet<>();
+    private final Map<String, Refusals> mRefusals = new HashMap<>();
     private int mEvents;
 
     TimelyEnd(ForwardRequest request, TargetBook book, ShutdownAdmission shutdown) {
@@ -53,6 +56,15 @@
         mAsked.add(target);
     }
 
+    /**
+     * Notes that a target that was asked has refused the stream unrun. It may have room in a
+     * moment, and the stream is cut if nobody has: it is asked again, at growing distances.
+     */
+    void onRefused(String target, long now) {
+        mAsked.remove(target);
+        mRefusals.merge(target, Refusals.first(now), (known, first) -> known.andOne(now));
+    }
+
     /**
      * Returns who has to be asked now; nothing if the stream stays where it is.
      *
@@ -68,6 +80,12 @@
         StreamForecast forecast = forecast(pace.getAsDouble(), now);
         Set<String> excluded = new HashSet<>(barred);
         excluded.addAll(mAsked);
+        mRefusals.forEach(
+                (target, refusals) -> {
+                    if (now < refusals.askAt()) {
+                        excluded.add(target);
+                    }
+                });
         return mBook.chooseQuickest(mRequest, excluded, forecast.eventsLeft(), now)
                 .filter(other -> forecast.mustGoOn(other, endsAt, now))
                 .map(PacedChoice::choice);
@@ -80,4 +98,26 @@
                 ? StreamForecast.of(likely.getAsInt() - mEvents, paceMillis)
                 : StreamForecast.untilTimeOver(mRequest.answerBy() - now, paceMillis);
     }
+
+    /**
+     * How often a target has refused the stream.
+     *
+     * @param times how many times
+     * @param askAt when it may be asked again
+     */
+    private record Refusals(int times, long askAt) {
+        /**
+         * A line that was full moves on within this time; doubled with each refusal, a stream asks
+         * one target five times in the 7.8 s of a shutdown, each for a second attempt.
+         */
+        private static final long AGAIN_MILLIS = 200;
+
+        static Refusals first(long now) {
+            return new Refusals(1, now + AGAIN_MILLIS);
+        }
+
+        Refusals andOne(long now) {
+            return new Refusals(times + 1, now + (AGAIN_MILLIS << times));
+        }
+    }
 }
--- a/quilldyke-core/src/test/java/org/quilldyke/caller/TimelyEndTest.java
+++ b/quilldyke-core/src/test/java/org/quilldyke/caller/TimelyEndTest.java
@@ -17,6 +17,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -77,6 +78,28 @@
         forwarding.onComplete();
     }
 
+    /**
+     * Two quick targets were full for a moment as a stream had to go on there: nobody was asked
+     * again, and the stream was cut at the instance's limit, seconds later.
+     */
+    @Test
+    void targetThatRefusedUnrunIsAskedAgainAtGrowingDistances() {
+        Forwarding forwarding = underWay();
+        addTarget("quick", 20);
+        mShutdown.onShutdown(ENDS_AT);
+        List<Long> asked = new ArrayList<>();
+
+        for (long now = 4000; now < ENDS_AT; now += 100) {
+            if (!ask(forwarding, now).isEmpty()) {
+                asked.add(now);
+                forwarding.onSuccessorSending();
+                forwarding.onSuccessorRefused(SHED, now);
+            }
+        }
+
+        assertThat(asked).containsExactly(4000L, 4200L, 4600L, 5400L, 7000L).inOrder();
+    }
+
     /** It held the events up once, and would do it again at each look. */
     @Test
     void targetThatDidNotBeginInTimeIsNotAskedAgain() {
