A choice looks at each engine once, not once for each other engine

Cause: for each candidate all other engines were looked at, for who could be fetched from and for the home of what lacks, each time with the hash of all parts. In a large fleet each entry has a hundredth of the requests and all of the engines. PromptHolders works it out once for a choice. Of engines that keep as much, one in the target's failure domain is fetched from, and targets spread over those; it was the first in a hash table's order, for all.

--- a/quilldyke-core/src/main/java/org/quilldyke/routing/CacheKeys.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/routing/CacheKeys.java
@@ -28,6 +28,11 @@
         return Hashing.wyhashFinal4().hashStream().putString(salt).putLong(part).getAsLong();
     }
 
+    /** Returns the keys of a prompt's parts under a salt, in order. */
+    static long[] of(String salt, Prompt prompt) {
+        return prompt.parts().stream().mapToLong(part -> of(salt, part.id())).toArray();
+    }
+
     /** Returns a key of all shared parts, by which requests for one subject are told. */
     public static long subject(Prompt prompt) {
         HashStream64 hash = Hashing.wyhashFinal4().hashStream();
--- a/quilldyke-core/src/main/java/org/quilldyke/routing/CacheView.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/routing/CacheView.java
@@ -46,26 +46,28 @@
     /**
      * Returns how many tokens of a prompt are kept here, or will be when what was sent is read: its
      * parts from the first on, without a gap.
+     *
+     * @param keys the keys of its parts, {@link CacheKeys#of(String, Prompt)}
      */
-    int cachedTokens(String salt, Prompt prompt, long now) {
-        return tokensBelievedAt(salt, prompt, now);
+    int cachedTokens(long[] keys, Prompt prompt, long now) {
+        return tokensBelievedAt(keys, prompt, now);
     }
 
     /**
      * Returns how many tokens of a prompt are surely kept by now, so that others may fetch them.
      */
-    int fetchableTokens(String salt, Prompt prompt) {
-        return tokensBelievedAt(salt, prompt, CONFIRMED - 1);
+    int fetchableTokens(long[] keys, Prompt prompt) {
+        return tokensBelievedAt(keys, prompt, CONFIRMED - 1);
     }
 
-    private int tokensBelievedAt(String salt, Prompt prompt, long time) {
+    private int tokensBelievedAt(long[] keys, Prompt prompt, long time) {
         int tokens = 0;
-        for (Prompt.Part part : prompt.parts()) {
-            Long until = mParts.get(CacheKeys.of(salt, part.id()));
+        for (int i = 0; i < keys.length; i++) {
+            Long until = mParts.get(keys[i]);
             if (until == null || until <= time) {
                 return tokens;
             }
-            tokens += part.tokens();
+            tokens += prompt.parts().get(i).tokens();
         }
         return tokens;
     }
--- a/quilldyke-core/src/main/java/org/quilldyke/routing/Rendezvous.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/routing/Rendezvous.java
@@ -23,6 +23,16 @@
 
     /** Returns the rank of a node for a key, to be compared as unsigned. */
     public static long rank(long key, String node) {
-        return Hashing.xxh3_64().hashLongLongToLong(key, Hashing.xxh3_64().hashCharsToLong(node));
+        return rank(key, hash(node));
+    }
+
+    /** Returns the rank of a node for a key by the node's {@link #hash}. */
+    static long rank(long key, long nodeHash) {
+        return Hashing.xxh3_64().hashLongLongToLong(key, nodeHash);
+    }
+
+    /** Returns the hash of a node's name, which doesn't change. */
+    static long hash(String node) {
+        return Hashing.xxh3_64().hashCharsToLong(node);
     }
 }
--- a/quilldyke-core/src/main/java/org/quilldyke/routing/TargetBook.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/routing/TargetBook.java
@@ -158,9 +158,10 @@
      * for it and that cost less than a refusal would, or else of all.
      */
     public Optional<Choice> choose(ForwardRequest request, Set<String> excluded, long now) {
+        Optional<PromptHolders> holders = mRatings.holders(request, now);
         List<RatedTarget> rated = new ArrayList<>();
         for (TargetState state : candidates(request, excluded, now)) {
-            rated.add(mRatings.rate(state, request, now));
+            rated.add(mRatings.rate(state, request, holders, now));
         }
         rated.sort(Comparator.comparingDouble(RatedTarget::cost));
         if (rated.isEmpty()) {
@@ -173,7 +174,7 @@
                         .filter(r -> r.cost() <= dearest)
                         .findFirst()
                         .orElse(rated.get(0));
-        return Optional.of(choiceOf(best, rated, request));
+        return Optional.of(choiceOf(best, rated, holders));
     }
 
     /**
@@ -184,10 +185,11 @@
      */
     public Optional<PacedChoice> chooseQuickest(
             ForwardRequest request, Set<String> excluded, int events, long now) {
+        Optional<PromptHolders> holders = mRatings.holders(request, now);
         List<RatedTarget> rated = new ArrayList<>();
         for (TargetState state : candidates(request, excluded, now)) {
             if (!state.isSuspect(now)) {
-                rated.add(mRatings.rate(state, request, now));
+                rated.add(mRatings.rate(state, request, holders, now));
             }
         }
         rated.sort(
@@ -198,11 +200,12 @@
                 .map(
                         best ->
                                 new PacedChoice(
-                                        choiceOf(best, rated, request),
+                                        choiceOf(best, rated, holders),
                                         mRatings.paceMillis(best.state(), now)));
     }
 
-    private Choice choiceOf(RatedTarget best, List<RatedTarget> rated, ForwardRequest request) {
+    private Choice choiceOf(
+            RatedTarget best, List<RatedTarget> rated, Optional<PromptHolders> holders) {
         RatedTarget next = rated.stream().filter(r -> r != best).findFirst().orElse(null);
         return new Choice(
                 best.state().id(),
@@ -212,8 +215,10 @@
                 best.cached(),
                 best.missing(),
                 best.fetched(),
-                best.source().isEmpty() ? mRatings.spareSource(best, request) : best.source(),
-                mRatings.storeFor(best, request),
+                best.source().isEmpty()
+                        ? holders.map(h -> mRatings.spareSource(best, h)).orElse("")
+                        : best.source(),
+                holders.map(h -> mRatings.storeFor(best, h)).orElse(""),
                 Math.round(best.admission()),
                 Math.round(best.expected()),
                 next == null ? "" : next.state().id(),
--- a/quilldyke-core/src/main/java/org/quilldyke/routing/TargetRatings.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/routing/TargetRatings.java
@@ -32,9 +32,6 @@
     /** What the way to another failure domain costs a plain request, in tenths of a full target. */
     private static final double OTHER_DOMAIN_COST = 0.5;
 
-    /** Less than this isn't worth a transfer: an engine reads it in a millisecond. */
-    private static final int MIN_FETCHED_TOKENS = 64;
-
     /** A prompt with less to share isn't worth its place in the store. */
     private static final int MIN_SHARED_TOKENS = 1000;
 
@@ -67,15 +64,26 @@
         mRandom = random;
     }
 
-    /** Returns what a request would cost at a target. */
-    RatedTarget rate(TargetState state, ForwardRequest request, long now) {
+    /** Returns who keeps what of a request's prompt; empty if it has none. */
+    Optional<PromptHolders> holders(ForwardRequest request, long now) {
+        return request.prompt()
+                .map(prompt -> new PromptHolders(request, mTargets.values(), mStore, now));
+    }
+
+    /**
+     * Returns what a request would cost at a target.
+     *
+     * @param holders who keeps what of its prompt, {@link #holders}
+     */
+    RatedTarget rate(
+            TargetState state, ForwardRequest request, Optional<PromptHolders> holders, long now) {
         double noise = mRandom.nextDouble() * 0.1;
-        if (request.prompt().isEmpty()) {
+        if (holders.isEmpty()) {
             double domain = state.isIn(mFailureDomain) ? 0 : OTHER_DOMAIN_COST;
             double cost = 10.0 * state.openRequests() / state.slots() + domain + noise;
             return new RatedTarget(state, Choice.NO_WEIGHTS, "", 0, 0, 0, "", 0, cost, cost);
         }
-        return rateEngine(state, request, request.prompt().get(), noise, now);
+        return rateEngine(state, request, holders.get(), noise, now);
     }
 
     /** Returns how long an event takes at a target: as seen here, or else as expected. */
@@ -84,10 +92,14 @@
     }
 
     private RatedTarget rateEngine(
-            TargetState state, ForwardRequest request, Prompt prompt, double noise, long now) {
-        String salt = salt(state, request);
-        int cached = state.cache().cachedTokens(salt, prompt, now);
-        Optional<KvSource> source = source(state, request, prompt, salt, cached, now);
+            TargetState state,
+            ForwardRequest request,
+            PromptHolders holders,
+            double noise,
+            long now) {
+        Prompt prompt = request.prompt().orElseThrow();
+        int cached = holders.cachedTokens(state);
+        Optional<KvSource> source = holders.source(state, cached);
         int held = source.map(KvSource::tokens).orElse(cached);
         double fetch = source.map(s -> s.fetchMillis(s.tokens() - cached)).orElse(0.0);
         int missing = Math.max(1, prompt.tokens() - held);
@@ -96,13 +108,13 @@
                         + state.excessMillis(now)
                         + source.map(KvSource::waitMillis).orElse(0.0);
         double expected = wait + fetch + mCosts.firstTokenMillis(missing, state.openRequests());
-        double ownReading = mCosts.readingMillis(prompt.tokens() - prompt.sharedTokens());
+        double ownReading = mCosts.readingMillis(prompt.tokens() - holders.sharedTokens());
         double pardoned = Admission.pardonedMillis(request, ownReading);
         boolean old = outdatedFor(state, prompt, now) > OLD_WEIGHTS_MILLIS;
         double others = mCosts.costToOthers(missing, state.openRequests());
         double cost =
                 PlacementCost.lateness(expected, request.route().objectiveMillis())
-                        + reading(state, request, prompt.sharedTokens(), cached, held, now)
+                        + reading(state, holders, cached, held)
                         + others
                         + (old ? PlacementCost.OLD_WEIGHTS_TOKENS : 0)
                         + (state.isIn(mFailureDomain)
@@ -112,7 +124,7 @@
         return new RatedTarget(
                 state,
                 state.weights(prompt.model()),
-                salt,
+                holders.salt(state),
                 held,
                 missing,
                 held - cached,
@@ -122,72 +134,22 @@
                 cost);
     }
 
-    /** Returns who else keeps most of the shared parts, if that is a good deal more than here. */
-    private Optional<KvSource> source(
-            TargetState state,
-            ForwardRequest request,
-            Prompt prompt,
-            String salt,
-            int cached,
-            long now) {
-        int shared = prompt.sharedTokens();
-        int most = cached + MIN_FETCHED_TOKENS - 1;
-        KvSource best = null;
-        if (mStore.isUsable() && cached < shared) {
-            int stored = fetchable(mStore.cache(), salt, prompt);
-            if (stored > most) {
-                most = stored;
-                best = KvSource.store(mStore.address(), stored, mStore.excessMillis(now));
-            }
-        }
-        for (TargetState other : mTargets.values()) {
-            boolean same =
-                    other != state
-                            && other.service().equals(request.service())
-                            && other.weights(prompt.model()) == state.weights(prompt.model())
-                            && !other.isSuspect(now);
-            int kept = same ? fetchable(other.cache(), salt, prompt) : 0;
-            // Of equal sources, an engine's link is faster than the store's.
-            boolean better = kept > most || best != null && best.isStore() && kept == most;
-            if (better) {
-                most = kept;
-                best = KvSource.engine(other.address(), kept);
-            }
-        }
-        return Optional.ofNullable(best);
-    }
-
     /**
      * Returns the store if it keeps shared parts that the target is expected to keep as well. An
      * engine drops within seconds what isn't asked for, and that is known only some hundred
      * milliseconds later: to ask the store then costs it a millisecond, to read the parts again
      * some seventy. Other engines aren't named: one that has just died costs some hundred.
      */
-    String spareSource(RatedTarget rated, ForwardRequest request) {
-        Prompt prompt = request.prompt().orElse(null);
-        if (prompt == null || prompt.sharedTokens() < MIN_SHARED_TOKENS) {
-            return "";
-        }
-        boolean stored =
-                mStore.isUsable()
-                        && fetchable(mStore.cache(), rated.salt(), prompt) >= MIN_SHARED_TOKENS;
-        return stored ? mStore.address() : "";
-    }
-
-    private static int fetchable(CacheView cache, String salt, Prompt prompt) {
-        return Math.min(prompt.sharedTokens(), cache.fetchableTokens(salt, prompt));
+    String spareSource(RatedTarget rated, PromptHolders holders) {
+        return holders.storedTokens(rated.state()) >= MIN_SHARED_TOKENS ? mStore.address() : "";
     }
 
     /** Returns the store's address if shared parts are read that it lacks, so that it gets them. */
-    String storeFor(RatedTarget rated, ForwardRequest request) {
-        if (request.prompt().isEmpty() || !mStore.isUsable()) {
-            return "";
-        }
-        Prompt prompt = request.prompt().get();
+    String storeFor(RatedTarget rated, PromptHolders holders) {
         boolean worth =
-                prompt.sharedTokens() >= MIN_SHARED_TOKENS
-                        && mStore.cache().fetchableTokens(rated.salt(), prompt)
-                                < prompt.sharedTokens();
+                mStore.isUsable()
+                        && holders.sharedTokens() >= MIN_SHARED_TOKENS
+                        && holders.storedTokens(rated.state()) < holders.sharedTokens();
         return worth ? mStore.address() : "";
     }
 
@@ -197,40 +159,11 @@
         return mNamed.outdatedFor(model, state.weights(model), now);
     }
 
-    private double reading(
-            TargetState state, ForwardRequest request, int shared, int cached, int held, long now) {
+    private static double reading(TargetState state, PromptHolders holders, int cached, int held) {
+        int shared = holders.sharedTokens();
         // A part that nobody keeps has one home, and so has a subject that is brought back.
         int lacksFrom = held < shared ? held : cached;
-        boolean home = cached < shared && isHome(state, request, lacksFrom, now);
+        boolean home = cached < shared && holders.isHome(state, lacksFrom);
         return PlacementCost.reading(shared, cached, held, home);
     }
-
-    /**
-     * Returns whether an engine is where all instances have the first lacking part of a prompt
-     * read: what is read elsewhere is most likely read twice.
-     */
-    private boolean isHome(TargetState state, ForwardRequest request, int heldTokens, long now) {
-        Prompt prompt = request.prompt().orElseThrow();
-        long key = CacheKeys.affinity(request.cacheOwner(), prompt, heldTokens);
-        long own = Rendezvous.rank(key, state.id());
-        for (TargetState other : mTargets.values()) {
-            boolean rival =
-                    other != state
-                            && other.serves(request.service(), now)
-                            && other.weights(prompt.model()) == state.weights(prompt.model());
-            if (rival
-                    && !other.isSuspect(now)
-                    && Long.compareUnsigned(Rendezvous.rank(key, other.id()), own) > 0) {
-                return false;
-            }
-        }
-        return true;
-    }
-
-    /** Returns the name under which prompts are shared: by model, weights and organisation. */
-    private static String salt(TargetState state, ForwardRequest request) {
-        String model = request.prompt().map(Prompt::model).orElse("");
-        String owner = request.cacheOwner();
-        return model + "." + state.weights(model) + (owner.isEmpty() ? "" : "." + owner);
-    }
 }
--- a/quilldyke-core/src/main/java/org/quilldyke/routing/TargetState.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/routing/TargetState.java
@@ -50,6 +50,7 @@
     long mOthersTokens;
     private final Map<String, Long> mWeights = new HashMap<>();
     private final CacheView mCache = new CacheView();
+    private final long mIdHash;
     private final DelayTracker mDelay = new DelayTracker();
     private final PaceTracker mPace = new PaceTracker();
     private TargetReport mReport;
@@ -65,6 +66,7 @@
 
     TargetState(TargetReport report) {
         mReport = report;
+        mIdHash = Rendezvous.hash(report.id());
         mWeights.putAll(report.weights());
     }
 
@@ -129,10 +131,19 @@
         return mReport.service().equals(service) && !mReport.leaving() && !isLoading(now);
     }
 
+    String failureDomain() {
+        return mReport.failureDomain();
+    }
+
     boolean isIn(String failureDomain) {
         return mReport.failureDomain().equals(failureDomain);
     }
 
+    /** Returns the target's rank for a key, see {@link Rendezvous}. */
+    long rank(long key) {
+        return Rendezvous.rank(key, mIdHash);
+    }
+
     /** Returns whether the target has failed lately, or says nothing though it should. */
     boolean isSuspect(long now) {
         boolean heard = wasHeard(MUTE_MILLIS, now);
