News of caches go to entries in batches of 50 ms

Cause: the news of each engine went to each entry in a frame of its own, some 280 a second of 56 engines; an entry pays for each frame (two threads woken, read, decoded) though it sends a hundredth of the requests. Now what came within a tick of the control process goes out in one frame, told on by other control processes as it comes.

FleetTellingTest, simulated time: an entry is told at most 34 frames a second in fleets of 10 to 1,000 instances (one frame for each news: 0.56 x 5 a second for each instance, 280 at 100, 2,800 at 1,000, besides answers and loads).

--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/EntrySubscriber.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/EntrySubscriber.java
@@ -30,6 +30,7 @@
 import org.quilldyke.gateway.instance.ControlLinks;
 import org.quilldyke.gateway.instance.TargetFrames;
 import org.quilldyke.gateway.instance.proto.Answer;
+import org.quilldyke.gateway.instance.proto.Caches;
 import org.quilldyke.gateway.instance.proto.Configuration;
 import org.quilldyke.gateway.instance.proto.ControlFrame;
 import org.quilldyke.gateway.instance.proto.Hello;
@@ -135,7 +136,7 @@
             case CONFIGURATION -> onConfiguration(frame.getConfiguration());
             case TARGETS -> onTargets(frame.getTargets());
             case LOADING -> onLoading(frame.getLoading());
-            case CACHE -> onCache(frame.getCache());
+            case CACHES -> onCaches(frame.getCaches());
             case LOADS -> {
                 List<TargetLoad> loads = frame.getLoads().getTargetsList();
                 mEntry.loop().execute(() -> takeLoads(loads));
@@ -251,15 +252,19 @@
         }
     }
 
-    private void onCache(org.quilldyke.gateway.instance.proto.CacheNews news) {
-        CacheNews decoded =
-                new CacheNews(
-                        news.getHolder(),
-                        news.getUp(),
-                        news.getRestarted() || news.getWhole(),
-                        news.getAddedList(),
-                        news.getRemovedList());
-        mEntry.loop().execute(() -> mEntry.book().onCacheNews(decoded));
+    private void onCaches(Caches caches) {
+        List<CacheNews> decoded =
+                caches.getCachesList().stream().map(EntrySubscriber::decode).toList();
+        mEntry.loop().execute(() -> decoded.forEach(mEntry.book()::onCacheNews));
+    }
+
+    private static CacheNews decode(org.quilldyke.gateway.instance.proto.CacheNews news) {
+        return new CacheNews(
+                news.getHolder(),
+                news.getUp(),
+                news.getRestarted() || news.getWhole(),
+                news.getAddedList(),
+                news.getRemovedList());
     }
 
     private void onLoading(Loading loading) {
--- /dev/null
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/CacheBatch.java
@@ -0,0 +1,45 @@
+/*
+ * Copyright 2026 The quilldyke authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.quilldyke.gateway.control;
+
+import java.util.Optional;
+import org.quilldyke.gateway.instance.proto.CacheNews;
+import org.quilldyke.gateway.instance.proto.Caches;
+
+/**
+ * News of caches that wait to be told together, in the order in which they came.
+ *
+ * <p>An entry pays for each frame that it is told, so their number must not grow with the engines:
+ * told one by one, 56 engines at 170 prompts a second make some 200 a second at each entry.
+ */
+final class CacheBatch {
+    private Caches.Builder mWaiting = Caches.newBuilder();
+
+    /** Adds what waits for the next batch. */
+    void add(CacheNews news) {
+        mWaiting.addCaches(news);
+    }
+
+    /** Takes all that waits, if there is anything. */
+    Optional<Caches> take() {
+        if (mWaiting.getCachesCount() == 0) {
+            return Optional.empty();
+        }
+        Caches batch = mWaiting.build();
+        mWaiting = Caches.newBuilder();
+        return Optional.of(batch);
+    }
+}
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/ControlNode.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/ControlNode.java
@@ -42,7 +42,6 @@
 import org.quilldyke.gateway.instance.NettyLoop;
 import org.quilldyke.gateway.instance.Peers;
 import org.quilldyke.gateway.instance.SessionServer;
-import org.quilldyke.gateway.instance.proto.CacheNews;
 import org.quilldyke.gateway.instance.proto.ControlFrame;
 import org.quilldyke.gateway.instance.proto.Loading;
 import org.quilldyke.gateway.instance.proto.PeerFrame;
@@ -61,6 +60,8 @@
 
     private static final long ELECTION_MILLIS = 450;
     private static final long LEASE_MILLIS = 220;
+
+    /** Also how long news of caches wait at most: engines tell them after 80 ms themselves. */
     private static final long TICK_MILLIS = 50;
 
     /** An engine of today's sites reads one or two long prompts within this time. */
@@ -84,6 +85,7 @@
     private final MembershipKeeper mMembership;
     private final WeightsKeeper mWeights;
     private final CacheWatch mCaches;
+    private final CacheBatch mNews = new CacheBatch();
     private final ControlDialect mDialect;
     private volatile Set<String> mSeeds;
     private long mCachesSavedAt;
@@ -134,7 +136,7 @@
         mConfirmations = new Confirmations(mGroup, mPeers, clock);
         mProposals = new Proposals(mGroup, mPeers, loop, clock);
         mTargets = spread(settings.timings().targetReport(), refused);
-        mEntries.connect(mConfirmations, mTargets);
+        mEntries.connect(mConfirmations::ask, mTargets);
         mMembership =
                 new MembershipKeeper(mGroup, mPeers, mAddress, clock, settings.toleratedLosses());
         mWeights =
@@ -150,7 +152,7 @@
                                 this::tellLoading,
                                 settings.timings().orderLease()));
         mDialect = dialect;
-        mCaches = new CacheWatch(orders, loop, log, this::tellCache);
+        mCaches = new CacheWatch(orders, loop, log, mNews::add);
         onState(mMachine.state());
     }
 
@@ -193,7 +195,7 @@
                 "last",
                 node.mGroup.node().replica().lastIndex());
         node.mPeers.onUp(node::onPeerUp);
-        node.mMemory.caches().forEach(node.mEntries::onCache);
+        node.mEntries.onCaches(node.mMemory.caches());
         node.mGroup.node().start();
         node.tick();
         return node;
@@ -324,7 +326,7 @@
             case TARGETS -> mTargets.onTargets(frame.getTargets());
             case LOADING -> onLoading(frame.getLoading());
             case LOADS -> mEntries.onLoads(frame.getAddress(), frame.getLoads());
-            case CACHE -> mEntries.onCache(frame.getCache());
+            case CACHES -> mEntries.onCaches(frame.getCaches().getCachesList());
             default -> {
                 // A sign of life.
             }
@@ -342,7 +344,7 @@
         mWeights.onLeadership(leads);
         if (leads) {
             // From now on others hear of changes only.
-            mEntries.caches().forEach(c -> mPeers.sendToAll(PeerFrame.newBuilder().setCache(c)));
+            mEntries.caches().forEach(mNews::add);
         }
     }
 
@@ -389,9 +391,14 @@
         mPeers.send(address, PeerFrame.newBuilder().setTargets(mTargets.heard()));
     }
 
-    private void tellCache(CacheNews news) {
-        mPeers.sendToAll(PeerFrame.newBuilder().setCache(news));
-        mEntries.onCache(news);
+    /** Tells all what caches changed since the last time. */
+    private void tellCaches() {
+        mNews.take()
+                .ifPresent(
+                        news -> {
+                            mPeers.sendToAll(PeerFrame.newBuilder().setCaches(news));
+                            mEntries.onCaches(news.getCachesList());
+                        });
     }
 
     private void onState(FleetState state) {
@@ -429,6 +436,7 @@
         mMembership.tick(mSeeds);
         mTargets.tick(isInTouch());
         mEntries.tick();
+        tellCaches();
         mCaches.tick(mGroup.leads(), mTargets.reports());
         if (mClock.getAsLong() - mCachesSavedAt >= SAVE_CACHES_MILLIS) {
             mCachesSavedAt = mClock.getAsLong();
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/EntrySessions.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/EntrySessions.java
@@ -24,6 +24,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.stream.Stream;
 import org.quilldyke.daemon.log.Event;
@@ -32,6 +33,7 @@
 import org.quilldyke.gateway.instance.SessionServer;
 import org.quilldyke.gateway.instance.proto.Answer;
 import org.quilldyke.gateway.instance.proto.CacheNews;
+import org.quilldyke.gateway.instance.proto.Caches;
 import org.quilldyke.gateway.instance.proto.Configuration;
 import org.quilldyke.gateway.instance.proto.ControlFrame;
 import org.quilldyke.gateway.instance.proto.EntryFrame;
@@ -72,7 +74,7 @@
     private final Set<Session> mSessions = new LinkedHashSet<>();
     private final Map<String, Long> mNamedAt = new HashMap<>();
     private final Map<String, Long> mLoadingSince = new HashMap<>();
-    private Confirmations mConfirmations;
+    private Consumer<Consumer<Boolean>> mConfirm;
     private TargetSpread mTargets;
     private FleetState mState = FleetState.create();
     private boolean mStateTold;
@@ -88,8 +90,14 @@
         mFailureDomain = failureDomain;
     }
 
-    void connect(Confirmations confirmations, TargetSpread targets) {
-        mConfirmations = confirmations;
+    /**
+     * Connects the sessions with what they ask.
+     *
+     * @param confirm takes who waits for a confirmation that all that was accepted is known here
+     * @param targets takes the targets that entries know, and tells all
+     */
+    void connect(Consumer<Consumer<Boolean>> confirm, TargetSpread targets) {
+        mConfirm = confirm;
         mTargets = targets;
     }
 
@@ -139,11 +147,14 @@
         tellAll(ControlFrame.newBuilder().setLoading(loading).build());
     }
 
-    /** Tells entries that listen mainly here what has changed in a cache. */
-    void onCache(CacheNews news) {
-        mCaches.apply(news)
-                .map(changes -> ControlFrame.newBuilder().setCache(changes).build())
-                .ifPresent(frame -> mainSessions().forEach(session -> session.send(frame)));
+    /** Tells entries that listen mainly here what has changed in caches, in one frame. */
+    void onCaches(List<CacheNews> news) {
+        Caches.Builder changes = Caches.newBuilder();
+        news.forEach(one -> mCaches.apply(one).ifPresent(changes::addCaches));
+        if (changes.getCachesCount() > 0) {
+            ControlFrame frame = ControlFrame.newBuilder().setCaches(changes).build();
+            mainSessions().forEach(session -> session.send(frame));
+        }
     }
 
     /** Returns all that is known of caches. */
@@ -300,7 +311,7 @@
             if (mMain) {
                 mLoads.onAlive(mEntry, mClock.getAsLong());
             }
-            mConfirmations.ask(
+            mConfirm.accept(
                     confirmed -> {
                         if (confirmed && mSessions.contains(this)) {
                             // All that was accepted goes before the answer.
@@ -321,9 +332,8 @@
                 return;
             }
             mLoadsTold = Optional.empty();
-            for (CacheNews cache : mCaches.whole()) {
-                send(ControlFrame.newBuilder().setCache(cache).build());
-            }
+            Caches whole = Caches.newBuilder().addAllCaches(mCaches.whole()).build();
+            send(ControlFrame.newBuilder().setCaches(whole).build());
         }
 
         private ControlFrame answer(long number) {
--- /dev/null
+++ b/quilldyke-gateway/src/test/java/org/quilldyke/gateway/control/FleetTellingTest.java
@@ -0,0 +1,207 @@
+/*
+ * Copyright 2026 The quilldyke authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.quilldyke.gateway.control;
+
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import com.codahale.metrics.MetricRegistry;
+import io.grpc.stub.StreamObserver;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.quilldyke.daemon.control.DataFolder;
+import org.quilldyke.daemon.log.EventLog;
+import org.quilldyke.gateway.engine.RefusedNews;
+import org.quilldyke.gateway.instance.NettyLoop;
+import org.quilldyke.gateway.instance.Peers;
+import org.quilldyke.gateway.instance.SessionServer;
+import org.quilldyke.gateway.instance.proto.CacheNews;
+import org.quilldyke.gateway.instance.proto.ControlFrame;
+import org.quilldyke.gateway.instance.proto.EntryFrame;
+import org.quilldyke.gateway.instance.proto.Hello;
+import org.quilldyke.gateway.instance.proto.Loads;
+import org.quilldyke.gateway.instance.proto.Question;
+import org.quilldyke.gateway.instance.proto.TargetLoad;
+import org.quilldyke.gateway.instance.proto.TargetLoads;
+
+/**
+ * What an entry is told by one control process in fleets of 10 to 1,000 instances, in simulated
+ * time: it pays for each frame, so that their number may not grow with the fleet.
+ */
+class FleetTellingTest {
+    private static final String SELF = "127.0.0.1:1";
+    private static final long PLAYED_MILLIS = 10_000;
+    private static final long TICK_MILLIS = 50;
+
+    /** An engine with three prompts a second tells of its cache about so often. */
+    private static final double NEWS_PER_ENGINE_AND_SECOND = 5;
+
+    private static final int PARTS_PER_NEWS = 2;
+
+    /** Instances of a fleet for each control process, and engines for each instance. */
+    private static final int INSTANCES_PER_CONTROL = 6;
+
+    private static final double ENGINES_PER_INSTANCE = 0.56;
+
+    /**
+     * The frames that an entry may be told a second on its main stream: news, loads, answers; and
+     * the whole tables of targets and of caches, once each.
+     */
+    private static final double MOST_FRAMES = 20 + 10 + 4 + 2 * 1000.0 / PLAYED_MILLIS;
+
+    @TempDir Path mFolder;
+    private final MultiThreadIoEventLoopGroup mGroup =
+            new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final SplittableRandom mRandom = new SplittableRandom(1);
+    private final EventLog mLog = EventLog.of("test");
+    private long mNow;
+
+    @AfterEach
+    void stop() {
+        mGroup.shutdownGracefully();
+    }
+
+    /** Each engine's news went to each entry by itself: 10 frames a second at 10, 650 at 300. */
+    @Test
+    void framesDoNotGrowWithTheFleet() throws Exception {
+        for (int instances : List.of(10, 30, 100, 300, 1000)) {
+            Told told = play(instances);
+            System.out.printf("told an entry a second, of %d instances: %s%n", instances, told);
+            assertWithMessage("frames of %s instances", instances)
+                    .that(told.frames())
+                    .isAtMost(MOST_FRAMES);
+        }
+    }
+
+    private Told play(int instances) throws Exception {
+        NettyLoop loop = new NettyLoop(mGroup.next());
+        Peers peers = Peers.create(loop, () -> mNow, mLog, SELF);
+        RefusedNews refused = RefusedNews.create(new MetricRegistry(), mLog, () -> mNow);
+        RestartMemory memory =
+                RestartMemory.in(DataFolder.open(mFolder), loop, mLog, refused, SELF);
+        EntrySessions sessions = new EntrySessions(() -> mNow, mLog, peers, "z");
+        TargetSpread targets =
+                new TargetSpread(
+                        peers, sessions::onTargets, () -> mNow, mLog, memory, refused, 1000);
+        sessions.connect(done -> done.accept(true), targets);
+        List<FakeEntry> entries = new ArrayList<>();
+        for (int i = 0; i < Math.max(1, instances / INSTANCES_PER_CONTROL); i++) {
+            entries.add(new FakeEntry("entry-" + i, sessions));
+        }
+        Loads.Builder others = Loads.newBuilder();
+        for (int i = entries.size(); i < instances; i++) {
+            others.addEntries("entry-" + i);
+        }
+        Loads elsewhere = others.build();
+        CacheBatch batch = new CacheBatch();
+        int engines = (int) (instances * ENGINES_PER_INSTANCE);
+        long end = mNow + PLAYED_MILLIS;
+        for (; mNow < end; mNow += TICK_MILLIS) {
+            entries.forEach(entry -> entry.speak(engines));
+            sessions.onLoads("elsewhere", elsewhere);
+            news(engines).forEach(batch::add);
+            batch.take().ifPresent(news -> sessions.onCaches(news.getCachesList()));
+            sessions.tick();
+        }
+        memory.close();
+        return entries.get(0).mTold;
+    }
+
+    private List<CacheNews> news(int engines) {
+        List<CacheNews> news = new ArrayList<>();
+        for (int i = 0; i < engines; i++) {
+            if (mRandom.nextDouble() < NEWS_PER_ENGINE_AND_SECOND * TICK_MILLIS / 1000) {
+                CacheNews.Builder one = CacheNews.newBuilder().setHolder("engine-" + i).setUp(true);
+                for (int part = 0; part < PARTS_PER_NEWS; part++) {
+                    one.addAdded(mRandom.nextLong());
+                }
+                news.add(one.build());
+            }
+        }
+        return news;
+    }
+
+    /** An entry whose main stream leads here, with two requests open at engines drawn anew. */
+    private final class FakeEntry {
+        private final Told mTold = new Told();
+        private final SessionServer.EntrySession mSession;
+        private long mQuestion;
+
+        FakeEntry(String id, EntrySessions sessions) {
+            mSession = sessions.open(mTold);
+            mSession.onFrame(
+                    EntryFrame.newBuilder().setHello(Hello.newBuilder().setEntry(id)).build());
+        }
+
+        void speak(int engines) {
+            if (mNow % 250 == 0) {
+                Question question =
+                        Question.newBuilder().setNumber(++mQuestion).setMain(true).build();
+                mSession.onFrame(EntryFrame.newBuilder().setQuestion(question).build());
+            }
+            if (mNow % 100 == 0) {
+                TargetLoads.Builder loads = TargetLoads.newBuilder();
+                for (int i = 0; i < 2; i++) {
+                    String engine = "engine-" + mRandom.nextInt(engines);
+                    loads.addTargets(TargetLoad.newBuilder().setTarget(engine).setRequests(1));
+                }
+                mSession.onFrame(EntryFrame.newBuilder().setLoads(loads).build());
+            }
+        }
+    }
+
+    /** What one entry is told. */
+    private static final class Told implements StreamObserver<ControlFrame> {
+        private final Map<ControlFrame.KindCase, Integer> mFrames =
+                new EnumMap<>(ControlFrame.KindCase.class);
+        private long mBytes;
+
+        double frames() {
+            return mFrames.values().stream().mapToInt(n -> n).sum() * 1000.0 / PLAYED_MILLIS;
+        }
+
+        @Override
+        public void onNext(ControlFrame frame) {
+            mFrames.merge(frame.getKindCase(), 1, Integer::sum);
+            mBytes += frame.getSerializedSize();
+        }
+
+        @Override
+        public void onError(Throwable e) {
+            throw new AssertionError("the session was ended", e);
+        }
+
+        @Override
+        public void onCompleted() {
+            throw new AssertionError("the session was ended");
+        }
+
+        @Override
+        public String toString() {
+            return String.format(
+                    "%.1f frames, %d bytes, %s in all",
+                    frames(), mBytes * 1000 / PLAYED_MILLIS, mFrames);
+        }
+    }
+}
