--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/settings/GatewaySettingsReader.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/settings/GatewaySettingsReader.java
@@ -18,6 +18,9 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
 import org.quilldyke.QuilldykeException;
 import org.quilldyke.ResultCode;
 import org.quilldyke.daemon.json.JsonTree;
@@ -62,6 +65,7 @@
         for (int i = 0; i < settings.seeds().size(); i++) {
             checkAddress("seeds[" + i + "]", settings.seeds().get(i));
         }
+        checkDistinct(settings);
         require(settings.toleratedLosses() >= 0, "toleratedLosses", "is negative");
         checkRole(settings);
         checkTimings(settings.timings());
@@ -148,6 +152,22 @@
         require(SocketAddresses.isIpAndPort(address), path, "is not IP:port: " + address);
     }
 
+    /** One that listens twice can't start; a seed that is named twice would have two votes. */
+    private static void checkDistinct(GatewaySettings settings) throws QuilldykeException {
+        Set<String> own = new HashSet<>();
+        for (String address : List.of(settings.callers(), settings.ready(), settings.control())) {
+            require(
+                    address.isEmpty() || own.add(address),
+                    "callers, ready, control",
+                    "name an address twice: " + address);
+        }
+        Set<String> seeds = new HashSet<>();
+        for (int i = 0; i < settings.seeds().size(); i++) {
+            String seed = settings.seeds().get(i);
+            require(seeds.add(seed), "seeds[" + i + "]", "is named before: " + seed);
+        }
+    }
+
     private static boolean isPort(int port) {
         return port > 0 && port <= MAX_PORT;
     }
--- a/quilldyke-gateway/src/test/java/org/quilldyke/gateway/settings/GatewaySettingsReaderTest.java
+++ b/quilldyke-gateway/src/test/java/org/quilldyke/gateway/settings/GatewaySettingsReaderTest.java
@@ -58,6 +58,13 @@
                 "10.1.0.30:8783\", \"ip",
                 "10.1.0.1:99999\", \"ip");
         assertRefused(ResultCode.SETTINGS_IMPOSSIBLE, "seeds[1]", "10.2.0.22:8783", "10.2.0.22");
+        assertRefused(
+                ResultCode.SETTINGS_IMPOSSIBLE, "seeds[1]", "10.2.0.22:8783", "10.1.0.30:8783");
+        assertRefused(
+                ResultCode.SETTINGS_IMPOSSIBLE,
+                "callers, ready, control",
+                "\"ready\": \"\"",
+                "\"ready\": \"10.1.0.30:8783\"");
         assertRefused(ResultCode.SETTINGS_IMPOSSIBLE, "dataFolder", "/data/x", "");
         assertRefused(ResultCode.SETTINGS_IMPOSSIBLE, "timings.revoke", "5000,", "0,");
         assertRefused(
