News of caches every 50 ms and entries' loads every 100 ms at all sizes again

What is told less often is what all choose by. TellingRates stays as the one place that says how often. FleetRatesTest holds all its constants against the table, not a number of rows.

--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/CacheBatch.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/CacheBatch.java
@@ -36,12 +36,11 @@
     }
 
     /**
-     * Takes all that waits, if there is anything and it is time for it.
-     *
-     * @param engines how many engines the news are of, see {@link TellingRates#newsMillis}
+     * Takes all that waits, if there is anything and {@link TellingRates#newsMillis} have passed
+     * since the last time.
      */
-    Optional<Caches> take(int engines, long now) {
-        boolean early = now - mTakenAt < TellingRates.newsMillis(engines);
+    Optional<Caches> take(long now) {
+        boolean early = now - mTakenAt < TellingRates.newsMillis();
         if (early || mWaiting.getCachesCount() == 0) {
             return Optional.empty();
         }
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/CacheWatch.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/CacheWatch.java
@@ -89,11 +89,6 @@
         mReaders.keySet().retainAll(wanted);
     }
 
-    /** Returns how many holders are watched here. */
-    int readers() {
-        return mReaders.size();
-    }
-
     /** Returns the holders that don't answer just now. */
     Set<String> silent() {
         Set<String> silent = new HashSet<>();
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/ControlNode.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/ControlNode.java
@@ -394,7 +394,7 @@
 
     /** Tells all what caches changed since the last time. */
     private void tellCaches() {
-        mNews.take(mCaches.readers(), mClock.getAsLong())
+        mNews.take(mClock.getAsLong())
                 .ifPresent(
                         news -> {
                             mPeers.sendToAll(PeerFrame.newBuilder().setCaches(news));
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/EntrySessions.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/EntrySessions.java
@@ -169,11 +169,11 @@
     /** Tells all processes what entries have open; ends sessions that are silent. */
     void tick() {
         long now = mClock.getAsLong();
-        if (now - mPeersToldAt >= TellingRates.peerLoadsMillis()) {
+        if (now - mPeersToldAt >= TellingRates.loadsMillis()) {
             mPeersToldAt = now;
             tellPeers(now);
         }
-        if (now - mLoadsToldAt >= TellingRates.loadsMillis(mLoads.entries(now))) {
+        if (now - mLoadsToldAt >= TellingRates.othersLoadsMillis(mLoads.entries(now))) {
             mLoadsToldAt = now;
             tellLoads(now);
         }
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/instance/ControlLinks.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/instance/ControlLinks.java
@@ -62,10 +62,6 @@
     private List<TargetLoad> mLoadsTold = List.of();
     private ControlLink mMain;
     private int mNext;
-
-    /** How many entries there are, as was told last. */
-    private int mEntries;
-
     private boolean mClosed;
 
     private ControlLinks(
@@ -139,7 +135,6 @@
     void onAnswer(ControlLink link, Answer answer, long askedAt) {
         onAddresses(answer.getControlAddressesList());
         mDomains.put(link.address(), answer.getFailureDomain());
-        mEntries = answer.getEntries();
         mSubscriber.onAnswer(answer, askedAt);
     }
 
@@ -225,7 +220,7 @@
         if (mClosed) {
             return;
         }
-        mLoop.schedule(TellingRates.loadsMillis(mEntries), this::tellLoads);
+        mLoop.schedule(TellingRates.loadsMillis(), this::tellLoads);
         List<TargetLoad> loads = mSubscriber.loads();
         if (mMain != null && mMain.isUp() && !loads.equals(mLoadsTold)) {
             mLoadsTold = loads;
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/instance/TellingRates.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/instance/TellingRates.java
@@ -26,9 +26,9 @@
     static final long LOADS_MILLIS = 100;
 
     /**
-     * With many entries each tells and is told less often. At 8 ms an entry, here and between
-     * control processes, 100 entries knew of each other's requests 0.4 to 1.7 s late, and an engine
-     * starts three prompts a second.
+     * With many entries each is told less often. At 8 ms an entry, here and between control
+     * processes, 100 entries knew of each other's requests 0.4 to 1.7 s late, and an engine starts
+     * three prompts a second.
      */
     static final long LOADS_MILLIS_PER_ENTRY = 2;
 
@@ -37,28 +37,20 @@
     /** News of caches wait at most so long; engines tell them after 80 ms themselves. */
     static final long NEWS_MILLIS = 50;
 
-    static final long NEWS_MILLIS_PER_ENGINE = 2;
-
-    static final long MAX_NEWS_MILLIS = 100;
-
     private TellingRates() {}
 
-    /** Returns how often loads are told between entries and control processes. */
-    public static long loadsMillis(int entries) {
-        return within(LOADS_MILLIS, LOADS_MILLIS_PER_ENTRY * entries, MAX_LOADS_MILLIS);
+    /** Returns how often an entry is told what all others have open. */
+    public static long othersLoadsMillis(int entries) {
+        return Math.min(MAX_LOADS_MILLIS, Math.max(LOADS_MILLIS, LOADS_MILLIS_PER_ENTRY * entries));
     }
 
-    /** Returns how often control processes tell each other loads: there are few of them. */
-    public static long peerLoadsMillis() {
+    /** Returns how often an entry tells its loads, and control processes tell them each other. */
+    public static long loadsMillis() {
         return LOADS_MILLIS;
     }
 
     /** Returns how long news of caches wait for others. */
-    public static long newsMillis(int engines) {
-        return within(NEWS_MILLIS, NEWS_MILLIS_PER_ENGINE * engines, MAX_NEWS_MILLIS);
-    }
-
-    private static long within(long least, long millis, long most) {
-        return Math.min(most, Math.max(least, millis));
+    public static long newsMillis() {
+        return NEWS_MILLIS;
     }
 }
--- a/quilldyke-gateway/src/test/java/org/quilldyke/gateway/FleetRatesTest.java
+++ b/quilldyke-gateway/src/test/java/org/quilldyke/gateway/FleetRatesTest.java
@@ -21,10 +21,13 @@
 import java.lang.reflect.Field;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import org.junit.jupiter.api.Test;
+import org.quilldyke.gateway.instance.TellingRates;
 
 /** The page that says who tells whom what, and how often, says what the code does. */
 class FleetRatesTest {
@@ -35,17 +38,26 @@
 
     @Test
     void tableHasTheCodesConstants() throws Exception {
-        int rows = 0;
+        Set<String> told = new HashSet<>();
         for (String line : Files.readAllLines(PAGE)) {
             Matcher row = ROW.matcher(line);
             if (row.matches()) {
-                rows++;
+                told.add(row.group(1) + "." + row.group(2));
                 assertWithMessage(line)
                         .that(constant(row.group(1), row.group(2)))
                         .isEqualTo(Long.parseLong(row.group(3)));
             }
         }
-        assertThat(rows).isAtLeast(10);
+        for (Field rate : TellingRates.class.getDeclaredFields()) {
+            assertThat(told).contains("TellingRates." + rate.getName());
+        }
+        assertThat(told)
+                .containsAtLeast(
+                        "StreamLink.BEAT_MILLIS",
+                        "TargetSpread.ALIVE_MILLIS",
+                        "TargetSpread.REFRESH_MILLIS",
+                        "EntrySessions.LOADS_REFRESH_MILLIS",
+                        "ControlNode.HEARTBEAT_MILLIS");
     }
 
     private static long constant(String type, String name) throws Exception {
--- a/quilldyke-gateway/src/test/java/org/quilldyke/gateway/control/FleetTellingTest.java
+++ b/quilldyke-gateway/src/test/java/org/quilldyke/gateway/control/FleetTellingTest.java
@@ -77,7 +77,6 @@
             new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final SplittableRandom mRandom = new SplittableRandom(1);
     private final EventLog mLog = EventLog.of("test");
-    private int mInstances;
     private long mNow;
 
     @AfterEach
@@ -105,7 +104,6 @@
     }
 
     private Told play(int instances) throws Exception {
-        mInstances = instances;
         NettyLoop loop = new NettyLoop(mGroup.next());
         Peers peers = Peers.create(loop, () -> mNow, mLog, SELF);
         RefusedNews refused = RefusedNews.create(new MetricRegistry(), mLog, () -> mNow);
@@ -132,7 +130,7 @@
             entries.forEach(entry -> entry.speak(engines));
             sessions.onLoads("elsewhere", elsewhere);
             news(engines).forEach(batch::add);
-            batch.take(engines, mNow).ifPresent(news -> sessions.onCaches(news.getCachesList()));
+            batch.take(mNow).ifPresent(news -> sessions.onCaches(news.getCachesList()));
             sessions.tick();
         }
         memory.close();
@@ -171,7 +169,7 @@
                         Question.newBuilder().setNumber(++mQuestion).setMain(true).build();
                 mSession.onFrame(EntryFrame.newBuilder().setQuestion(question).build());
             }
-            if (mNow % TellingRates.loadsMillis(mInstances) == 0) {
+            if (mNow % TellingRates.loadsMillis() == 0) {
                 TargetLoads.Builder loads = TargetLoads.newBuilder();
                 for (int i = 0; i < 2; i++) {
                     String engine = "engine-" + mRandom.nextInt(engines);
