The product's instance waits until its server's socket is closed

Cause: InstanceServer.close returned while the selector of a shared Netty thread still held the listening socket, so that an instance that is started again at once can't bind its address (QR4009). Tried and not enough: to await the gRPC server's termination, which comes before the selector lets go. Ruled out: another process at the port (it lies below those of outgoing connections). The gateway waits for its loops already (HaltTest).

--- a/quilldyke-daemon/src/main/java/org/quilldyke/daemon/instance/InstanceServer.java
+++ b/quilldyke-daemon/src/main/java/org/quilldyke/daemon/instance/InstanceServer.java
@@ -20,6 +20,10 @@
 import io.grpc.Status;
 import io.grpc.netty.NettyServerBuilder;
 import io.grpc.stub.StreamObserver;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.io.IOException;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
@@ -41,10 +45,15 @@
 
 /** The gRPC server of one instance; each call is taken over to the control thread. */
 public final class InstanceServer {
+    /** The socket is closed on a thread of its own, within a moment unless that is starved. */
+    private static final long CLOSE_MILLIS = 1000;
+
     private final Server mServer;
+    private final EventLoopGroup mLoop;
 
-    private InstanceServer(Server server) {
+    private InstanceServer(Server server, EventLoopGroup loop) {
         mServer = server;
+        mLoop = loop;
     }
 
     /**
@@ -57,22 +66,34 @@
      */
     public static InstanceServer start(String address, Executor control, Handler handler)
             throws IOException {
-
-        Server server =
+        EventLoopGroup loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        NettyServerBuilder builder =
                 NettyServerBuilder.forAddress(Addresses.parse(address))
+                        .bossEventLoopGroup(loop)
+                        .workerEventLoopGroup(loop)
+                        .channelType(NioServerSocketChannel.class)
                         .directExecutor()
                         .maxInboundMessageSize(PeerClients.MAX_MESSAGE_BYTES)
                         .permitKeepAliveTime(1, TimeUnit.SECONDS)
                         .addService(new Instances(control, handler))
-                        .addService(new Control(control, handler))
-                        .build()
-                        .start();
-        return new InstanceServer(server);
+                        .addService(new Control(control, handler));
+        try {
+            return new InstanceServer(builder.build().start(), loop);
+        } catch (IOException e) {
+            loop.shutdownGracefully(0, CLOSE_MILLIS, TimeUnit.MILLISECONDS);
+            throw e;
+        }
     }
 
-    /** Stops at once. */
+    /**
+     * Stops at once, and returns when the socket is closed: whoever starts the instance again binds
+     * the same address. A selector keeps the socket for a moment after its channel was closed, so
+     * that only the end of the thread tells.
+     */
     public void close() {
         mServer.shutdownNow();
+        mLoop.shutdownGracefully(0, CLOSE_MILLIS, TimeUnit.MILLISECONDS)
+                .awaitUninterruptibly(CLOSE_MILLIS);
     }
 
     /** Answers other instances' calls. */
