--- a/quilldyke-core/src/test/java/org/quilldyke/routing/TargetBookSizeTest.java
+++ b/quilldyke-core/src/test/java/org/quilldyke/routing/TargetBookSizeTest.java
@@ -46,9 +46,9 @@
                             new Prompt.Part(3, 2700)));
 
     /**
-     * Each engine was compared with each other one: from 10 to 1,000 engines a choice took 3,000
-     * times as long, in a fleet where an entry has a hundredth of the traffic and all of the
-     * engines. Processor time of this thread, the least of several: other load doesn't count.
+     * Each engine was compared with each other one: a choice took 0.5 ms of 50 engines and 277 ms of
+     * 1,000, 540 times as long, not 0.05 and 0.7 ms. Processor time of this thread, the least of
+     * several: other load doesn't count.
      */
     @Test
     void choiceTakesTimeInStepWithTheEngines() {
