--- a/quilldyke-core/src/main/java/org/quilldyke/routing/PromptHolders.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/routing/PromptHolders.java
@@ -28,7 +28,7 @@
  * for a choice and asked for each target.
  *
  * <p>Each target is looked at once for each version of weights, not once for each other target: of
- * 56 targets a choice then takes a twentieth of the time ({@code TargetBookSizeTest}).
+ * 50 targets a choice then takes a tenth of the time ({@code TargetBookSizeTest}).
  */
 final class PromptHolders {
     /** Less than this isn't worth a transfer: an engine reads it in a millisecond. */
