Logs tell what was made of a target's leave, and how an entry knows of a target

What callers saw: requests at a target after its leaving was acknowledged. No line told what an acknowledged word had become: QD3003 gone=true was written for a plain id that ended nothing, too. Now QD3009 target-leaves tells for whom a leave was taken, what became of it (ended, known, unknown, ignored) and which incarnations of the id are live after it; an entry's QD3003 and QD3004 tell which control process said so, QD2001 who told of the target last and how long before it was heard.

--- a/quilldyke-core/src/main/java/org/quilldyke/routing/TargetBook.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/routing/TargetBook.java
@@ -76,6 +76,25 @@
         }
     }
 
+    /**
+     * Notes who told of a target last.
+     *
+     * @param by the control process
+     * @param heardAt when that or another one had heard the target, as far as it said
+     */
+    public void onTold(String id, String by, long heardAt) {
+        TargetState state = mTargets.get(id);
+        if (state != null) {
+            state.mTold = new Told(by, heardAt);
+        }
+    }
+
+    /** Returns who told of a target last; {@link Told#NOBODY} if it isn't known. */
+    public Told told(String id) {
+        TargetState state = mTargets.get(id);
+        return state == null ? Told.NOBODY : state.mTold;
+    }
+
     /** Forgets a target. */
     public void onGone(String id) {
         mTargets.remove(id);
--- a/quilldyke-core/src/main/java/org/quilldyke/routing/TargetState.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/routing/TargetState.java
@@ -49,6 +49,7 @@
     int mOthersRequests;
     long mOthersTokens;
     int mFreeConnections;
+    Told mTold = Told.NOBODY;
     private final Map<String, Long> mWeights = new HashMap<>();
     private final CacheView mCache = new CacheView();
     private final long mIdHash;
--- /dev/null
+++ b/quilldyke-core/src/main/java/org/quilldyke/routing/Told.java
@@ -0,0 +1,32 @@
+/*
+ * Copyright 2026 The quilldyke authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.quilldyke.routing;
+
+/**
+ * Where what an instance knows of a target comes from.
+ *
+ * @param by the control process that told of it last
+ * @param heardAt when the target was heard, in milliseconds of this instance's monotonic clock
+ */
+public record Told(String by, long heardAt) {
+    /** Stands for a target of which nobody has told. */
+    public static final Told NOBODY = new Told("", Long.MIN_VALUE);
+
+    /** Returns how old the knowledge is at {@code now}, -1 if there is none. */
+    public long ageMillis(long now) {
+        return equals(NOBODY) ? -1 : now - heardAt;
+    }
+}
--- a/quilldyke-daemon/src/main/java/org/quilldyke/daemon/log/Event.java
+++ b/quilldyke-daemon/src/main/java/org/quilldyke/daemon/log/Event.java
@@ -40,6 +40,7 @@
     WATCH_FAILED(3006, Level.DEBUG, "watch", "an engine's events or load could not be read"),
     WATCH_LOST(3007, Level.WARN, "watch-lost", "a holder of cached prompts does not answer"),
     NEWS_REFUSED(3008, Level.WARN, "news-refused", "what a target says cannot be taken"),
+    TARGET_LEAVES(3009, Level.INFO, "target-leaves", "a target leaves, and what was made of it"),
 
     LEADER_WON(4001, Level.INFO, "leader-won", "this replica leads"),
     LEADER_LOST(4002, Level.INFO, "leader-lost", "this replica leads no longer"),
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/EntrySubscriber.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/EntrySubscriber.java
@@ -131,10 +131,10 @@
     }
 
     @Override
-    public void onNews(ControlFrame frame) {
+    public void onNews(ControlFrame frame, String control) {
         switch (frame.getKindCase()) {
             case CONFIGURATION -> onConfiguration(frame.getConfiguration());
-            case TARGETS -> onTargets(frame.getTargets());
+            case TARGETS -> onTargets(frame.getTargets(), control);
             case LOADING -> onLoading(frame.getLoading());
             case CACHES -> onCaches(frame.getCaches());
             case LOADS -> {
@@ -188,38 +188,38 @@
         }
     }
 
-    private void onTargets(Targets targets) {
+    private void onTargets(Targets targets, String control) {
         long now = mClock.getAsLong();
         for (Target target : targets.getTargetsList()) {
             String id = target.getId();
             switch (target.getStanding()) {
                 case GONE -> {
                     if (mRegistry.onGone(id, now)) {
-                        mLog.write(Event.TARGET_CHANGED, "target", id, "gone", true);
+                        mLog.write(Event.TARGET_CHANGED, "target", id, "gone", true, "by", control);
                         mEntry.loop().execute(() -> mEntry.onTargetLost(id, false));
                     }
                     endEarlier();
                 }
                 case LAPSED -> {
                     if (mRegistry.onLapsed(id)) {
-                        mLog.write(Event.TARGET_LAPSED, "target", id);
+                        mLog.write(Event.TARGET_LAPSED, "target", id, "by", control);
                         mEntry.loop().execute(() -> mEntry.onTargetLost(id, true));
                     }
                 }
-                default -> onReport(target, now - target.getAgeMs());
+                default -> onReport(target, now - target.getAgeMs(), control);
             }
         }
     }
 
-    private void onReport(Target target, long heardAt) {
+    private void onReport(Target target, long heardAt, String control) {
         try {
-            onReport(TargetFrames.decode(target), heardAt);
+            onReport(TargetFrames.decode(target), heardAt, control);
         } catch (QuilldykeException e) {
             mRefused.onRefused(RefusedNews.Source.INSTANCE, target.getId(), e);
         }
     }
 
-    private void onReport(TargetReport report, long heardAt) {
+    private void onReport(TargetReport report, long heardAt, String control) {
         boolean news = mRegistry.onReport(report, heardAt);
         for (String id : mRegistry.takeDropped()) {
             mLog.write(Event.TARGET_CHANGED, "target", id, "displaced", true);
@@ -238,9 +238,17 @@
                     "weights",
                     report.weights(),
                     "sequence",
-                    report.sequence());
+                    report.sequence(),
+                    "age_ms",
+                    mClock.getAsLong() - heardAt,
+                    "by",
+                    control);
             mEntry.loop().execute(() -> mEntry.onReport(report));
         }
+        if (mRegistry.report(report.id()).isPresent()) {
+            long lastHeardAt = mRegistry.heardAt(report.id());
+            mEntry.loop().execute(() -> mEntry.book().onTold(report.id(), control, lastHeardAt));
+        }
         // What was open at an earlier incarnation may go on at the one that has just reported.
         endEarlier();
     }
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Exchange.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Exchange.java
@@ -357,7 +357,7 @@
     private TargetAnswer ask(Step.Send send) {
         TargetAnswer answer =
                 new TargetAnswer(this, mEntry, mRequest, send.choice(), mBody.alloc());
-        mLog.routed(mRequest, send.choice(), send.millisLeft());
+        mLog.routed(mRequest, send, mEntry.book(), now());
         mEntry.metrics().onAttempt();
         // What is heard of it at once is heard of the answer that is asked for here.
         if (mAnswer == null) {
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/ExchangeLog.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/ExchangeLog.java
@@ -24,6 +24,8 @@
 import org.quilldyke.daemon.log.EventLog;
 import org.quilldyke.routing.CacheKeys;
 import org.quilldyke.routing.Choice;
+import org.quilldyke.routing.TargetBook;
+import org.quilldyke.routing.Told;
 
 /** The log lines of one request: where it was sent and why, and what became of it. */
 final class ExchangeLog {
@@ -34,7 +36,9 @@
     }
 
     /** A target was chosen: what the choice rests on. */
-    void routed(ForwardRequest request, Choice choice, long millisLeft) {
+    void routed(ForwardRequest request, Step.Send send, TargetBook book, long now) {
+        Choice choice = send.choice();
+        Told told = book.told(choice.target());
         mLog.write(
                 Event.ROUTED,
                 "request",
@@ -68,7 +72,11 @@
                 "runner_up_ms",
                 choice.runnerUpMillis(),
                 "left_ms",
-                millisLeft);
+                send.millisLeft(),
+                "told_by",
+                told.by(),
+                "heard_before_ms",
+                told.ageMillis(now));
     }
 
     void attemptFailed(String request, Choice choice, String outcome, String why) {
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/TargetSpread.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/TargetSpread.java
@@ -27,6 +27,7 @@
 import org.quilldyke.ResultCode;
 import org.quilldyke.daemon.log.Event;
 import org.quilldyke.daemon.log.EventLog;
+import org.quilldyke.engine.Incarnation;
 import org.quilldyke.engine.TargetRegistry;
 import org.quilldyke.engine.TargetReport;
 import org.quilldyke.gateway.engine.RefusedNews;
@@ -153,9 +154,38 @@
             mToSave = true;
             tell(Targets.newBuilder().addTargets(TargetFrames.encode(report, 0)).build());
         }
+        if (report.leaving() && isTakenForLive(report.id())) {
+            logLeave(report.id(), report.id(), "ignored");
+        }
         noteEnded();
     }
 
+    private boolean isTakenForLive(String id) {
+        return mRegistry.report(id).map(known -> !known.leaving()).orElse(false);
+    }
+
+    /**
+     * @param told who leaves, by its own word
+     * @param taken for whom it was taken
+     * @param became what was made of it
+     */
+    private void logLeave(String told, String taken, String became) {
+        mLog.write(
+                Event.TARGET_LEAVES,
+                "target",
+                told,
+                "taken_for",
+                taken,
+                "became",
+                became,
+                "live",
+                mRegistry.reports().stream()
+                        .map(TargetReport::incarnation)
+                        .filter(live -> live.id().equals(Incarnation.ofKey(told).id()))
+                        .map(Incarnation::key)
+                        .toList());
+    }
+
     private boolean isOfAService(TargetReport report) {
         String name = report.service();
         return mServices.map(names -> names.contains(name)).orElse(false)
@@ -169,7 +199,10 @@
     void onLeave(String told) {
         long now = mClock.getAsLong();
         String id = mRegistry.leaver(told, now);
-        if (mRegistry.onGone(id, now)) {
+        boolean wasLive = mRegistry.report(id).isPresent();
+        boolean news = mRegistry.onGone(id, now);
+        logLeave(told, id, wasLive ? "ended" : news ? "unknown" : "known");
+        if (news) {
             mLog.write(Event.TARGET_CHANGED, "target", id, "gone", true);
             mToSave = true;
             tell(
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/instance/ControlLinks.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/instance/ControlLinks.java
@@ -144,7 +144,7 @@
      */
     void onNews(ControlLink link, ControlFrame frame) {
         if (!frame.hasLoads() || link == mMain) {
-            mSubscriber.onNews(frame);
+            mSubscriber.onNews(frame, link.address());
         }
     }
 
@@ -158,7 +158,7 @@
             mMain = link;
             mLoadsTold = List.of();
             // A process that has nothing new to tell tells nothing: what it told last still holds.
-            mSubscriber.onNews(link.othersLoads());
+            mSubscriber.onNews(link.othersLoads(), link.address());
         }
         return mMain == link;
     }
@@ -255,7 +255,7 @@
         /** Takes the answer to a question that was sent at the given time. */
         void onAnswer(Answer answer, long askedAt);
 
-        /** Takes anything else. */
-        void onNews(ControlFrame frame);
+        /** Takes anything else that the control process at an address tells. */
+        void onNews(ControlFrame frame, String control);
     }
 }
--- a/quilldyke-gateway/src/test/java/org/quilldyke/gateway/instance/ControlLinksTest.java
+++ b/quilldyke-gateway/src/test/java/org/quilldyke/gateway/instance/ControlLinksTest.java
@@ -169,7 +169,7 @@
         }
 
         @Override
-        public void onNews(ControlFrame frame) {
+        public void onNews(ControlFrame frame, String control) {
             if (frame.hasLoads()) {
                 mLoads = frame.getLoads().getTargetsList();
             }
