A leave that may be the present target's or its predecessor's suspends the present one

What callers saw: requests reached a target, and ran there, more than the drain time after its leave had been acknowledged, until the target had lapsed. Cause: a leave needn't tell a birth. That of a target which had taken its predecessor's place within 10 s was taken for the predecessor's late word, ended nothing and got 200. Change: such a leave suspends the present incarnation: it counts as leaving at every control process and entry until it is heard more than 10 s after the leave, whatever comes late before. Of two reports with one sequence the one that leaves counts, so that followers take it. Why it holds: whoever left gets no new requests, and whoever didn't is back 10 s later by its own reports; nobody has to know whose word it was. Ruled out: to end the latest (a living target would be lost for good); to refuse the leave (who tells no birth can't ask better, and leaves anyway).

--- /dev/null
+++ b/quilldyke-core/src/main/java/org/quilldyke/engine/Suspension.java
@@ -0,0 +1,47 @@
+/*
+ * Copyright 2026 The quilldyke authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.quilldyke.engine;
+
+/**
+ * A leave that told no birth, and may be that of a target's present incarnation or the late one of
+ * its predecessor. Until it is known whose it was, the present one takes no new requests.
+ *
+ * @param target the key of the incarnation, the plain id if it isn't known which one there is
+ * @param at when the leave was acknowledged, in milliseconds of this instance's monotonic clock
+ */
+public record Suspension(String target, long at) {
+    /** Words of targets come late by seconds: who is heard after this is sure to live. */
+    static final long LATE_WORD_MILLIS = 10_000;
+
+    /** One word is told over several ways; another leave of the same id comes later than that. */
+    private static final long SAME_WORD_MILLIS = 1000;
+
+    /** Returns which incarnation is meant. */
+    public Incarnation incarnation() {
+        return Incarnation.ofKey(target);
+    }
+
+    /** Returns whether a report that was heard at a time may have been made before the leave. */
+    boolean mayFollow(long heardAt) {
+        return heardAt <= at + LATE_WORD_MILLIS;
+    }
+
+    /** Returns whether this tells something that another one of the same id doesn't. */
+    boolean isNewsAfter(Suspension known) {
+        boolean later = incarnation().born() > known.incarnation().born();
+        return later || at - known.at > SAME_WORD_MILLIS;
+    }
+}
--- a/quilldyke-core/src/main/java/org/quilldyke/engine/TargetRegistry.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/engine/TargetRegistry.java
@@ -36,11 +36,9 @@
     /** For how long a late report of a target that is gone is still known as such. */
     static final long GONE_KEPT_MILLIS = 120_000;
 
-    /** Words of targets come seconds late, and they go on for some seconds after their leave. */
-    static final long LATE_LEAVE_MILLIS = 10_000;
-
     private final Map<String, Entry> mEntries = new HashMap<>();
     private final Map<String, Long> mGone = new HashMap<>();
+    private final Suspensions mSuspensions = new Suspensions();
     private final Map<String, Displaced> mDisplaced = new HashMap<>();
     private final Map<String, Lapsed> mLapsed = new HashMap<>();
     private final LatestIncarnations mLatest = LatestIncarnations.create();
@@ -68,12 +66,14 @@
      * @param heardAt when it was made, as far as known
      * @return whether it tells something new, other than that the target lives
      */
-    public boolean onReport(TargetReport report, long heardAt) {
+    public boolean onReport(TargetReport told, long heardAt) {
+        TargetReport report =
+                mSuspensions.covers(told.incarnation(), heardAt) ? told.asLeaving() : told;
         if (mGone.containsKey(report.id()) || mLatest.isPast(report.incarnation())) {
             return false;
         }
         Entry known = mEntries.get(report.id());
-        if (known != null && known.mReport.sequence() >= report.sequence()) {
+        if (known != null && !report.replaces(known.mReport)) {
             known.mHeardAt = Math.max(known.mHeardAt, heardAt);
             return false;
         }
@@ -149,19 +149,51 @@
     }
 
     /**
-     * Returns who leaves with a word that needn't tell a birth: without one, the latest that is
-     * known under the id now. But one that has just taken the place of another doesn't: it is most
-     * likely the late word of its predecessor, and who is gone never comes back.
+     * Takes a leave, which needn't tell a birth: without one it is that of the latest incarnation
+     * that is known under the id now.
+     *
+     * <p>If that has just taken the place of another, it may be the late word of its predecessor.
+     * Who is gone never comes back, and who leaves takes no new requests, so the present one is
+     * neither ended nor left as it is, but suspended.
      */
-    public String leaver(String told, long now) {
+    public Leave onLeave(String told, long now) {
         Incarnation incarnation = Incarnation.ofKey(told);
-        if (incarnation.tellsBirth()) {
-            return told;
+        String leaver =
+                incarnation.tellsBirth()
+                        ? told
+                        : mLatest.of(incarnation.id()).orElse(incarnation).key();
+        Entry known = mEntries.get(leaver);
+        boolean isNew =
+                known != null
+                        && known.mSucceeds
+                        && now - known.mSince < Suspension.LATE_WORD_MILLIS;
+        if (isNew && !incarnation.tellsBirth()) {
+            boolean news = onSuspended(new Suspension(leaver, now));
+            return new Leave(leaver, Leave.Result.SUSPENDED, news);
+        }
+        boolean news = onGone(leaver, now);
+        return new Leave(
+                leaver,
+                known != null
+                        ? Leave.Result.ENDED
+                        : news ? Leave.Result.UNKNOWN : Leave.Result.KNOWN,
+                news);
+    }
+
+    /** Takes a suspension of a target's incarnation; returns whether that is news. */
+    public boolean onSuspended(Suspension suspension) {
+        endEarlier(suspension.incarnation());
+        boolean news = mSuspensions.add(suspension);
+        Entry known = mEntries.get(suspension.target());
+        if (news && known != null && suspension.mayFollow(known.mHeardAt)) {
+            known.mReport = known.mReport.asLeaving();
         }
-        String latest = mLatest.of(incarnation.id()).orElse(incarnation).key();
-        Entry known = mEntries.get(latest);
-        boolean isNew = known != null && known.mSucceeds && now - known.mSince < LATE_LEAVE_MILLIS;
-        return isNew ? told : latest;
+        return news;
+    }
+
+    /** Returns the suspensions of which others have to know. */
+    public Collection<Suspension> suspensions() {
+        return mSuspensions.all();
     }
 
     /** An address belongs to one target at a time: whoever had it before has ended. */
@@ -222,6 +254,7 @@
     public List<TargetReport> lapse(long silentMillis, long now) {
         mGone.values().removeIf(at -> now - at > GONE_KEPT_MILLIS);
         mDisplaced.values().removeIf(known -> now - known.mAt > GONE_KEPT_MILLIS);
+        mSuspensions.expire(now);
         List<TargetReport> lapsed = new ArrayList<>();
         for (Entry entry : mEntries.values()) {
             if (now - entry.mHeardAt > silentMillis) {
--- a/quilldyke-core/src/main/java/org/quilldyke/engine/TargetReport.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/engine/TargetReport.java
@@ -67,12 +67,25 @@
 
     /** Returns the report with other weights. */
     public TargetReport withWeights(Map<String, Long> other) {
-        return with(other, sequence);
+        return with(leaving, other, sequence);
+    }
+
+    /** Returns the report as if the target had said that it leaves. */
+    public TargetReport asLeaving() {
+        return with(true, weights, sequence);
+    }
+
+    /**
+     * Returns whether this takes the place of another report of the same target. Of two that were
+     * made together the one that takes requests away counts.
+     */
+    boolean replaces(TargetReport other) {
+        return sequence > other.sequence || sequence == other.sequence && leaving && !other.leaving;
     }
 
     /** Returns the report as one that a process remembers from before its restart. */
     public TargetReport remembered() {
-        return with(weights, REMEMBERED);
+        return with(leaving, weights, REMEMBERED);
     }
 
     /** Returns whether the target hasn't been heard since the process that tells this began. */
@@ -80,7 +93,8 @@
         return sequence == REMEMBERED;
     }
 
-    private TargetReport with(Map<String, Long> otherWeights, long otherSequence) {
+    private TargetReport with(
+            boolean isLeaving, Map<String, Long> otherWeights, long otherSequence) {
         return new TargetReport(
                 id,
                 service,
@@ -88,7 +102,7 @@
                 failureDomain,
                 softwareVersion,
                 slots,
-                leaving,
+                isLeaving,
                 coldMillis,
                 otherWeights,
                 otherSequence);
--- a/quilldyke-core/src/test/java/org/quilldyke/engine/TargetRegistryTest.java
+++ b/quilldyke-core/src/test/java/org/quilldyke/engine/TargetRegistryTest.java
@@ -216,18 +216,30 @@
 
     @Test
     void leaveWithoutABirthEndsWhatIsKnownThen() {
-        assertThat(mRegistry.leaver("a", 0)).isEqualTo("a");
         mRegistry.onReport(report("a#5", "1:1", 50, false), 0);
-        assertThat(mRegistry.leaver("a", 0)).isEqualTo("a#5");
-        assertThat(mRegistry.leaver("a#4", 0)).isEqualTo("a#4");
+        assertThat(mRegistry.onLeave("a#4", 0).target()).isEqualTo("a#4");
+        assertThat(ids(mRegistry.reports())).containsExactly("a#5");
 
-        mRegistry.onGone(mRegistry.leaver("a", 10), 10);
+        Leave leave = mRegistry.onLeave("a", 10);
+
+        assertThat(leave).isEqualTo(new Leave("a#5", Leave.Result.ENDED, true));
+        assertThat(mRegistry.onLeave("a", 10))
+                .isEqualTo(new Leave("a#5", Leave.Result.KNOWN, false));
         assertThat(mRegistry.reports()).isEmpty();
         assertThat(mRegistry.onReport(report("a#5", "1:1", 51, false), 20)).isFalse();
         assertThat(mRegistry.onReport(report("a#7", "1:1", 1, false), 20)).isTrue();
         mRegistry.onGone("a", 30);
 
         assertThat(ids(mRegistry.reports())).containsExactly("a#7");
+        assertThat(mRegistry.reports().get(0).leaving()).isFalse();
+    }
+
+    @Test
+    void leaveWithoutABirthOfAnUnknownTargetIsOfThePlainId() {
+        Leave leave = mRegistry.onLeave("a", 0);
+
+        assertThat(leave).isEqualTo(new Leave("a", Leave.Result.UNKNOWN, true));
+        assertThat(mRegistry.onReport(report("a", "1:1", 9, false), 10)).isFalse();
     }
 
     /** Who is gone never comes back: a living engine would be lost for good. */
@@ -235,16 +247,91 @@
     void lateLeaveWithoutABirthDoesNotEndTheSuccessor() {
         mRegistry.onReport(report("a#5", "1:1", 50, false), 0);
         mRegistry.onReport(report("a#7", "1:1", 1, false), 100);
-        long late = 100 + TargetRegistry.LATE_LEAVE_MILLIS - 1;
+        long late = 100 + Suspension.LATE_WORD_MILLIS - 1;
 
-        mRegistry.onGone(mRegistry.leaver("a", late), late);
+        Leave leave = mRegistry.onLeave("a", late);
+
+        assertThat(leave).isEqualTo(new Leave("a#7", Leave.Result.SUSPENDED, true));
         assertThat(ids(mRegistry.reports())).containsExactly("a#7");
-        assertThat(mRegistry.leaver("a#7", late)).isEqualTo("a#7");
+        long after = late + Suspension.LATE_WORD_MILLIS + 1;
+        assertThat(mRegistry.onReport(report("a#7", "1:1", 9, false), after)).isTrue();
+        assertThat(mRegistry.reports().get(0).leaving()).isFalse();
 
-        mRegistry.onGone(mRegistry.leaver("a", late + 1), late + 1);
+        assertThat(mRegistry.onLeave("a", after).result()).isEqualTo(Leave.Result.ENDED);
         assertThat(mRegistry.reports()).isEmpty();
     }
 
+    /**
+     * A young target's own leave was taken for its predecessor's, and changed nothing.
+     *
+     * <p>What users saw: requests reached a target, and ran there, more than the drain time after
+     * its leave was acknowledged, until it had lapsed. The order of events: a target starts again
+     * under its id; within 10 s it leaves without telling its birth, reports no more and serves on.
+     * The cause: such a leave was taken for the late word of the predecessor, which is gone anyway,
+     * and acknowledged. The evidence: see LeavingTargetTest.
+     */
+    @Test
+    void targetWhoseLeaveMayBeItsPredecessorsTakesNoRequests() {
+        mRegistry.onReport(report("a#5", "1:1", 50, false), 0);
+        mRegistry.onReport(report("a#7", "1:1", 5, false), 100);
+
+        mRegistry.onLeave("a", 4000);
+
+        assertThat(mRegistry.reports().get(0).leaving()).isTrue();
+        // Made before the leave, and heard after it.
+        mRegistry.onReport(report("a#7", "1:1", 6, false), 4000 + Suspension.LATE_WORD_MILLIS);
+        assertThat(mRegistry.reports().get(0).leaving()).isTrue();
+    }
+
+    @Test
+    void suspendedTargetThatLapsesIsNotBackWithALateReport() {
+        mRegistry.onReport(report("a#5", "1:1", 50, false), 0);
+        mRegistry.onReport(report("a#7", "1:1", 5, false), 100);
+        mRegistry.onLeave("a", 200);
+        mRegistry.lapse(500, 5000);
+
+        mRegistry.onReport(report("a#7", "1:1", 6, false), 5100);
+
+        assertThat(mRegistry.reports().get(0).leaving()).isTrue();
+    }
+
+    @Test
+    void suspensionDoesNotConcernWhoStartsAfterIt() {
+        mRegistry.onReport(report("a#5", "1:1", 50, false), 0);
+        mRegistry.onReport(report("a#7", "1:1", 5, false), 100);
+        mRegistry.onLeave("a", 200);
+
+        mRegistry.onReport(report("a#9", "1:1", 1, false), 3000);
+
+        assertThat(ids(mRegistry.reports())).containsExactly("a#9");
+        assertThat(mRegistry.reports().get(0).leaving()).isFalse();
+    }
+
+    /** An entry may have heard the last report before the suspension, or after it. */
+    @Test
+    void followerThatIsToldOfASuspensionSendsNothing() {
+        TargetRegistry follower = TargetRegistry.following();
+        follower.onReport(report("a#7", "1:1", 5, false), 100);
+
+        assertThat(follower.onSuspended(new Suspension("a#7", 200))).isTrue();
+        assertThat(follower.onSuspended(new Suspension("a#7", 210))).isFalse();
+
+        assertThat(follower.reports().get(0).leaving()).isTrue();
+        assertThat(follower.onReport(report("a#7", "1:1", 6, false), 300)).isFalse();
+        assertThat(follower.reports().get(0).leaving()).isTrue();
+    }
+
+    /** What another process has suspended is told with the sequence that is known already. */
+    @Test
+    void ofTwoReportsWithOneSequenceTheOneThatLeavesCounts() {
+        mRegistry.onReport(report("a", "1:1", 5, false), 0);
+
+        assertThat(mRegistry.onReport(report("a", "1:1", 5, true), 10)).isTrue();
+        assertThat(mRegistry.onReport(report("a", "1:1", 5, false), 20)).isFalse();
+
+        assertThat(mRegistry.reports().get(0).leaving()).isTrue();
+    }
+
     private static List<String> ids(List<TargetReport> reports) {
         return reports.stream().map(TargetReport::id).toList();
     }
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/EntrySubscriber.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/EntrySubscriber.java
@@ -17,10 +17,12 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.function.LongSupplier;
 import org.quilldyke.QuilldykeException;
 import org.quilldyke.daemon.log.Event;
 import org.quilldyke.daemon.log.EventLog;
+import org.quilldyke.engine.Suspension;
 import org.quilldyke.engine.TargetRegistry;
 import org.quilldyke.engine.TargetReport;
 import org.quilldyke.gateway.caller.Entry;
@@ -206,11 +208,36 @@
                         mEntry.loop().execute(() -> mEntry.onTargetLost(id, true));
                     }
                 }
+                case SUSPENDED -> {
+                    Suspension suspension = new Suspension(id, now - target.getAgeMs());
+                    if (mRegistry.onSuspended(suspension)) {
+                        mLog.write(
+                                Event.TARGET_CHANGED,
+                                "target",
+                                id,
+                                "suspended",
+                                true,
+                                "by",
+                                control);
+                        onSuspended(id);
+                    }
+                    endEarlier();
+                }
                 default -> onReport(target, now - target.getAgeMs(), control);
             }
         }
     }
 
+    /** A target that has lapsed is kept while it answers, and suspended nevertheless. */
+    private void onSuspended(String id) {
+        Optional<TargetReport> report = mRegistry.report(id);
+        mEntry.loop()
+                .execute(
+                        () ->
+                                report.ifPresentOrElse(
+                                        mEntry::onReport, () -> mEntry.onTargetLost(id, false)));
+    }
+
     private void onReport(Target target, long heardAt, String control) {
         try {
             onReport(TargetFrames.decode(target), heardAt, control);
@@ -243,7 +270,8 @@
                     mClock.getAsLong() - heardAt,
                     "by",
                     control);
-            mEntry.loop().execute(() -> mEntry.onReport(report));
+            TargetReport taken = mRegistry.report(report.id()).orElse(report);
+            mEntry.loop().execute(() -> mEntry.onReport(taken));
         }
         if (mRegistry.report(report.id()).isPresent()) {
             long lastHeardAt = mRegistry.heardAt(report.id());
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/TargetSpread.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/TargetSpread.java
@@ -18,6 +18,7 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
@@ -28,6 +29,8 @@
 import org.quilldyke.daemon.log.Event;
 import org.quilldyke.daemon.log.EventLog;
 import org.quilldyke.engine.Incarnation;
+import org.quilldyke.engine.Leave;
+import org.quilldyke.engine.Suspension;
 import org.quilldyke.engine.TargetRegistry;
 import org.quilldyke.engine.TargetReport;
 import org.quilldyke.gateway.engine.RefusedNews;
@@ -137,6 +140,7 @@
         mHeardHere.add(report.id());
         boolean known = before.isPresent();
         if (mRegistry.onReport(report, now)) {
+            TargetReport taken = mRegistry.report(report.id()).orElse(report);
             mLog.write(
                     known ? Event.TARGET_CHANGED : Event.TARGET_JOINED,
                     "target",
@@ -146,16 +150,16 @@
                     "address",
                     report.address(),
                     "leaving",
-                    report.leaving(),
+                    taken.leaving(),
                     "weights",
                     report.weights(),
                     "sequence",
                     report.sequence());
             mToSave = true;
-            tell(Targets.newBuilder().addTargets(TargetFrames.encode(report, 0)).build());
+            tell(Targets.newBuilder().addTargets(TargetFrames.encode(taken, 0)).build());
         }
         if (report.leaving() && isTakenForLive(report.id())) {
-            logLeave(report.id(), report.id(), "ignored");
+            logIgnoredLeave(report.id());
         }
         noteEnded();
     }
@@ -164,24 +168,31 @@
         return mRegistry.report(id).map(known -> !known.leaving()).orElse(false);
     }
 
-    /**
-     * @param told who leaves, by its own word
-     * @param taken for whom it was taken
-     * @param became what was made of it
-     */
-    private void logLeave(String told, String taken, String became) {
+    private void logLeave(String told, Leave leave) {
+        String became = leave.result().name().toLowerCase(Locale.ROOT);
+        logLeave(told, leave.target(), became);
+    }
+
+    /** A late report, or one of a target whose address another one has. */
+    private void logIgnoredLeave(String id) {
+        logLeave(id, id, "ignored");
+    }
+
+    private void logLeave(String told, String takenFor, String became) {
+        String id = Incarnation.ofKey(told).id();
         mLog.write(
                 Event.TARGET_LEAVES,
                 "target",
                 told,
                 "taken_for",
-                taken,
+                takenFor,
                 "became",
                 became,
-                "live",
+                "ready",
                 mRegistry.reports().stream()
+                        .filter(known -> !known.leaving())
                         .map(TargetReport::incarnation)
-                        .filter(live -> live.id().equals(Incarnation.ofKey(told).id()))
+                        .filter(known -> known.id().equals(id))
                         .map(Incarnation::key)
                         .toList());
     }
@@ -198,21 +209,21 @@
     /** Takes the news that a target is gone, told here; without a birth, whoever has its id now. */
     void onLeave(String told) {
         long now = mClock.getAsLong();
-        String id = mRegistry.leaver(told, now);
-        boolean wasLive = mRegistry.report(id).isPresent();
-        boolean news = mRegistry.onGone(id, now);
-        logLeave(told, id, wasLive ? "ended" : news ? "unknown" : "known");
-        if (news) {
-            mLog.write(Event.TARGET_CHANGED, "target", id, "gone", true);
+        Leave leave = mRegistry.onLeave(told, now);
+        logLeave(told, leave);
+        if (leave.isNews()) {
             mToSave = true;
-            tell(
-                    Targets.newBuilder()
-                            .addTargets(TargetFrames.encode(id, Target.Standing.GONE))
-                            .build());
+            tell(Targets.newBuilder().addTargets(encode(leave, now)).build());
         }
         noteEnded();
     }
 
+    private static Target encode(Leave leave, long now) {
+        return leave.result() == Leave.Result.SUSPENDED
+                ? TargetFrames.encode(new Suspension(leave.target(), now), 0)
+                : TargetFrames.encode(leave.target(), Target.Standing.GONE);
+    }
+
     /** Takes what another instance knows; news go on to the entries here. */
     void onTargets(Targets targets) {
         long now = mClock.getAsLong();
@@ -222,6 +233,7 @@
                     switch (target.getStanding()) {
                         case GONE -> mRegistry.onGone(target.getId(), now);
                         case LAPSED -> false;
+                        case SUSPENDED -> mRegistry.onSuspended(decode(target, now));
                         default -> isNews(target, now);
                     };
             if (isNews) {
@@ -238,6 +250,10 @@
         }
     }
 
+    private static Suspension decode(Target target, long now) {
+        return new Suspension(target.getId(), now - target.getAgeMs());
+    }
+
     /**
      * One that can't be taken costs the others nothing; nor does one of a service that isn't known
      * here: who told it may not know the services either, or know a newer one.
@@ -286,6 +302,9 @@
         for (String id : mRegistry.gone()) {
             all.addTargets(TargetFrames.encode(id, Target.Standing.GONE));
         }
+        for (Suspension suspension : mRegistry.suspensions()) {
+            all.addTargets(TargetFrames.encode(suspension, now - suspension.at()));
+        }
         return all.build();
     }
 
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/instance/TargetFrames.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/instance/TargetFrames.java
@@ -19,6 +19,7 @@
 import java.util.Map;
 import org.quilldyke.QuilldykeException;
 import org.quilldyke.engine.ReportRules;
+import org.quilldyke.engine.Suspension;
 import org.quilldyke.engine.TargetReport;
 import org.quilldyke.gateway.instance.proto.ModelWeights;
 import org.quilldyke.gateway.instance.proto.Target;
@@ -51,6 +52,15 @@
         return out.build();
     }
 
+    /** Returns the form of a suspension that began {@code ageMillis} ago. */
+    public static Target encode(Suspension suspension, long ageMillis) {
+        return Target.newBuilder()
+                .setId(suspension.target())
+                .setStanding(Target.Standing.SUSPENDED)
+                .setAgeMs(Math.max(0, ageMillis))
+                .build();
+    }
+
     /** Returns the form of the news that a target is gone or was silent for too long. */
     public static Target encode(String id, Target.Standing standing) {
         return Target.newBuilder().setId(id).setStanding(standing).build();
