A leave at a control process that doesn't know the target suspends whoever has the id

What callers saw: requests reached a target after its leave was acknowledged by a control process that had just started. Cause: a leave without a birth of an unknown id was told to the others as the end of the plain id, which ends no incarnation; the process itself, told of the target a moment later, took it as ready. The leave got 200. Change: such a leave suspends whichever incarnation is known under the id: elsewhere the latest, here the first that is heard of and all that were heard before it. Why it holds: each process places the word by what it knows itself, and none needs to know the target when the word comes. The plain id still ends for good a target that tells no birth, and no incarnation.

--- a/quilldyke-core/src/main/java/org/quilldyke/engine/Leave.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/engine/Leave.java
@@ -29,8 +29,10 @@
         ENDED,
         /** It isn't sure whose word it is: the target takes nothing new for a while. */
         SUSPENDED,
-        /** No such target was known. */
+        /** It told its birth, and no such target was known. */
         UNKNOWN,
+        /** No target of the id was known: whoever has it takes nothing new for a while. */
+        UNPLACED,
         /** The target was known to be gone. */
         KNOWN
     }
--- a/quilldyke-core/src/main/java/org/quilldyke/engine/Suspensions.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/engine/Suspensions.java
@@ -38,13 +38,21 @@
         return news;
     }
 
-    /** Returns whether what an incarnation says at a time doesn't show yet that it stays. */
+    /**
+     * Returns whether what an incarnation says at a time doesn't show yet that it stays. A later
+     * one than was known may have left, too, if it was heard before, or if none was known.
+     */
     boolean covers(Incarnation incarnation, long heardAt) {
         Suspension known = mById.get(incarnation.id());
-        return known != null
-                && known.mayFollow(heardAt)
-                && incarnation.tellsBirth()
-                && incarnation.born() <= known.incarnation().born();
+        if (known == null || !known.mayFollow(heardAt) || !incarnation.tellsBirth()) {
+            return false;
+        }
+        boolean isLater = incarnation.born() > known.incarnation().born();
+        if (isLater && (heardAt <= known.at() || !known.incarnation().tellsBirth())) {
+            mById.put(incarnation.id(), new Suspension(incarnation.key(), known.at()));
+            return true;
+        }
+        return !isLater;
     }
 
     void expire(long now) {
--- a/quilldyke-core/src/main/java/org/quilldyke/engine/TargetRegistry.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/engine/TargetRegistry.java
@@ -158,10 +158,7 @@
      */
     public Leave onLeave(String told, long now) {
         Incarnation incarnation = Incarnation.ofKey(told);
-        String leaver =
-                incarnation.tellsBirth()
-                        ? told
-                        : mLatest.of(incarnation.id()).orElse(incarnation).key();
+        String leaver = incarnation.tellsBirth() ? told : latest(told);
         Entry known = mEntries.get(leaver);
         boolean isNew =
                 known != null
@@ -172,25 +169,40 @@
             return new Leave(leaver, Leave.Result.SUSPENDED, news);
         }
         boolean news = onGone(leaver, now);
-        return new Leave(
-                leaver,
-                known != null
-                        ? Leave.Result.ENDED
-                        : news ? Leave.Result.UNKNOWN : Leave.Result.KNOWN,
-                news);
+        if (known != null || !news) {
+            return new Leave(leaver, known != null ? Leave.Result.ENDED : Leave.Result.KNOWN, news);
+        }
+        if (Incarnation.ofKey(leaver).tellsBirth()) {
+            return new Leave(leaver, Leave.Result.UNKNOWN, true);
+        }
+        // Others may know an incarnation of the id, and this process may soon be told of it.
+        onSuspended(new Suspension(leaver, now));
+        return new Leave(leaver, Leave.Result.UNPLACED, true);
     }
 
-    /** Takes a suspension of a target's incarnation; returns whether that is news. */
-    public boolean onSuspended(Suspension suspension) {
+    /**
+     * Takes a suspension of an incarnation, or of whichever is known under an id; returns whether
+     * that is news.
+     */
+    public boolean onSuspended(Suspension told) {
+        Incarnation incarnation = told.incarnation();
+        String target = incarnation.tellsBirth() ? told.target() : latest(told.target());
+        Suspension suspension = new Suspension(target, told.at());
         endEarlier(suspension.incarnation());
         boolean news = mSuspensions.add(suspension);
-        Entry known = mEntries.get(suspension.target());
+        Entry known = mEntries.get(target);
         if (news && known != null && suspension.mayFollow(known.mHeardAt)) {
             known.mReport = known.mReport.asLeaving();
         }
         return news;
     }
 
+    /** Returns the latest incarnation that is known under the id of another key. */
+    public String latest(String key) {
+        Incarnation incarnation = Incarnation.ofKey(key);
+        return mLatest.of(incarnation.id()).orElse(incarnation).key();
+    }
+
     /** Returns the suspensions of which others have to know. */
     public Collection<Suspension> suspensions() {
         return mSuspensions.all();
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/EntrySubscriber.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/EntrySubscriber.java
@@ -219,7 +219,7 @@
                                 true,
                                 "by",
                                 control);
-                        onSuspended(id);
+                        onSuspended(mRegistry.latest(id));
                     }
                     endEarlier();
                 }
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/TargetSpread.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/TargetSpread.java
@@ -213,15 +213,19 @@
         logLeave(told, leave);
         if (leave.isNews()) {
             mToSave = true;
-            tell(Targets.newBuilder().addTargets(encode(leave, now)).build());
+            tell(Targets.newBuilder().addAllTargets(encode(leave, now)).build());
         }
         noteEnded();
     }
 
-    private static Target encode(Leave leave, long now) {
-        return leave.result() == Leave.Result.SUSPENDED
-                ? TargetFrames.encode(new Suspension(leave.target(), now), 0)
-                : TargetFrames.encode(leave.target(), Target.Standing.GONE);
+    private static List<Target> encode(Leave leave, long now) {
+        Target gone = TargetFrames.encode(leave.target(), Target.Standing.GONE);
+        Target suspended = TargetFrames.encode(new Suspension(leave.target(), now), 0);
+        return switch (leave.result()) {
+            case SUSPENDED -> List.of(suspended);
+            case UNPLACED -> List.of(gone, suspended);
+            default -> List.of(gone);
+        };
     }
 
     /** Takes what another instance knows; news go on to the entries here. */
@@ -237,7 +241,7 @@
                         default -> isNews(target, now);
                     };
             if (isNews) {
-                news.addTargets(target);
+                news.addTargets(known(target, now));
             }
         }
         noteEnded();
@@ -250,6 +254,20 @@
         }
     }
 
+    /** Returns a live target as it is known here, where it may be suspended; others as told. */
+    private Target known(Target told, long now) {
+        return told.getStanding() != Target.Standing.LIVE
+                ? told
+                : mRegistry
+                        .report(told.getId())
+                        .map(report -> TargetFrames.encode(report, now - heardAt(report)))
+                        .orElse(told);
+    }
+
+    private long heardAt(TargetReport report) {
+        return mRegistry.heardAt(report.id());
+    }
+
     private static Suspension decode(Target target, long now) {
         return new Suspension(target.getId(), now - target.getAgeMs());
     }
@@ -296,7 +314,7 @@
         Targets.Builder all = Targets.newBuilder();
         for (TargetReport report : mRegistry.reports()) {
             if (which.test(report)) {
-                all.addTargets(TargetFrames.encode(report, now - mRegistry.heardAt(report.id())));
+                all.addTargets(TargetFrames.encode(report, now - heardAt(report)));
             }
         }
         for (String id : mRegistry.gone()) {
--- a/quilldyke-gateway/src/test/java/org/quilldyke/gateway/control/TargetSpreadTest.java
+++ b/quilldyke-gateway/src/test/java/org/quilldyke/gateway/control/TargetSpreadTest.java
@@ -35,6 +35,7 @@
 import org.quilldyke.ResultCode;
 import org.quilldyke.daemon.control.DataFolder;
 import org.quilldyke.daemon.log.EventLog;
+import org.quilldyke.engine.Suspension;
 import org.quilldyke.engine.TargetReport;
 import org.quilldyke.gateway.engine.RefusedNews;
 import org.quilldyke.gateway.instance.NettyLoop;
@@ -357,6 +358,51 @@
         assertThat(mSpread.reports()).containsExactly(report("a#7", 1));
     }
 
+    /**
+     * A process that knows no target of an id acknowledged its leave, and nothing changed anywhere.
+     *
+     * <p>What users saw: requests reached a target after its leave was acknowledged. The order of
+     * events: a control process has just started; a target leaves there without telling its birth;
+     * then others tell the process of the target. The cause: the others were told that the plain id
+     * is gone, which ends no incarnation, and the process itself took the target as ready. The
+     * evidence: QD3009 {@code target=a taken_for=a became=unknown} with no incarnation ready, and
+     * the incarnation that was told 10 ms later was.
+     */
+    @Test
+    void leaveOfATargetThatIsToldOfLaterHolds() throws Exception {
+        mNow = 1000;
+        mSpread.onLeave("a");
+        Target suspended = mTold.get(1);
+        mTold.clear();
+        mNow = 1010;
+
+        mSpread.onTargets(
+                Targets.newBuilder()
+                        .addTargets(TargetFrames.encode(report("a#7", 5), 400))
+                        .build());
+
+        assertThat(mSpread.reports().get(0).leaving()).isTrue();
+        assertThat(mTold.get(0).getLeaving()).isTrue();
+        assertThat(suspended.getStanding()).isEqualTo(Target.Standing.SUSPENDED);
+        assertThat(mSpread.all().getTargetsList().stream().map(Target::getStanding).toList())
+                .contains(Target.Standing.SUSPENDED);
+    }
+
+    /** The other way round: the process that is told of the leave knows the target. */
+    @Test
+    void leaveThatAnotherProcessCouldNotPlaceHoldsHere() throws Exception {
+        mSpread.onReport(report("a#7", 5), true);
+        mTold.clear();
+        Target suspended = TargetFrames.encode(new Suspension("a", 0), 0);
+
+        mSpread.onTargets(Targets.newBuilder().addTargets(suspended).build());
+
+        assertThat(mSpread.reports().get(0).leaving()).isTrue();
+        assertThat(mTold).containsExactly(suspended);
+        mSpread.onReport(report("a#7", 6), true);
+        assertThat(mSpread.reports().get(0).leaving()).isTrue();
+    }
+
     @Test
     void whatIsRememberedOfAnEarlierIncarnationIsNotOfTheLater() throws Exception {
         mSpread.onReport(report("a#5", 50), true);
