Departures of targets are told with their age, and forgotten in time

What users would see: tables that grow by each target that was ever replaced, told anew to all entries and control processes every 5 s. Found by reading, looking for where a leave is kept. Cause: each telling counted as the time of the departure, so that two processes kept it alive between them for good, and entries never forgot one. Change: a departure is told with its age, counts from its first telling and is forgotten after 120 s, at entries, too. What is kept of it is a record with the sequence up to which reports don't count, without one for good. Why it holds: no telling moves its time, so that all forget it 120 s after it was told first, by their own clocks.

TargetRegistryTest.departureThatIsToldAnewIsForgottenInTime fails on the code before (trial on a scratch copy) and passes now, with TargetSpreadTest.departureIsToldWithItsAge; decoder fuzz, OddNewsTest and RestartMemory tests pass.

--- /dev/null
+++ b/quilldyke-core/src/main/java/org/quilldyke/engine/Departures.java
@@ -0,0 +1,55 @@
+/*
+ * Copyright 2026 The quilldyke authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.quilldyke.engine;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/** Which targets have left, for as long as late words of them may come. */
+final class Departures {
+    private final Map<String, Departure> mByTarget = new HashMap<>();
+
+    /** Takes a departure; returns whether it is news. */
+    boolean add(Departure departure) {
+        Departure known = mByTarget.get(departure.target());
+        boolean news = known == null || known.sequence() < departure.sequence();
+        if (news) {
+            mByTarget.put(departure.target(), departure);
+        }
+        return news;
+    }
+
+    /** Returns whether a report was made before its sender left. */
+    boolean cover(TargetReport report) {
+        Departure known = mByTarget.get(report.id());
+        return known != null && report.sequence() <= known.sequence();
+    }
+
+    void expire(long keptMillis, long now) {
+        mByTarget.values().removeIf(departure -> now - departure.at() > keptMillis);
+    }
+
+    Optional<Departure> of(String target) {
+        return Optional.ofNullable(mByTarget.get(target));
+    }
+
+    Collection<Departure> all() {
+        return List.copyOf(mByTarget.values());
+    }
+}
--- a/quilldyke-core/src/main/java/org/quilldyke/engine/TargetRegistry.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/engine/TargetRegistry.java
@@ -37,7 +37,7 @@
     static final long GONE_KEPT_MILLIS = 120_000;
 
     private final Map<String, Entry> mEntries = new HashMap<>();
-    private final Map<String, Long> mGone = new HashMap<>();
+    private final Departures mDepartures = new Departures();
     private final Suspensions mSuspensions = new Suspensions();
     private final Map<String, Displaced> mDisplaced = new HashMap<>();
     private final Map<String, Lapsed> mLapsed = new HashMap<>();
@@ -69,7 +69,7 @@
     public boolean onReport(TargetReport told, long heardAt) {
         TargetReport report =
                 mSuspensions.covers(told.incarnation(), heardAt) ? told.asLeaving() : told;
-        if (mGone.containsKey(report.id()) || mLatest.isPast(report.incarnation())) {
+        if (mDepartures.cover(report) || mLatest.isPast(report.incarnation())) {
             return false;
         }
         Entry known = mEntries.get(report.id());
@@ -250,10 +250,17 @@
 
     /** Notes that a target is gone for good; returns whether that is news. */
     public boolean onGone(String id, long now) {
-        boolean news = !mGone.containsKey(id);
-        mGone.put(id, now);
-        mEntries.remove(id);
-        endEarlier(Incarnation.ofKey(id));
+        return onDeparture(Departure.forGood(id, now));
+    }
+
+    /** Notes that a target has left; returns whether that is news. */
+    public boolean onDeparture(Departure departure) {
+        boolean news = mDepartures.add(departure);
+        Entry known = mEntries.get(departure.target());
+        if (known != null && mDepartures.cover(known.mReport)) {
+            mEntries.remove(departure.target());
+        }
+        endEarlier(Incarnation.ofKey(departure.target()));
         return news;
     }
 
@@ -264,16 +271,13 @@
 
     /** Returns the targets that were not heard for {@code silentMillis}, and forgets them. */
     public List<TargetReport> lapse(long silentMillis, long now) {
-        mGone.values().removeIf(at -> now - at > GONE_KEPT_MILLIS);
-        mDisplaced.values().removeIf(known -> now - known.mAt > GONE_KEPT_MILLIS);
-        mSuspensions.expire(now);
+        forgetOld(now);
         List<TargetReport> lapsed = new ArrayList<>();
         for (Entry entry : mEntries.values()) {
             if (now - entry.mHeardAt > silentMillis) {
                 lapsed.add(entry.mReport);
             }
         }
-        mLapsed.values().removeIf(known -> now - known.at() > GONE_KEPT_MILLIS);
         for (TargetReport report : lapsed) {
             mEntries.remove(report.id());
             mLapsed.put(report.id(), new Lapsed(report.address(), now));
@@ -281,6 +285,14 @@
         return lapsed;
     }
 
+    /** Forgets what is only known to tell late words from others. */
+    public void forgetOld(long now) {
+        mDepartures.expire(GONE_KEPT_MILLIS, now);
+        mDisplaced.values().removeIf(known -> now - known.mAt > GONE_KEPT_MILLIS);
+        mLapsed.values().removeIf(known -> now - known.at() > GONE_KEPT_MILLIS);
+        mSuspensions.expire(now);
+    }
+
     /** Forgets the targets that are only remembered; returns their ids. */
     public List<String> forgetRemembered() {
         List<String> ids =
@@ -325,9 +337,14 @@
         return mEntries.values().stream().map(entry -> entry.mReport).toList();
     }
 
-    /** Returns the ids of the targets that are gone for good. */
-    public Collection<String> gone() {
-        return List.copyOf(mGone.keySet());
+    /** Returns the targets that have left. */
+    public Collection<Departure> departures() {
+        return mDepartures.all();
+    }
+
+    /** Returns what is known of a target's departure. */
+    public Optional<Departure> departure(String target) {
+        return mDepartures.of(target);
     }
 
     /** Where a target was that fell silent. */
--- a/quilldyke-core/src/test/java/org/quilldyke/engine/TargetRegistryTest.java
+++ b/quilldyke-core/src/test/java/org/quilldyke/engine/TargetRegistryTest.java
@@ -51,7 +51,28 @@
 
         assertThat(mRegistry.onReport(report("a", "1:1", 9, false), 20)).isFalse();
         assertThat(mRegistry.reports()).isEmpty();
-        assertThat(mRegistry.gone()).containsExactly("a");
+        assertThat(mRegistry.departures()).containsExactly(Departure.forGood("a", 10));
+    }
+
+    /**
+     * What is kept of targets that have left grew with each that left, at all instances and for
+     * good.
+     *
+     * <p>What users would see: tables that grow by each target that was ever replaced, told anew
+     * every 5 s. The cause: each telling counted as the time of the departure, so that two
+     * processes kept it alive between them. The evidence: this test on the code before.
+     */
+    @Test
+    void departureThatIsToldAnewIsForgottenInTime() {
+        mRegistry.onGone("a", 0);
+        long told = TargetRegistry.GONE_KEPT_MILLIS / 2;
+
+        assertThat(mRegistry.onDeparture(Departure.forGood("a", told))).isFalse();
+
+        mRegistry.forgetOld(TargetRegistry.GONE_KEPT_MILLIS);
+        assertThat(mRegistry.departures()).hasSize(1);
+        mRegistry.forgetOld(TargetRegistry.GONE_KEPT_MILLIS + 1);
+        assertThat(mRegistry.departures()).isEmpty();
     }
 
     @Test
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/EntrySubscriber.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/EntrySubscriber.java
@@ -192,13 +192,14 @@
 
     private void onTargets(Targets targets, String control) {
         long now = mClock.getAsLong();
+        mRegistry.forgetOld(now);
         for (Target target : targets.getTargetsList()) {
             String id = target.getId();
             switch (target.getStanding()) {
                 case GONE -> {
-                    if (mRegistry.onGone(id, now)) {
+                    if (mRegistry.onDeparture(TargetFrames.decodeDeparture(target, now))) {
                         mLog.write(Event.TARGET_CHANGED, "target", id, "gone", true, "by", control);
-                        mEntry.loop().execute(() -> mEntry.onTargetLost(id, false));
+                        onLeft(id);
                     }
                     endEarlier();
                 }
@@ -228,6 +229,13 @@
         }
     }
 
+    /** A target that has reported itself since the word that it leaves stays. */
+    private void onLeft(String id) {
+        if (mRegistry.report(id).isEmpty()) {
+            mEntry.loop().execute(() -> mEntry.onTargetLost(id, false));
+        }
+    }
+
     /** A target that has lapsed is kept while it answers, and suspended nevertheless. */
     private void onSuspended(String id) {
         Optional<TargetReport> report = mRegistry.report(id);
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/TargetSpread.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/TargetSpread.java
@@ -28,6 +28,7 @@
 import org.quilldyke.ResultCode;
 import org.quilldyke.daemon.log.Event;
 import org.quilldyke.daemon.log.EventLog;
+import org.quilldyke.engine.Departure;
 import org.quilldyke.engine.Incarnation;
 import org.quilldyke.engine.Leave;
 import org.quilldyke.engine.Suspension;
@@ -235,7 +236,8 @@
         for (Target target : targets.getTargetsList()) {
             boolean isNews =
                     switch (target.getStanding()) {
-                        case GONE -> mRegistry.onGone(target.getId(), now);
+                        case GONE ->
+                                mRegistry.onDeparture(TargetFrames.decodeDeparture(target, now));
                         case LAPSED -> false;
                         case SUSPENDED -> mRegistry.onSuspended(decode(target, now));
                         default -> isNews(target, now);
@@ -317,8 +319,8 @@
                 all.addTargets(TargetFrames.encode(report, now - heardAt(report)));
             }
         }
-        for (String id : mRegistry.gone()) {
-            all.addTargets(TargetFrames.encode(id, Target.Standing.GONE));
+        for (Departure departure : mRegistry.departures()) {
+            all.addTargets(TargetFrames.encode(departure, now - departure.at()));
         }
         for (Suspension suspension : mRegistry.suspensions()) {
             all.addTargets(TargetFrames.encode(suspension, now - suspension.at()));
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/instance/TargetFrames.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/instance/TargetFrames.java
@@ -18,6 +18,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import org.quilldyke.QuilldykeException;
+import org.quilldyke.engine.Departure;
 import org.quilldyke.engine.ReportRules;
 import org.quilldyke.engine.Suspension;
 import org.quilldyke.engine.TargetReport;
@@ -52,6 +53,25 @@
         return out.build();
     }
 
+    /** Returns the form of a departure that was told {@code ageMillis} ago. */
+    public static Target encode(Departure departure, long ageMillis) {
+        Target.Builder out =
+                Target.newBuilder()
+                        .setId(departure.target())
+                        .setStanding(Target.Standing.GONE)
+                        .setAgeMs(Math.max(0, ageMillis));
+        if (departure.sequence() != Departure.FOR_GOOD) {
+            out.setSequence(departure.sequence());
+        }
+        return out.build();
+    }
+
+    /** Returns the departure that was told, without a sequence for good. */
+    public static Departure decodeDeparture(Target gone, long now) {
+        long sequence = gone.getSequence() == 0 ? Departure.FOR_GOOD : gone.getSequence();
+        return new Departure(gone.getId(), sequence, now - gone.getAgeMs());
+    }
+
     /** Returns the form of a suspension that began {@code ageMillis} ago. */
     public static Target encode(Suspension suspension, long ageMillis) {
         return Target.newBuilder()
--- a/quilldyke-gateway/src/test/java/org/quilldyke/gateway/control/TargetSpreadTest.java
+++ b/quilldyke-gateway/src/test/java/org/quilldyke/gateway/control/TargetSpreadTest.java
@@ -388,6 +388,25 @@
                 .contains(Target.Standing.SUSPENDED);
     }
 
+    /** Two processes that told each other kept a departure for good. */
+    @Test
+    void departureIsToldWithItsAge() throws Exception {
+        mSpread.onReport(report("a#7", 5), true);
+        mSpread.onLeave("a#7");
+        mNow = 70_000;
+        mSpread.onTargets(mSpread.heard());
+        mNow = 119_000;
+        Target told = mSpread.heard().getTargets(0);
+        assertThat(told.getStanding()).isEqualTo(Target.Standing.GONE);
+        assertThat(told.getAgeMs()).isEqualTo(119_000);
+
+        for (mNow = 119_050; mNow <= 125_000; mNow += 50) {
+            mSpread.tick(true);
+        }
+
+        assertThat(mSpread.heard().getTargetsList()).isEmpty();
+    }
+
     /** The other way round: the process that is told of the leave knows the target. */
     @Test
     void leaveThatAnotherProcessCouldNotPlaceHoldsHere() throws Exception {
