A target that lapses after it said that it leaves has left

What callers saw: requests reached a target after its leaving was acknowledged and after it had lapsed. Cause: of a target that lapses only its address was kept. A ready report that it had made before it drained, and that came late, was that of a new target: ready at all control processes and entries until it lapsed again. Why it holds: what a target says after its last word has a higher sequence; a target that was only out of reach is back with its next report. Ruled out: to take it for gone for good (one that was cut off while it drained, or changed its mind, would be lost).

--- a/quilldyke-core/src/main/java/org/quilldyke/engine/TargetRegistry.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/engine/TargetRegistry.java
@@ -269,7 +269,10 @@
         return mEntries.remove(id) != null;
     }
 
-    /** Returns the targets that were not heard for {@code silentMillis}, and forgets them. */
+    /**
+     * Returns the targets that were not heard for {@code silentMillis}, and forgets them. Those
+     * that had said that they leave have left: a report from before must not bring them back.
+     */
     public List<TargetReport> lapse(long silentMillis, long now) {
         forgetOld(now);
         List<TargetReport> lapsed = new ArrayList<>();
@@ -281,6 +284,9 @@
         for (TargetReport report : lapsed) {
             mEntries.remove(report.id());
             mLapsed.put(report.id(), new Lapsed(report.address(), now));
+            if (report.leaving()) {
+                mDepartures.add(Departure.after(report, now));
+            }
         }
         return lapsed;
     }
--- a/quilldyke-core/src/test/java/org/quilldyke/engine/TargetRegistryTest.java
+++ b/quilldyke-core/src/test/java/org/quilldyke/engine/TargetRegistryTest.java
@@ -368,6 +368,49 @@
         assertThat(follower.reports().get(0).leaving()).isTrue();
     }
 
+    /**
+     * A target that had said that it leaves was ready again.
+     *
+     * <p>What users saw: requests reached a target after its leaving was acknowledged. The order of
+     * events: it says that it leaves, reports no more and lapses; a report from before, held up on
+     * its way, comes after that. The cause: of a target that lapses only its address was kept, so
+     * that the late report was that of a new target. The evidence: see LeavingTargetTest.
+     */
+    @Test
+    void targetThatLeftAndLapsedIsNotBackWithALateReport() {
+        mRegistry.onReport(report("a", "1:1", 11, true), 0);
+        assertThat(ids(mRegistry.lapse(500, 1000))).containsExactly("a");
+
+        assertThat(mRegistry.onReport(report("a", "1:1", 10, false), 1100)).isFalse();
+        assertThat(mRegistry.onReport(report("a", "1:1", 11, true), 1100)).isFalse();
+
+        assertThat(mRegistry.reports()).isEmpty();
+        assertThat(mRegistry.departures()).containsExactly(new Departure("a", 11, 1000));
+    }
+
+    /** It was out of reach for a while, or has changed its mind. */
+    @Test
+    void targetThatLeftAndLapsedIsBackWithALaterReport() {
+        mRegistry.onReport(report("a", "1:1", 11, true), 0);
+        mRegistry.lapse(500, 1000);
+
+        assertThat(mRegistry.onReport(report("a", "1:1", 12, true), 1100)).isTrue();
+
+        assertThat(mRegistry.reports().get(0).leaving()).isTrue();
+    }
+
+    /** Another process, which heard the target on, is told that it has lapsed elsewhere. */
+    @Test
+    void departureUpToASequenceLeavesALaterReport() {
+        mRegistry.onReport(report("a", "1:1", 15, true), 0);
+
+        mRegistry.onDeparture(new Departure("a", 11, 10));
+
+        assertThat(ids(mRegistry.reports())).containsExactly("a");
+        assertThat(mRegistry.onDeparture(Departure.forGood("a", 20))).isTrue();
+        assertThat(mRegistry.reports()).isEmpty();
+    }
+
     /** What another process has suspended is told with the sequence that is known already. */
     @Test
     void ofTwoReportsWithOneSequenceTheOneThatLeavesCounts() {
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/TargetSpread.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/TargetSpread.java
@@ -366,15 +366,33 @@
         if (now - mCompleteSince < mLapseMillis) {
             return;
         }
+        lapse(now);
+    }
+
+    private void lapse(long now) {
         Targets.Builder lapsed = Targets.newBuilder();
+        Targets.Builder left = Targets.newBuilder();
         for (TargetReport report : mRegistry.lapse(mLapseMillis, now)) {
-            mLog.write(Event.TARGET_LAPSED, "target", report.id(), "after", mLapseMillis);
+            mLog.write(
+                    Event.TARGET_LAPSED,
+                    "target",
+                    report.id(),
+                    "after",
+                    mLapseMillis,
+                    "leaving",
+                    report.leaving());
             lapsed.addTargets(TargetFrames.encode(report.id(), Target.Standing.LAPSED));
+            mRegistry
+                    .departure(report.id())
+                    .ifPresent(departure -> left.addTargets(TargetFrames.encode(departure, 0)));
             mToSave = true;
         }
         if (lapsed.getTargetsCount() > 0) {
             mEntries.accept(lapsed.build());
         }
+        if (left.getTargetsCount() > 0) {
+            tell(left.build());
+        }
     }
 
     private void forgetRemembered() {
--- a/quilldyke-gateway/src/test/java/org/quilldyke/gateway/control/TargetSpreadTest.java
+++ b/quilldyke-gateway/src/test/java/org/quilldyke/gateway/control/TargetSpreadTest.java
@@ -388,6 +388,21 @@
                 .contains(Target.Standing.SUSPENDED);
     }
 
+    @Test
+    void entriesAreToldThatATargetThatLapsedHasLeft() throws Exception {
+        mSpread.onReport(report(11, true), true);
+        mTold.clear();
+        for (mNow = 0; mNow <= 4000; mNow += 50) {
+            mSpread.tick(true);
+        }
+
+        List<Target.Standing> told = mTold.stream().map(Target::getStanding).toList();
+        assertThat(told).containsExactly(Target.Standing.LAPSED, Target.Standing.GONE).inOrder();
+        assertThat(mTold.get(1).getSequence()).isEqualTo(11);
+        mSpread.onReport(report(10, false), true);
+        assertThat(mSpread.reports()).isEmpty();
+    }
+
     /** Two processes that told each other kept a departure for good. */
     @Test
     void departureIsToldWithItsAge() throws Exception {
