A target says that it leaves, whoever has its address

What callers saw: requests reached a target after its leaving was acknowledged, for as long as it answered. Cause: the reports of a target whose address another one claims are dropped as late ones, its draining report with them; it got 200. Entries keep such a target while it answers. Change: a dropped report that its sender leaves makes it depart, with the sequence of the report, at all control processes and entries. Why it holds: late or not, the word takes requests away from its sender only, and from nobody else; the claim to the address is judged as before. Ruled out: not to acknowledge it (a target that leaves and can't be acknowledged ends all the same, some seconds later).

--- a/quilldyke-core/src/main/java/org/quilldyke/engine/TargetRegistry.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/engine/TargetRegistry.java
@@ -44,6 +44,7 @@
     private final LatestIncarnations mLatest = LatestIncarnations.create();
     private final List<String> mEnded = new ArrayList<>();
     private final List<String> mDropped = new ArrayList<>();
+    private final List<String> mLeft = new ArrayList<>();
     private final boolean mJudges;
 
     private TargetRegistry(boolean judges) {
@@ -78,6 +79,10 @@
             return false;
         }
         if (mJudges && isOfAnEndedTarget(report.id(), heardAt)) {
+            if (report.leaving() && mDepartures.add(Departure.after(report, heardAt))) {
+                // Whoever has the address, and whether it still answers: it asks for no more.
+                mLeft.add(report.id());
+            }
             return false;
         }
         boolean succeeds = endEarlier(report.incarnation());
@@ -284,8 +289,8 @@
         for (TargetReport report : lapsed) {
             mEntries.remove(report.id());
             mLapsed.put(report.id(), new Lapsed(report.address(), now));
-            if (report.leaving()) {
-                mDepartures.add(Departure.after(report, now));
+            if (report.leaving() && mDepartures.add(Departure.after(report, now))) {
+                mLeft.add(report.id());
             }
         }
         return lapsed;
@@ -348,9 +353,14 @@
         return mDepartures.all();
     }
 
-    /** Returns what is known of a target's departure. */
-    public Optional<Departure> departure(String target) {
-        return mDepartures.of(target);
+    /**
+     * Returns the departures since this was asked last of targets that didn't say that they are
+     * gone.
+     */
+    public List<Departure> takeLeft() {
+        List<Departure> left = mLeft.stream().flatMap(id -> mDepartures.of(id).stream()).toList();
+        mLeft.clear();
+        return left;
     }
 
     /** Where a target was that fell silent. */
--- a/quilldyke-core/src/test/java/org/quilldyke/engine/TargetRegistryTest.java
+++ b/quilldyke-core/src/test/java/org/quilldyke/engine/TargetRegistryTest.java
@@ -388,6 +388,27 @@
         assertThat(mRegistry.departures()).containsExactly(new Departure("a", 11, 1000));
     }
 
+    /**
+     * A report that its sender leaves was dropped, and acknowledged.
+     *
+     * <p>What users saw: requests reached a target after its leaving was acknowledged, as long as
+     * it answered. The order of events: another target claims its address; its own reports are
+     * dropped as late ones of a target that has ended; it says that it leaves. The cause: that was
+     * dropped as well, and entries keep a target that still answers. The evidence: see
+     * LeavingTargetTest.
+     */
+    @Test
+    void targetWhoseAddressAnotherOneHasLeavesWhenItSaysSo() {
+        mRegistry.onReport(report("a", "1:1", 50, false), 0);
+        mRegistry.onReport(report("b", "1:1", 1, false), 10);
+
+        mRegistry.onReport(report("a", "1:1", 51, true), 20);
+
+        assertThat(mRegistry.takeLeft()).containsExactly(new Departure("a", 51, 20));
+        assertThat(mRegistry.takeLeft()).isEmpty();
+        assertThat(ids(mRegistry.reports())).containsExactly("b");
+    }
+
     /** It was out of reach for a while, or has changed its mind. */
     @Test
     void targetThatLeftAndLapsedIsBackWithALaterReport() {
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/TargetSpread.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/TargetSpread.java
@@ -299,6 +299,22 @@
         for (String id : mRegistry.takeDropped()) {
             mLog.write(Event.TARGET_CHANGED, "target", id, "displaced", true);
         }
+        Targets.Builder left = Targets.newBuilder();
+        for (Departure departure : mRegistry.takeLeft()) {
+            mLog.write(
+                    Event.TARGET_LEAVES,
+                    "target",
+                    departure.target(),
+                    "became",
+                    "left",
+                    "sequence",
+                    departure.sequence());
+            left.addTargets(TargetFrames.encode(departure, 0));
+            mToSave = true;
+        }
+        if (left.getTargetsCount() > 0) {
+            tell(left.build());
+        }
     }
 
     /** Returns all that is known, for entries. */
@@ -371,7 +387,6 @@
 
     private void lapse(long now) {
         Targets.Builder lapsed = Targets.newBuilder();
-        Targets.Builder left = Targets.newBuilder();
         for (TargetReport report : mRegistry.lapse(mLapseMillis, now)) {
             mLog.write(
                     Event.TARGET_LAPSED,
@@ -382,17 +397,12 @@
                     "leaving",
                     report.leaving());
             lapsed.addTargets(TargetFrames.encode(report.id(), Target.Standing.LAPSED));
-            mRegistry
-                    .departure(report.id())
-                    .ifPresent(departure -> left.addTargets(TargetFrames.encode(departure, 0)));
             mToSave = true;
         }
         if (lapsed.getTargetsCount() > 0) {
             mEntries.accept(lapsed.build());
         }
-        if (left.getTargetsCount() > 0) {
-            tell(left.build());
-        }
+        noteEnded();
     }
 
     private void forgetRemembered() {
