Who has left, or may have, is remembered over a restart

What callers saw: requests reached a target after its leave was acknowledged, when all processes had started anew and a report from before the leave came late. Cause: departures were kept in memory only, and what was remembered of a draining target had no sequence. Entries held them, but handed none to a control process that starts anew, and start anew themselves. Change: departures, suspensions and the sequences of draining targets are stored with the remembered targets, each with its age, and an entry's first word on a stream holds what it knows of them.

--- a/quilldyke-core/src/main/java/org/quilldyke/engine/Departure.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/engine/Departure.java
@@ -32,7 +32,7 @@
     }
 
     /** Returns the end of a target that said it leaves and wasn't heard since. */
-    static Departure after(TargetReport last, long at) {
+    public static Departure after(TargetReport last, long at) {
         return new Departure(last.id(), last.sequence(), at);
     }
 }
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/EntrySubscriber.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/EntrySubscriber.java
@@ -22,7 +22,6 @@
 import org.quilldyke.QuilldykeException;
 import org.quilldyke.daemon.log.Event;
 import org.quilldyke.daemon.log.EventLog;
-import org.quilldyke.engine.Suspension;
 import org.quilldyke.engine.TargetRegistry;
 import org.quilldyke.engine.TargetReport;
 import org.quilldyke.gateway.caller.Entry;
@@ -106,6 +105,8 @@
                 known.addTargets(TargetFrames.encode(report, now - mRegistry.heardAt(report.id())));
             }
         }
+        // A control process that has lost its memory may hear a late report of who has left.
+        known.addAllTargets(TargetFrames.encodeLeaves(mRegistry, now));
         return Hello.newBuilder()
                 .setEntry(mInstance)
                 .setHeldIndex(mHeldIndex)
@@ -210,8 +211,7 @@
                     }
                 }
                 case SUSPENDED -> {
-                    Suspension suspension = new Suspension(id, now - target.getAgeMs());
-                    if (mRegistry.onSuspended(suspension)) {
+                    if (mRegistry.onSuspended(TargetFrames.decodeSuspension(target, now))) {
                         mLog.write(
                                 Event.TARGET_CHANGED,
                                 "target",
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/RestartMemory.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/RestartMemory.java
@@ -53,6 +53,7 @@
 final class RestartMemory {
     private static final String TARGETS = "targets";
     private static final String CACHES = "caches";
+    private static final String LEAVES = "leaves";
 
     private final DataFolder mFolder;
     private final DiskQueue mDisk;
@@ -100,6 +101,11 @@
         return reports;
     }
 
+    /** Returns what was stored last of targets that leave. */
+    List<Target> leaves() {
+        return load(LEAVES, Targets.parser(), Targets.getDefaultInstance()).getTargetsList();
+    }
+
     /** Returns what was stored of caches last. */
     List<CacheNews> caches() {
         return load(CACHES, Caches.parser(), Caches.getDefaultInstance()).getCachesList();
@@ -111,6 +117,11 @@
         return save(TARGETS, Targets.newBuilder().addAllTargets(targets).build());
     }
 
+    /** Stores what is known of targets that leave; returns as {@link #saveTargets}. */
+    boolean saveLeaves(List<Target> leaves) {
+        return save(LEAVES, Targets.newBuilder().addAllTargets(leaves).build());
+    }
+
     /** Stores what caches keep; returns as {@link #saveTargets}. */
     boolean saveCaches(List<CacheNews> whole) {
         return save(CACHES, Caches.newBuilder().addAllCaches(whole).build());
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/TargetSpread.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/TargetSpread.java
@@ -108,6 +108,7 @@
         mRefreshedAt = mCompleteSince;
         long remembered = Math.round(reportMillis * REMEMBERED_REPORTS);
         mForgetAt = mCompleteSince + Math.max(MIN_REMEMBERED_MILLIS, remembered);
+        memory.leaves().forEach(leave -> onLeaveTold(leave, mCompleteSince));
         memory.targets().forEach(report -> mRegistry.onReport(report, mCompleteSince));
     }
 
@@ -236,10 +237,8 @@
         for (Target target : targets.getTargetsList()) {
             boolean isNews =
                     switch (target.getStanding()) {
-                        case GONE ->
-                                mRegistry.onDeparture(TargetFrames.decodeDeparture(target, now));
+                        case GONE, SUSPENDED -> onLeaveTold(target, now);
                         case LAPSED -> false;
-                        case SUSPENDED -> mRegistry.onSuspended(decode(target, now));
                         default -> isNews(target, now);
                     };
             if (isNews) {
@@ -270,8 +269,10 @@
         return mRegistry.heardAt(report.id());
     }
 
-    private static Suspension decode(Target target, long now) {
-        return new Suspension(target.getId(), now - target.getAgeMs());
+    private boolean onLeaveTold(Target target, long now) {
+        return target.getStanding() == Target.Standing.SUSPENDED
+                ? mRegistry.onSuspended(TargetFrames.decodeSuspension(target, now))
+                : mRegistry.onDeparture(TargetFrames.decodeDeparture(target, now));
     }
 
     /**
@@ -335,13 +336,7 @@
                 all.addTargets(TargetFrames.encode(report, now - heardAt(report)));
             }
         }
-        for (Departure departure : mRegistry.departures()) {
-            all.addTargets(TargetFrames.encode(departure, now - departure.at()));
-        }
-        for (Suspension suspension : mRegistry.suspensions()) {
-            all.addTargets(TargetFrames.encode(suspension, now - suspension.at()));
-        }
-        return all.build();
+        return all.addAllTargets(TargetFrames.encodeLeaves(mRegistry, now)).build();
     }
 
     /** Returns the last report of each target. */
@@ -374,7 +369,7 @@
             forgetRemembered();
         }
         if (mToSave) {
-            mToSave = !mMemory.saveTargets(mRegistry.reports());
+            mToSave = !save(now);
         }
         if (!inTouch) {
             mCompleteSince = now;
@@ -385,6 +380,21 @@
         lapse(now);
     }
 
+    /**
+     * What is remembered of a target has no sequence, so that of one that is leaving the departure
+     * is stored besides.
+     */
+    private boolean save(long now) {
+        List<Target> leaves = new ArrayList<>(TargetFrames.encodeLeaves(mRegistry, now));
+        for (TargetReport report : mRegistry.reports()) {
+            if (report.leaving() && !report.isRemembered()) {
+                leaves.add(TargetFrames.encode(Departure.after(report, now), 0));
+            }
+        }
+        boolean leavesTaken = mMemory.saveLeaves(leaves);
+        return mMemory.saveTargets(mRegistry.reports()) && leavesTaken;
+    }
+
     private void lapse(long now) {
         Targets.Builder lapsed = Targets.newBuilder();
         for (TargetReport report : mRegistry.lapse(mLapseMillis, now)) {
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/instance/TargetFrames.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/instance/TargetFrames.java
@@ -15,12 +15,15 @@
  */
 package org.quilldyke.gateway.instance;
 
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import org.quilldyke.QuilldykeException;
 import org.quilldyke.engine.Departure;
 import org.quilldyke.engine.ReportRules;
 import org.quilldyke.engine.Suspension;
+import org.quilldyke.engine.TargetRegistry;
 import org.quilldyke.engine.TargetReport;
 import org.quilldyke.gateway.instance.proto.ModelWeights;
 import org.quilldyke.gateway.instance.proto.Target;
@@ -72,6 +75,18 @@
         return new Departure(gone.getId(), sequence, now - gone.getAgeMs());
     }
 
+    /** Returns the form of all that a registry knows of targets that leave, or may have left. */
+    public static List<Target> encodeLeaves(TargetRegistry registry, long now) {
+        List<Target> leaves = new ArrayList<>();
+        for (Departure departure : registry.departures()) {
+            leaves.add(encode(departure, now - departure.at()));
+        }
+        for (Suspension suspension : registry.suspensions()) {
+            leaves.add(encode(suspension, now - suspension.at()));
+        }
+        return leaves;
+    }
+
     /** Returns the form of a suspension that began {@code ageMillis} ago. */
     public static Target encode(Suspension suspension, long ageMillis) {
         return Target.newBuilder()
@@ -81,6 +96,11 @@
                 .build();
     }
 
+    /** Returns the suspension that was told. */
+    public static Suspension decodeSuspension(Target suspended, long now) {
+        return new Suspension(suspended.getId(), now - suspended.getAgeMs());
+    }
+
     /** Returns the form of the news that a target is gone or was silent for too long. */
     public static Target encode(String id, Target.Standing standing) {
         return Target.newBuilder().setId(id).setStanding(standing).build();
