That a target leaves is acknowledged once as many others know it as may be lost

What callers saw: requests at a target after its leave was acknowledged. Cause: an acknowledgement told that the process had heard a leader within 1.5 s. It waited for nobody, and news that didn't arrive were told again every 5 s only, more than a target's drain time. Whoever is told of a leave tells it on to all control processes, once. Ruled out: to put leaves into the replicated log (a majority's sync for each, and none while there is no leader); to wait for all (one that is silent would hold up each acknowledgement by 1.2 s). Cost: a leave makes, of k control processes, k - 1 numbered frames, as many answers, and k - 1 frames from each of the k - 1 others; entries are told as before.

--- a/quilldyke-core/src/main/java/org/quilldyke/engine/TargetRegistry.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/engine/TargetRegistry.java
@@ -353,6 +353,11 @@
         return mDepartures.all();
     }
 
+    /** Returns the departure of a target, if it has left. */
+    public Optional<Departure> departure(String target) {
+        return mDepartures.of(target);
+    }
+
     /**
      * Returns the departures since this was asked last of targets that didn't say that they are
      * gone.
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/ControlNode.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/ControlNode.java
@@ -47,6 +47,7 @@
 import org.quilldyke.gateway.instance.proto.ControlFrame;
 import org.quilldyke.gateway.instance.proto.Loading;
 import org.quilldyke.gateway.instance.proto.PeerFrame;
+import org.quilldyke.gateway.instance.proto.Targets;
 import org.quilldyke.gateway.settings.GatewaySettings;
 import org.quilldyke.manifest.FleetCommand;
 import org.quilldyke.manifest.FleetResult;
@@ -82,6 +83,7 @@
     private final Confirmations mConfirmations;
     private final Proposals mProposals;
     private final RestartMemory mMemory;
+    private final Deliveries mDeliveries;
     private final TargetSpread mTargets;
     private final MembershipKeeper mMembership;
     private final WeightsKeeper mWeights;
@@ -136,6 +138,7 @@
         mGroup.onNode(node);
         mConfirmations = new Confirmations(mGroup, mPeers, clock);
         mProposals = new Proposals(mGroup, mPeers, loop, clock);
+        mDeliveries = new Deliveries(mPeers::sendToAll, clock, settings.toleratedLosses());
         mTargets = spread(settings.timings().targetReport(), refused);
         mEntries.connect(mConfirmations::ask, mTargets);
         mMembership =
@@ -159,7 +162,14 @@
 
     private TargetSpread spread(long reportMillis, RefusedNews refused) {
         return new TargetSpread(
-                mPeers, mEntries::onTargets, mClock, mLog, mMemory, refused, reportMillis);
+                mPeers::sendToAll,
+                mDeliveries,
+                mEntries::onTargets,
+                mClock,
+                mLog,
+                mMemory,
+                refused,
+                reportMillis);
     }
 
     /**
@@ -289,20 +299,20 @@
     }
 
     /**
-     * Takes a target's report; returns whether this process is in touch with the others.
+     * Takes a target's report; returns whether it may be acknowledged: this process is in touch
+     * with the others, and they hold as much of it as must not be lost.
      *
      * @throws QuilldykeException {@link ResultCode#REPORT_SERVICE} if no service has its name,
      *     {@link ResultCode#REPORT_INVALID} if it says nothing of weights that the target holds
      */
-    public boolean onReport(ControlCall.Report call) throws QuilldykeException {
-        mTargets.onReport(call.report(), call.tellsWeights());
-        return isInTouch();
+    public CompletableFuture<Boolean> onReport(ControlCall.Report call) throws QuilldykeException {
+        return mTargets.onReport(call.report(), call.tellsWeights())
+                .thenApply(taken -> taken && isInTouch());
     }
 
-    /** Takes the news that a target is gone; returns whether this process is in touch. */
-    public boolean onLeave(String target) {
-        mTargets.onLeave(target);
-        return isInTouch();
+    /** Takes the news that a target is gone; returns whether it may be acknowledged. */
+    public CompletableFuture<Boolean> onLeave(String target) {
+        return mTargets.onLeave(target).thenApply(taken -> taken && isInTouch());
     }
 
     /** Returns whether a leader was heard lately. */
@@ -324,7 +334,8 @@
             case RESULT -> mProposals.onResult(frame.getResult());
             case CONFIRM -> mConfirmations.onConfirm(frame.getAddress(), frame.getConfirm());
             case CONFIRMED -> mConfirmations.onConfirmed(frame.getConfirmed());
-            case TARGETS -> mTargets.onTargets(frame.getTargets());
+            case TARGETS -> onTargets(frame.getAddress(), frame.getTargets());
+            case TAKEN -> mDeliveries.onTaken(frame.getAddress(), frame.getTaken().getNumber());
             case LOADING -> onLoading(frame.getLoading());
             case LOADS -> mEntries.onLoads(frame.getAddress(), frame.getLoads());
             case CACHES -> mEntries.onCaches(frame.getCaches().getCachesList());
@@ -359,6 +370,13 @@
                 membership.standbys().stream().map(Membership.Member::id).toList());
     }
 
+    private void onTargets(String from, Targets targets) {
+        mTargets.onTargets(targets);
+        if (targets.getNumber() != 0) {
+            mPeers.send(from, Deliveries.taken(targets.getNumber()));
+        }
+    }
+
     private void onReplica(PeerFrame frame) {
         if (!frame.getReplica().getTo().equals(mGroup.selfId())) {
             return;
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/TargetSpread.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/TargetSpread.java
@@ -21,6 +21,7 @@
 import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.function.Predicate;
@@ -35,7 +36,6 @@
 import org.quilldyke.engine.TargetRegistry;
 import org.quilldyke.engine.TargetReport;
 import org.quilldyke.gateway.engine.RefusedNews;
-import org.quilldyke.gateway.instance.Peers;
 import org.quilldyke.gateway.instance.TargetFrames;
 import org.quilldyke.gateway.instance.proto.Alive;
 import org.quilldyke.gateway.instance.proto.PeerFrame;
@@ -69,12 +69,16 @@
      */
     private static final double REMEMBERED_REPORTS = 1.5;
 
+    private static final CompletableFuture<Boolean> TAKEN = CompletableFuture.completedFuture(true);
+
     /** A start takes as long at the least until targets can report themselves. */
     private static final long MIN_REMEMBERED_MILLIS = 1500;
 
     private final TargetRegistry mRegistry = TargetRegistry.create();
     private final Set<String> mHeardHere = new HashSet<>();
-    private final Peers mPeers;
+    private final Consumer<PeerFrame.Builder> mPeers;
+    private final Deliveries mDeliveries;
+    private final Set<String> mDelivered = new HashSet<>();
     private final Consumer<Targets> mEntries;
     private final LongSupplier mClock;
     private final EventLog mLog;
@@ -89,7 +93,8 @@
     private Optional<Set<String>> mServices = Optional.empty();
 
     TargetSpread(
-            Peers peers,
+            Consumer<PeerFrame.Builder> peers,
+            Deliveries deliveries,
             Consumer<Targets> entries,
             LongSupplier clock,
             EventLog log,
@@ -97,6 +102,7 @@
             RefusedNews refused,
             long reportMillis) {
         mPeers = peers;
+        mDeliveries = deliveries;
         mEntries = entries;
         mClock = clock;
         mLog = log;
@@ -125,11 +131,13 @@
      *
      * @param report what the target says
      * @param tellsWeights whether it says which weights it holds, be it none
+     * @return whether it may be acknowledged: that a target leaves has to be known elsewhere, too
      * @throws QuilldykeException {@link ResultCode#REPORT_SERVICE} if no service has its name; a
      *     target that was known with it before goes on to live. {@link ResultCode#REPORT_INVALID}
      *     if it says nothing of weights that the target is known to hold
      */
-    void onReport(TargetReport report, boolean tellsWeights) throws QuilldykeException {
+    CompletableFuture<Boolean> onReport(TargetReport report, boolean tellsWeights)
+            throws QuilldykeException {
         Optional<TargetReport> before = mRegistry.report(report.id());
         boolean holdsSome = before.map(known -> !known.weights().isEmpty()).orElse(false);
         if (holdsSome && !tellsWeights) {
@@ -140,6 +148,9 @@
         }
         long now = mClock.getAsLong();
         mHeardHere.add(report.id());
+        if (!report.leaving()) {
+            mDelivered.remove(report.id());
+        }
         boolean known = before.isPresent();
         if (mRegistry.onReport(report, now)) {
             TargetReport taken = mRegistry.report(report.id()).orElse(report);
@@ -164,6 +175,28 @@
             logIgnoredLeave(report.id());
         }
         noteEnded();
+        return report.leaving() ? deliverLeaving(report.id()) : TAKEN;
+    }
+
+    /** The reports of a target that is leaving come again and again; it is delivered once. */
+    private CompletableFuture<Boolean> deliverLeaving(String id) {
+        Targets.Builder leaving = Targets.newBuilder();
+        mRegistry
+                .report(id)
+                .filter(TargetReport::leaving)
+                .ifPresent(known -> leaving.addTargets(TargetFrames.encode(known, 0)));
+        mRegistry.departure(id).ifPresent(left -> leaving.addTargets(TargetFrames.encode(left, 0)));
+        if (mDelivered.contains(id) || leaving.getTargetsCount() == 0) {
+            return TAKEN;
+        }
+        return mDeliveries
+                .deliver(leaving.build())
+                .whenComplete(
+                        (taken, e) -> {
+                            if (taken) {
+                                mDelivered.add(id);
+                            }
+                        });
     }
 
     private boolean isTakenForLive(String id) {
@@ -208,16 +241,22 @@
                         .orElse(false);
     }
 
-    /** Takes the news that a target is gone, told here; without a birth, whoever has its id now. */
-    void onLeave(String told) {
+    /**
+     * Takes the news that a target is gone, told here; without a birth, whoever has its id now.
+     *
+     * @return whether it may be acknowledged
+     */
+    CompletableFuture<Boolean> onLeave(String told) {
         long now = mClock.getAsLong();
         Leave leave = mRegistry.onLeave(told, now);
         logLeave(told, leave);
+        Targets targets = Targets.newBuilder().addAllTargets(encode(leave, now)).build();
         if (leave.isNews()) {
             mToSave = true;
-            tell(Targets.newBuilder().addAllTargets(encode(leave, now)).build());
+            mEntries.accept(targets);
         }
         noteEnded();
+        return mDeliveries.deliver(targets);
     }
 
     private static List<Target> encode(Leave leave, long now) {
@@ -230,10 +269,14 @@
         };
     }
 
-    /** Takes what another instance knows; news go on to the entries here. */
+    /**
+     * Takes what another instance knows; news go on to the entries here. Those of targets that
+     * leave go on to all control processes: who told them may end before it has reached the others.
+     */
     void onTargets(Targets targets) {
         long now = mClock.getAsLong();
         Targets.Builder news = Targets.newBuilder();
+        Targets.Builder leaves = Targets.newBuilder();
         for (Target target : targets.getTargetsList()) {
             boolean isNews =
                     switch (target.getStanding()) {
@@ -244,6 +287,9 @@
             if (isNews) {
                 news.addTargets(known(target, now));
             }
+            if (isNews && isLeave(target)) {
+                leaves.addTargets(target);
+            }
         }
         noteEnded();
         for (Alive alive : targets.getAliveList()) {
@@ -253,6 +299,17 @@
             mToSave = true;
             mEntries.accept(news.build());
         }
+        if (leaves.getTargetsCount() > 0) {
+            mPeers.accept(PeerFrame.newBuilder().setTargets(leaves));
+        }
+    }
+
+    private static boolean isLeave(Target target) {
+        return switch (target.getStanding()) {
+            case GONE, SUSPENDED -> true;
+            case LIVE -> target.getLeaving();
+            default -> false;
+        };
     }
 
     /** Returns a live target as it is known here, where it may be suspended; others as told. */
@@ -357,6 +414,7 @@
      */
     void tick(boolean inTouch) {
         long now = mClock.getAsLong();
+        mDeliveries.expire();
         if (now - mToldAt >= ALIVE_MILLIS) {
             mToldAt = now;
             tellAlive(now);
@@ -396,6 +454,7 @@
     }
 
     private void lapse(long now) {
+        mDelivered.removeIf(id -> mRegistry.report(id).isEmpty());
         Targets.Builder lapsed = Targets.newBuilder();
         for (TargetReport report : mRegistry.lapse(mLapseMillis, now)) {
             mLog.write(
@@ -437,13 +496,13 @@
         }
         mHeardHere.clear();
         if (!alive.isEmpty()) {
-            mPeers.sendToAll(
+            mPeers.accept(
                     PeerFrame.newBuilder().setTargets(Targets.newBuilder().addAllAlive(alive)));
         }
     }
 
     private void tell(Targets news) {
-        mPeers.sendToAll(PeerFrame.newBuilder().setTargets(news));
+        mPeers.accept(PeerFrame.newBuilder().setTargets(news));
         mEntries.accept(news);
     }
 }
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/operator/ControlServer.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/operator/ControlServer.java
@@ -135,25 +135,28 @@
         } else if (call instanceof ControlCall.Report report) {
             return onControl(() -> onReport(report));
         } else if (call instanceof ControlCall.Leave leave) {
-            return onControl(() -> inTouch(mNode.onLeave(leave.target())));
+            return onControl(() -> acknowledged(mNode.onLeave(leave.target())));
         }
         return onControl(mNode::read);
     }
 
     private CompletableFuture<byte[]> onReport(ControlCall.Report report) {
         try {
-            return inTouch(mNode.onReport(report));
+            return acknowledged(mNode.onReport(report));
         } catch (QuilldykeException e) {
             return CompletableFuture.failedFuture(e);
         }
     }
 
     /** A process that is out of touch has taken the news, but another one shall hear them too. */
-    private static CompletableFuture<byte[]> inTouch(boolean inTouch) {
-        return inTouch
-                ? CompletableFuture.completedFuture(ok())
-                : CompletableFuture.failedFuture(
-                        QuilldykeException.notRun(ResultCode.NO_LEADER, "out of touch"));
+    private static CompletableFuture<byte[]> acknowledged(CompletableFuture<Boolean> mayBe) {
+        return mayBe.thenCompose(
+                taken ->
+                        taken
+                                ? CompletableFuture.completedFuture(ok())
+                                : CompletableFuture.failedFuture(
+                                        QuilldykeException.notRun(
+                                                ResultCode.NO_LEADER, "out of touch")));
     }
 
     private CompletableFuture<byte[]> onControl(Task task) {
