--- a/quilldyke-gateway/src/test/java/org/quilldyke/gateway/control/LeavesSpreadTest.java
+++ b/quilldyke-gateway/src/test/java/org/quilldyke/gateway/control/LeavesSpreadTest.java
@@ -23,11 +23,17 @@
 import org.quilldyke.engine.Departure;
 import org.quilldyke.engine.Suspension;
 import org.quilldyke.gateway.instance.TargetFrames;
+import org.quilldyke.gateway.instance.proto.PeerFrame;
 import org.quilldyke.gateway.instance.proto.Target;
 import org.quilldyke.gateway.instance.proto.Targets;
 
 /** What a control process makes of the word that a target leaves, and tells others of it. */
 class LeavesSpreadTest extends SpreadFixture {
+    private static final double LEAVES_PER_SECOND = 4700 / 600.0;
+
+    /** What an instance may spend for control in all. */
+    private static final double CONTROL_BYTES_PER_SECOND = 9000;
+
     @Test
     void targetThatHasLeftIsNotRemembered() throws Exception {
         mSpread.onReport(report(7, false), true);
@@ -222,6 +228,38 @@
                 .containsExactly("a", "b", "c");
     }
 
+    /**
+     * Of eight control processes each hears of a leave once from the one that took it, and once
+     * from each other; 4,700 targets that are all replaced within 10 minutes make 8 leaves a
+     * second.
+     */
+    @Test
+    void leavesOfALargeFleetCostAProcessLittle() throws Exception {
+        mSpread.onReport(report("i-0123456789abcdef#1780000000000", 5), true);
+        mToldPeers.clear();
+
+        mSpread.onLeave("i-0123456789abcdef#1780000000000");
+
+        assertThat(mToldPeers).hasSize(1);
+        Targets told = mToldPeers.get(0);
+        int frame =
+                PeerFrame.newBuilder()
+                        .setAddress("10.128.3.23:21418")
+                        .setTargets(told)
+                        .build()
+                        .getSerializedSize();
+        int answer =
+                Deliveries.taken(told.getNumber())
+                        .setAddress("10.128.3.23:21418")
+                        .build()
+                        .getSerializedSize();
+        double heard = LEAVES_PER_SECOND * (7 * frame + answer);
+        System.out.printf(
+                "a leave: frame %d B, answer %d B; heard by a process of eight: %.0f B/s%n",
+                frame, answer, heard);
+        assertThat(heard).isLessThan(CONTROL_BYTES_PER_SECOND);
+    }
+
     /** Two processes that told each other kept a departure for good. */
     @Test
     void departureIsToldWithItsAge() throws Exception {
