A leave that couldn't be placed is told as such when it comes again

What callers would see: requests at a target after its leave was acknowledged at the second try. Found by reading the diff. Cause: the second time the plain id was known to be gone, and only that was told and acknowledged; the suspension, which the first try may not have brought to the others, wasn't. Change: a leave of an id of which no target is known is unplaced each time. Why it holds: what is acknowledged is what was delivered with it. TargetRegistryTest.leaveWithoutABirthOfAnUnknownTargetIsOfThePlainId asserts it; 31 tests pass.

--- a/quilldyke-core/src/main/java/org/quilldyke/engine/TargetRegistry.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/engine/TargetRegistry.java
@@ -174,15 +174,15 @@
             return new Leave(leaver, Leave.Result.SUSPENDED, news);
         }
         boolean news = onGone(leaver, now);
-        if (known != null || !news) {
-            return new Leave(leaver, known != null ? Leave.Result.ENDED : Leave.Result.KNOWN, news);
+        if (known != null) {
+            return new Leave(leaver, Leave.Result.ENDED, news);
         }
         if (Incarnation.ofKey(leaver).tellsBirth()) {
-            return new Leave(leaver, Leave.Result.UNKNOWN, true);
+            return new Leave(leaver, news ? Leave.Result.UNKNOWN : Leave.Result.KNOWN, news);
         }
         // Others may know an incarnation of the id, and this process may soon be told of it.
-        onSuspended(new Suspension(leaver, now));
-        return new Leave(leaver, Leave.Result.UNPLACED, true);
+        boolean suspends = onSuspended(new Suspension(leaver, now));
+        return new Leave(leaver, Leave.Result.UNPLACED, news || suspends);
     }
 
     /**
--- a/quilldyke-core/src/test/java/org/quilldyke/engine/TargetRegistryTest.java
+++ b/quilldyke-core/src/test/java/org/quilldyke/engine/TargetRegistryTest.java
@@ -260,6 +260,9 @@
         Leave leave = mRegistry.onLeave("a", 0);
 
         assertThat(leave).isEqualTo(new Leave("a", Leave.Result.UNPLACED, true));
+        // The same word again, since nobody acknowledged the first.
+        assertThat(mRegistry.onLeave("a", 700))
+                .isEqualTo(new Leave("a", Leave.Result.UNPLACED, false));
         assertThat(mRegistry.onReport(report("a", "1:1", 9, false), 10)).isFalse();
     }
 
