--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/Deliveries.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/Deliveries.java
@@ -22,6 +22,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import java.util.function.Predicate;
 import org.quilldyke.gateway.instance.proto.PeerFrame;
 import org.quilldyke.gateway.instance.proto.Taken;
 import org.quilldyke.gateway.instance.proto.Targets;
@@ -34,10 +35,14 @@
     /** A target waits for a second, and asks another process then. */
     static final long TIMEOUT_MILLIS = 700;
 
+    /** What needs no delivery. */
+    static final CompletableFuture<Boolean> DONE = CompletableFuture.completedFuture(true);
+
     private final Consumer<PeerFrame.Builder> mPeers;
     private final LongSupplier mClock;
     private final int mCopies;
     private final Map<Long, Delivery> mOpen = new HashMap<>();
+    private final Set<String> mDelivered = new HashSet<>();
     private long mNumber;
 
     /**
@@ -65,6 +70,35 @@
         return delivery.mDone;
     }
 
+    /**
+     * Does so, unless it was done for the same subject.
+     *
+     * @return as {@link #deliver}
+     */
+    CompletableFuture<Boolean> deliverOnce(String subject, Targets news) {
+        if (mDelivered.contains(subject)) {
+            return DONE;
+        }
+        return deliver(news)
+                .thenApply(
+                        taken -> {
+                            if (taken) {
+                                mDelivered.add(subject);
+                            }
+                            return taken;
+                        });
+    }
+
+    /** News of a subject are to be delivered again. */
+    void forget(String subject) {
+        mDelivered.remove(subject);
+    }
+
+    /** Forgets the subjects that there are no more. */
+    void retain(Predicate<String> exists) {
+        mDelivered.removeIf(exists.negate());
+    }
+
     /** Takes the word of another control process that it has taken the news with a number. */
     void onTaken(String from, long number) {
         Delivery delivery = mOpen.get(number);
--- /dev/null
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/TargetLog.java
@@ -0,0 +1,129 @@
+/*
+ * Copyright 2026 The quilldyke authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.quilldyke.gateway.control;
+
+import java.util.List;
+import java.util.Locale;
+import org.quilldyke.daemon.log.Event;
+import org.quilldyke.daemon.log.EventLog;
+import org.quilldyke.engine.Departure;
+import org.quilldyke.engine.Incarnation;
+import org.quilldyke.engine.Leave;
+import org.quilldyke.engine.TargetReport;
+
+/** A control process's log lines about targets. */
+final class TargetLog {
+    private static final String TARGET = "target";
+    private static final String BECAME = "became";
+
+    private final EventLog mLog;
+
+    TargetLog(EventLog log) {
+        mLog = log;
+    }
+
+    /** A target says something new, or is heard for the first time. */
+    void onNews(boolean wasKnown, TargetReport report) {
+        mLog.write(
+                wasKnown ? Event.TARGET_CHANGED : Event.TARGET_JOINED,
+                TARGET,
+                report.id(),
+                "service",
+                report.service(),
+                "address",
+                report.address(),
+                "leaving",
+                report.leaving(),
+                "weights",
+                report.weights(),
+                "sequence",
+                report.sequence());
+    }
+
+    /**
+     * A target says that it is gone.
+     *
+     * @param told who, by its own word
+     * @param known the targets that are known after it
+     */
+    void onLeave(String told, Leave leave, List<TargetReport> known) {
+        String became = leave.result().name().toLowerCase(Locale.ROOT);
+        onLeave(told, leave.target(), became, known);
+    }
+
+    /** A target said that it leaves, before it said that it is ready. */
+    void onLateLeave(String id, List<TargetReport> known) {
+        onLeave(id, id, "ignored", known);
+    }
+
+    /** A target that had said that it leaves has left. */
+    void onLeft(Departure departure) {
+        mLog.write(
+                Event.TARGET_LEAVES,
+                TARGET,
+                departure.target(),
+                BECAME,
+                "left",
+                "sequence",
+                departure.sequence());
+    }
+
+    /** A later incarnation has taken a target's place. */
+    void onEnded(String id) {
+        mLog.write(Event.TARGET_CHANGED, TARGET, id, "ended", true);
+    }
+
+    /** Another target has taken a target's address. */
+    void onDisplaced(String id) {
+        mLog.write(Event.TARGET_CHANGED, TARGET, id, "displaced", true);
+    }
+
+    /** A target was silent for too long. */
+    void onLapsed(TargetReport report, long afterMillis) {
+        mLog.write(
+                Event.TARGET_LAPSED,
+                TARGET,
+                report.id(),
+                "after",
+                afterMillis,
+                "leaving",
+                report.leaving());
+    }
+
+    /** A target that was remembered over a restart has not reported itself. */
+    void onForgotten(String id) {
+        mLog.write(Event.TARGET_LAPSED, TARGET, id, "remembered", true);
+    }
+
+    private void onLeave(String told, String takenFor, String became, List<TargetReport> known) {
+        String id = Incarnation.ofKey(told).id();
+        mLog.write(
+                Event.TARGET_LEAVES,
+                TARGET,
+                told,
+                "taken_for",
+                takenFor,
+                BECAME,
+                became,
+                "ready",
+                known.stream()
+                        .filter(report -> !report.leaving())
+                        .map(TargetReport::incarnation)
+                        .filter(incarnation -> incarnation.id().equals(id))
+                        .map(Incarnation::key)
+                        .toList());
+    }
+}
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/TargetSpread.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/TargetSpread.java
@@ -18,7 +18,6 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
@@ -27,10 +26,8 @@
 import java.util.function.Predicate;
 import org.quilldyke.QuilldykeException;
 import org.quilldyke.ResultCode;
-import org.quilldyke.daemon.log.Event;
 import org.quilldyke.daemon.log.EventLog;
 import org.quilldyke.engine.Departure;
-import org.quilldyke.engine.Incarnation;
 import org.quilldyke.engine.Leave;
 import org.quilldyke.engine.Suspension;
 import org.quilldyke.engine.TargetRegistry;
@@ -69,8 +66,6 @@
      */
     private static final double REMEMBERED_REPORTS = 1.5;
 
-    private static final CompletableFuture<Boolean> TAKEN = CompletableFuture.completedFuture(true);
-
     /** A start takes as long at the least until targets can report themselves. */
     private static final long MIN_REMEMBERED_MILLIS = 1500;
 
@@ -78,10 +73,9 @@
     private final Set<String> mHeardHere = new HashSet<>();
     private final Consumer<PeerFrame.Builder> mPeers;
     private final Deliveries mDeliveries;
-    private final Set<String> mDelivered = new HashSet<>();
     private final Consumer<Targets> mEntries;
     private final LongSupplier mClock;
-    private final EventLog mLog;
+    private final TargetLog mLog;
     private final RestartMemory mMemory;
     private final RefusedNews mRefused;
     private final long mLapseMillis;
@@ -105,7 +99,7 @@
         mDeliveries = deliveries;
         mEntries = entries;
         mClock = clock;
-        mLog = log;
+        mLog = new TargetLog(log);
         mMemory = memory;
         mRefused = refused;
         mLapseMillis =
@@ -149,36 +143,22 @@
         long now = mClock.getAsLong();
         mHeardHere.add(report.id());
         if (!report.leaving()) {
-            mDelivered.remove(report.id());
+            mDeliveries.forget(report.id());
         }
-        boolean known = before.isPresent();
         if (mRegistry.onReport(report, now)) {
             TargetReport taken = mRegistry.report(report.id()).orElse(report);
-            mLog.write(
-                    known ? Event.TARGET_CHANGED : Event.TARGET_JOINED,
-                    "target",
-                    report.id(),
-                    "service",
-                    report.service(),
-                    "address",
-                    report.address(),
-                    "leaving",
-                    taken.leaving(),
-                    "weights",
-                    report.weights(),
-                    "sequence",
-                    report.sequence());
+            mLog.onNews(before.isPresent(), taken);
             mToSave = true;
             tell(Targets.newBuilder().addTargets(TargetFrames.encode(taken, 0)).build());
         }
         if (report.leaving() && isTakenForLive(report.id())) {
-            logIgnoredLeave(report.id());
+            mLog.onLateLeave(report.id(), mRegistry.reports());
         }
         noteEnded();
-        return report.leaving() ? deliverLeaving(report.id()) : TAKEN;
+        return report.leaving() ? deliverLeaving(report.id()) : Deliveries.DONE;
     }
 
-    /** The reports of a target that is leaving come again and again; it is delivered once. */
+    /** The reports of a target that is leaving come again and again. */
     private CompletableFuture<Boolean> deliverLeaving(String id) {
         Targets.Builder leaving = Targets.newBuilder();
         mRegistry
@@ -186,52 +166,15 @@
                 .filter(TargetReport::leaving)
                 .ifPresent(known -> leaving.addTargets(TargetFrames.encode(known, 0)));
         mRegistry.departure(id).ifPresent(left -> leaving.addTargets(TargetFrames.encode(left, 0)));
-        if (mDelivered.contains(id) || leaving.getTargetsCount() == 0) {
-            return TAKEN;
-        }
-        return mDeliveries
-                .deliver(leaving.build())
-                .whenComplete(
-                        (taken, e) -> {
-                            if (taken) {
-                                mDelivered.add(id);
-                            }
-                        });
+        return leaving.getTargetsCount() == 0
+                ? Deliveries.DONE
+                : mDeliveries.deliverOnce(id, leaving.build());
     }
 
     private boolean isTakenForLive(String id) {
         return mRegistry.report(id).map(known -> !known.leaving()).orElse(false);
     }
 
-    private void logLeave(String told, Leave leave) {
-        String became = leave.result().name().toLowerCase(Locale.ROOT);
-        logLeave(told, leave.target(), became);
-    }
-
-    /** A late report, or one of a target whose address another one has. */
-    private void logIgnoredLeave(String id) {
-        logLeave(id, id, "ignored");
-    }
-
-    private void logLeave(String told, String takenFor, String became) {
-        String id = Incarnation.ofKey(told).id();
-        mLog.write(
-                Event.TARGET_LEAVES,
-                "target",
-                told,
-                "taken_for",
-                takenFor,
-                "became",
-                became,
-                "ready",
-                mRegistry.reports().stream()
-                        .filter(known -> !known.leaving())
-                        .map(TargetReport::incarnation)
-                        .filter(known -> known.id().equals(id))
-                        .map(Incarnation::key)
-                        .toList());
-    }
-
     private boolean isOfAService(TargetReport report) {
         String name = report.service();
         return mServices.map(names -> names.contains(name)).orElse(false)
@@ -249,7 +192,7 @@
     CompletableFuture<Boolean> onLeave(String told) {
         long now = mClock.getAsLong();
         Leave leave = mRegistry.onLeave(told, now);
-        logLeave(told, leave);
+        mLog.onLeave(told, leave, mRegistry.reports());
         Targets targets = Targets.newBuilder().addAllTargets(encode(leave, now)).build();
         if (leave.isNews()) {
             mToSave = true;
@@ -351,22 +294,15 @@
 
     private void noteEnded() {
         for (String id : mRegistry.takeEnded()) {
-            mLog.write(Event.TARGET_CHANGED, "target", id, "ended", true);
+            mLog.onEnded(id);
             mToSave = true;
         }
         for (String id : mRegistry.takeDropped()) {
-            mLog.write(Event.TARGET_CHANGED, "target", id, "displaced", true);
+            mLog.onDisplaced(id);
         }
         Targets.Builder left = Targets.newBuilder();
         for (Departure departure : mRegistry.takeLeft()) {
-            mLog.write(
-                    Event.TARGET_LEAVES,
-                    "target",
-                    departure.target(),
-                    "became",
-                    "left",
-                    "sequence",
-                    departure.sequence());
+            mLog.onLeft(departure);
             left.addTargets(TargetFrames.encode(departure, 0));
             mToSave = true;
         }
@@ -454,17 +390,10 @@
     }
 
     private void lapse(long now) {
-        mDelivered.removeIf(id -> mRegistry.report(id).isEmpty());
+        mDeliveries.retain(id -> mRegistry.report(id).isPresent());
         Targets.Builder lapsed = Targets.newBuilder();
         for (TargetReport report : mRegistry.lapse(mLapseMillis, now)) {
-            mLog.write(
-                    Event.TARGET_LAPSED,
-                    "target",
-                    report.id(),
-                    "after",
-                    mLapseMillis,
-                    "leaving",
-                    report.leaving());
+            mLog.onLapsed(report, mLapseMillis);
             lapsed.addTargets(TargetFrames.encode(report.id(), Target.Standing.LAPSED));
             mToSave = true;
         }
@@ -477,7 +406,7 @@
     private void forgetRemembered() {
         Targets.Builder forgotten = Targets.newBuilder();
         for (String id : mRegistry.forgetRemembered()) {
-            mLog.write(Event.TARGET_LAPSED, "target", id, "remembered", true);
+            mLog.onForgotten(id);
             forgotten.addTargets(TargetFrames.encode(id, Target.Standing.LAPSED));
             mToSave = true;
         }
