--- a/quilldyke-tools/src/main/java/org/quilldyke/tools/explain/Account.java
+++ b/quilldyke-tools/src/main/java/org/quilldyke/tools/explain/Account.java
@@ -23,6 +23,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.quilldyke.daemon.log.Event;
+import org.quilldyke.engine.Incarnation;
 
 /** What the logs of several processes tell of one request, in order, and what they don't tell. */
 public final class Account {
@@ -149,6 +150,11 @@
             return targets.isEmpty() || targets.contains(target);
         }
 
+        private boolean isId(String id) {
+            return targets.isEmpty()
+                    || targets.stream().anyMatch(key -> Incarnation.ofKey(key).id().equals(id));
+        }
+
         boolean covers(LogLine line, String request) {
             Optional<Phrase> phrase = Phrase.of(line);
             if (phrase.isEmpty() || line.time().isBefore(from) || line.time().isAfter(to)) {
@@ -157,6 +163,7 @@
             return switch (phrase.get().subject()) {
                 case REQUEST -> line.field("request").equals(request);
                 case TARGET -> isTarget(line.field("target") + line.field("holder"));
+                case ID -> isId(Incarnation.ofKey(line.field("target")).id());
                 case CONTROL -> true;
                 case INSTANCE -> instances.contains(line.field("instance"));
             };
--- a/quilldyke-tools/src/main/java/org/quilldyke/tools/explain/Phrase.java
+++ b/quilldyke-tools/src/main/java/org/quilldyke/tools/explain/Phrase.java
@@ -103,6 +103,17 @@
             return line.field("target") + " had not reported for too long";
         }
     },
+    TARGET_LEAVES(Event.TARGET_LEAVES, Subject.ID) {
+        @Override
+        String tell(LogLine line) {
+            String ready = line.field("ready");
+            return "%s left (%s); still ready under its id: %s"
+                    .formatted(
+                            line.field("target"),
+                            line.field("became"),
+                            ready.isEmpty() || ready.equals("[]") ? "none" : ready);
+        }
+    },
     WATCH_LOST(Event.WATCH_LOST, Subject.TARGET) {
         @Override
         String tell(LogLine line) {
@@ -198,6 +209,8 @@
         REQUEST,
         /** One target. */
         TARGET,
+        /** Whichever incarnation of a target has an id. */
+        ID,
         /** The control processes as a group. */
         CONTROL,
         /** The process that wrote the line. */
--- a/quilldyke-tools/src/test/java/org/quilldyke/tools/explain/AccountTest.java
+++ b/quilldyke-tools/src/test/java/org/quilldyke/tools/explain/AccountTest.java
@@ -101,6 +101,26 @@
                                 + " attempts left, shutdown none");
     }
 
+    /** A leave needn't tell which incarnation leaves. */
+    @Test
+    void tellsThatTheTargetHadLeft() {
+        String leave =
+                "21:35:44.100 INFO QD3009 target-leaves instance=edge-depot-nord-1 target=i-1"
+                        + " taken_for=i-1#1780000000000 became=suspended ready=[]";
+        String route =
+                "21:35:44.775 INFO QD2001 route instance=edge-rathaus-keller-2 request=ab12"
+                        + " target=i-1#1780000000000 weights=-1 left_ms=5000";
+        String other = leave.replace("i-1", "i-2");
+
+        Account account = Account.of("ab12", List.of(leave, other, route));
+
+        assertThat(account.sentences().stream().map(Account.Sentence::words).toList())
+                .containsExactly(
+                        "i-1 left (suspended); still ready under its id: none",
+                        "sent to i-1#1780000000000, 5000 ms left")
+                .inOrder();
+    }
+
     @Test
     void namesWhatIsMissing() {
         assertThat(Account.of("b9fdb6ab4a777fbc", List.of(LATE_ROUTE)).missing())
