A leave that comes again doesn't end a target that another process has suspended

What callers would see: a target that lives gets no request any more. Found by reading the diff. Cause: whether a leave may be the predecessor's was judged by the process that takes it alone; one that had heard of the target only, and was told that it is suspended, took the same leave for the target's own. Change: a leave without a birth of a target that is suspended suspends it anew. Why it holds: as long as it can't be told whose word the first was, it can't be told of the same word again; a target that did leave stays suspended and lapses.

--- a/quilldyke-core/src/main/java/org/quilldyke/engine/TargetRegistry.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/engine/TargetRegistry.java
@@ -162,14 +162,10 @@
      * neither ended nor left as it is, but suspended.
      */
     public Leave onLeave(String told, long now) {
-        Incarnation incarnation = Incarnation.ofKey(told);
-        String leaver = incarnation.tellsBirth() ? told : latest(told);
+        boolean tellsBirth = Incarnation.ofKey(told).tellsBirth();
+        String leaver = tellsBirth ? told : latest(told);
         Entry known = mEntries.get(leaver);
-        boolean isNew =
-                known != null
-                        && known.mSucceeds
-                        && now - known.mSince < Suspension.LATE_WORD_MILLIS;
-        if (isNew && !incarnation.tellsBirth()) {
+        if (!tellsBirth && known != null && mayBePredecessors(known, now)) {
             boolean news = onSuspended(new Suspension(leaver, now));
             return new Leave(leaver, Leave.Result.SUSPENDED, news);
         }
@@ -185,6 +181,15 @@
         return new Leave(leaver, Leave.Result.UNPLACED, news || suspends);
     }
 
+    /**
+     * Returns whether a leave may be that of a target's predecessor: the target has just taken its
+     * place, or the same leave came to another process, where it had.
+     */
+    private boolean mayBePredecessors(Entry known, long now) {
+        boolean isNew = known.mSucceeds && now - known.mSince < Suspension.LATE_WORD_MILLIS;
+        return isNew || mSuspensions.covers(known.mReport.incarnation(), now);
+    }
+
     /**
      * Takes a suspension of an incarnation, or of whichever is known under an id; returns whether
      * that is news.
--- a/quilldyke-core/src/test/java/org/quilldyke/engine/TargetRegistryTest.java
+++ b/quilldyke-core/src/test/java/org/quilldyke/engine/TargetRegistryTest.java
@@ -333,6 +333,27 @@
         assertThat(mRegistry.reports().get(0).leaving()).isTrue();
     }
 
+    /**
+     * A process that doesn't know of the predecessor ended a target that another one had suspended.
+     *
+     * <p>What callers would see: a target that lives gets no request any more. The order of events:
+     * a late leave of its predecessor suspends it; the acknowledgement is lost, and the leave comes
+     * again to a process that knows the target only. The cause: there it was taken for the target's
+     * own. The evidence: this test on the code before; found by reading.
+     */
+    @Test
+    void leaveThatComesAgainToAnotherProcessDoesNotEndWhoIsSuspended() {
+        mRegistry.onReport(report("a#7", "1:1", 5, false), 100);
+        mRegistry.onSuspended(new Suspension("a#7", 200));
+
+        assertThat(mRegistry.onLeave("a", 1300))
+                .isEqualTo(new Leave("a#7", Leave.Result.SUSPENDED, true));
+
+        long after = 1300 + Suspension.LATE_WORD_MILLIS + 1;
+        assertThat(mRegistry.onReport(report("a#7", "1:1", 16, false), after)).isTrue();
+        assertThat(mRegistry.reports().get(0).leaving()).isFalse();
+    }
+
     @Test
     void suspendedTargetThatLapsesIsNotBackWithALateReport() {
         mRegistry.onReport(report("a#5", "1:1", 50, false), 0);
