A leave that comes while the latest is silent holds for the next incarnation, too

Cause, by its logs: the target left 4 s after its predecessor was heard last, before any report of it had arrived. The leave suspended the predecessor; the target's first report, held up on its way, came 4.1 s after the leave, and who is heard of later counted as started later. Change: a leave without a birth that comes when the latest incarnation of its id was silent for 3 s, is gone or unknown, suspends the next one that is heard of, too. Why it holds: either the predecessor was heard so lately that the leave can't be of a successor, or the successor waits until a report of it is heard more than 10 s after the leave. Cost: a target that starts again under its id after a late or repeated leave of its predecessor waits for the rest of these 10 s. Ruled out: to wait whenever an id starts again (a leave in time is the rule, and needs no wait).

--- a/quilldyke-core/src/main/java/org/quilldyke/engine/Leave.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/engine/Leave.java
@@ -15,23 +15,31 @@
  */
 package org.quilldyke.engine;
 
+import java.util.Optional;
+
 /**
  * What became of a target's word that it is gone.
  *
  * @param target for whom it was taken: an incarnation's key, or the plain id
  * @param result what was made of it
+ * @param suspension who takes nothing new because of it, where that isn't sure
  * @param isNews whether others have to hear of it
  */
-public record Leave(String target, Result result, boolean isNews) {
+public record Leave(String target, Result result, Optional<Suspension> suspension, boolean isNews) {
+    /** Returns whether the target itself is gone for good. */
+    public boolean isGone() {
+        return result != Result.SUSPENDED;
+    }
+
     /** What a leave does. */
     public enum Result {
         /** The target was known, and takes nothing for good. */
         ENDED,
         /** It isn't sure whose word it is: the target takes nothing new for a while. */
         SUSPENDED,
-        /** It told its birth, and no such target was known. */
+        /** No such target was known. */
         UNKNOWN,
-        /** No target of the id was known: whoever has it takes nothing new for a while. */
+        /** No target of the id was ever known: whoever has it takes nothing new for a while. */
         UNPLACED,
         /** The target was known to be gone. */
         KNOWN
--- a/quilldyke-core/src/main/java/org/quilldyke/engine/Suspension.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/engine/Suspension.java
@@ -20,15 +20,41 @@
  * its predecessor. Until it is known whose it was, the present one takes no new requests.
  *
  * @param target the key of the incarnation, the plain id if it isn't known which one there is
- * @param at when the leave was acknowledged, in milliseconds of this instance's monotonic clock
+ * @param at when the leave was told, in milliseconds of this instance's monotonic clock
+ * @param orNext whether the next incarnation may have left, too: its reports may come after its
+ *     leave, and the one before it was silent when the leave came
  */
-public record Suspension(String target, long at) {
+public record Suspension(String target, long at, boolean orNext) {
     /** Words of targets come late by seconds: who is heard after this is sure to live. */
     static final long LATE_WORD_MILLIS = 10_000;
 
+    /**
+     * Targets report themselves every second or so, and another instance tells it within one: one
+     * that was heard this lately lived.
+     */
+    private static final long HEARD_LATELY_MILLIS = 3000;
+
     /** One word is told over several ways; another leave of the same id comes later than that. */
     private static final long SAME_WORD_MILLIS = 1000;
 
+    /** Returns the suspension by a leave of whoever has an id where none is known. */
+    static Suspension ofUnknown(String id, long at) {
+        return new Suspension(id, at, true);
+    }
+
+    /**
+     * Returns the suspension by a leave that comes when an incarnation was heard last at a time.
+     */
+    static Suspension of(String target, long heardAt, long at) {
+        return new Suspension(target, at, at - heardAt > HEARD_LATELY_MILLIS);
+    }
+
+    /** Returns the same suspension of an incarnation that was told of later. */
+    Suspension of(Incarnation later, long heardAt) {
+        boolean wasSilent = heardAt <= at && at - heardAt > HEARD_LATELY_MILLIS;
+        return new Suspension(later.key(), at, orNext && wasSilent);
+    }
+
     /** Returns which incarnation is meant. */
     public Incarnation incarnation() {
         return Incarnation.ofKey(target);
@@ -42,6 +68,7 @@
     /** Returns whether this tells something that another one of the same id doesn't. */
     boolean isNewsAfter(Suspension known) {
         boolean later = incarnation().born() > known.incarnation().born();
-        return later || at - known.at > SAME_WORD_MILLIS;
+        boolean wider = target.equals(known.target) && orNext && !known.orNext;
+        return later || wider || at - known.at > SAME_WORD_MILLIS;
     }
 }
--- a/quilldyke-core/src/main/java/org/quilldyke/engine/Suspensions.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/engine/Suspensions.java
@@ -40,19 +40,21 @@
 
     /**
      * Returns whether what an incarnation says at a time doesn't show yet that it stays. A later
-     * one than was known may have left, too, if it was heard before, or if none was known.
+     * one than was known may have left, too, if it was heard before the leave, or is the next.
      */
     boolean covers(Incarnation incarnation, long heardAt) {
         Suspension known = mById.get(incarnation.id());
         if (known == null || !known.mayFollow(heardAt) || !incarnation.tellsBirth()) {
             return false;
         }
-        boolean isLater = incarnation.born() > known.incarnation().born();
-        if (isLater && (heardAt <= known.at() || !known.incarnation().tellsBirth())) {
-            mById.put(incarnation.id(), new Suspension(incarnation.key(), known.at()));
+        if (incarnation.born() <= known.incarnation().born()) {
             return true;
         }
-        return !isLater;
+        boolean mayHaveLeft = heardAt <= known.at() || known.orNext();
+        if (mayHaveLeft) {
+            mById.put(incarnation.id(), known.of(incarnation, heardAt));
+        }
+        return mayHaveLeft;
     }
 
     void expire(long now) {
--- a/quilldyke-core/src/main/java/org/quilldyke/engine/TargetRegistry.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/engine/TargetRegistry.java
@@ -33,6 +33,9 @@
  * id at once, wherever they stand and whenever they were heard; nothing told of those counts then.
  */
 public final class TargetRegistry {
+    /** Before all times of a monotonic clock, and far enough from the least number to count on. */
+    public static final long NEVER = Long.MIN_VALUE / 2;
+
     /** For how long a late report of a target that is gone is still known as such. */
     static final long GONE_KEPT_MILLIS = 120_000;
 
@@ -157,28 +160,46 @@
      * Takes a leave, which needn't tell a birth: without one it is that of the latest incarnation
      * that is known under the id now.
      *
-     * <p>If that has just taken the place of another, it may be the late word of its predecessor.
-     * Who is gone never comes back, and who leaves takes no new requests, so the present one is
-     * neither ended nor left as it is, but suspended.
+     * <p>If that has just taken the place of another, it may be the late word of its predecessor;
+     * if it is silent, that of a successor whose reports are late. Who is gone never comes back,
+     * and who leaves takes no new requests, so whoever it isn't sure of is neither ended nor left
+     * as it is, but suspended.
      */
     public Leave onLeave(String told, long now) {
-        boolean tellsBirth = Incarnation.ofKey(told).tellsBirth();
-        String leaver = tellsBirth ? told : latest(told);
-        Entry known = mEntries.get(leaver);
-        if (!tellsBirth && known != null && mayBePredecessors(known, now)) {
-            boolean news = onSuspended(new Suspension(leaver, now));
-            return new Leave(leaver, Leave.Result.SUSPENDED, news);
-        }
-        boolean news = onGone(leaver, now);
-        if (known != null) {
-            return new Leave(leaver, Leave.Result.ENDED, news);
+        return Incarnation.ofKey(told).tellsBirth()
+                ? end(told, Optional.empty(), now)
+                : onLeaveWithoutBirth(latest(told), now);
+    }
+
+    private Leave onLeaveWithoutBirth(String latest, long now) {
+        if (!Incarnation.ofKey(latest).tellsBirth()) {
+            // Others may know an incarnation of the id, and this process may soon be told of it.
+            boolean isKnown = mEntries.containsKey(latest);
+            Optional<Suspension> unplaced =
+                    isKnown ? Optional.empty() : Optional.of(Suspension.ofUnknown(latest, now));
+            return end(latest, unplaced, now);
         }
-        if (Incarnation.ofKey(leaver).tellsBirth()) {
-            return new Leave(leaver, news ? Leave.Result.UNKNOWN : Leave.Result.KNOWN, news);
+        Suspension suspension = Suspension.of(latest, heardAt(latest), now);
+        Entry known = mEntries.get(latest);
+        if (known != null && mayBePredecessors(known, now)) {
+            boolean news = onSuspended(suspension);
+            return new Leave(latest, Leave.Result.SUSPENDED, Optional.of(suspension), news);
         }
-        // Others may know an incarnation of the id, and this process may soon be told of it.
-        boolean suspends = onSuspended(new Suspension(leaver, now));
-        return new Leave(leaver, Leave.Result.UNPLACED, news || suspends);
+        return end(latest, Optional.of(suspension).filter(Suspension::orNext), now);
+    }
+
+    private Leave end(String target, Optional<Suspension> suspension, long now) {
+        boolean isKnown = mEntries.containsKey(target);
+        boolean gone = onGone(target, now);
+        boolean suspends = suspension.map(this::onSuspended).orElse(false);
+        boolean isUnplaced = suspension.isPresent() && !Incarnation.ofKey(target).tellsBirth();
+        Leave.Result result =
+                isKnown
+                        ? Leave.Result.ENDED
+                        : isUnplaced
+                                ? Leave.Result.UNPLACED
+                                : gone ? Leave.Result.UNKNOWN : Leave.Result.KNOWN;
+        return new Leave(target, result, suspension, gone || suspends);
     }
 
     /**
@@ -197,7 +218,7 @@
     public boolean onSuspended(Suspension told) {
         Incarnation incarnation = told.incarnation();
         String target = incarnation.tellsBirth() ? told.target() : latest(told.target());
-        Suspension suspension = new Suspension(target, told.at());
+        Suspension suspension = new Suspension(target, told.at(), told.orNext());
         endEarlier(suspension.incarnation());
         boolean news = mSuspensions.add(suspension);
         Entry known = mEntries.get(target);
@@ -342,10 +363,10 @@
         return Optional.ofNullable(mEntries.get(id)).map(entry -> entry.mReport);
     }
 
-    /** Returns when a target was last heard, {@link Long#MIN_VALUE} if it isn't known. */
+    /** Returns when a target was last heard, {@link #NEVER} if it isn't known. */
     public long heardAt(String id) {
         Entry entry = mEntries.get(id);
-        return entry == null ? Long.MIN_VALUE : entry.mHeardAt;
+        return entry == null ? NEVER : entry.mHeardAt;
     }
 
     /** Returns the last report of each target. */
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/TargetSpread.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/TargetSpread.java
@@ -29,7 +29,6 @@
 import org.quilldyke.daemon.log.EventLog;
 import org.quilldyke.engine.Departure;
 import org.quilldyke.engine.Leave;
-import org.quilldyke.engine.Suspension;
 import org.quilldyke.engine.TargetRegistry;
 import org.quilldyke.engine.TargetReport;
 import org.quilldyke.gateway.engine.RefusedNews;
@@ -193,7 +192,7 @@
         long now = mClock.getAsLong();
         Leave leave = mRegistry.onLeave(told, now);
         mLog.onLeave(told, leave, mRegistry.reports());
-        Targets targets = Targets.newBuilder().addAllTargets(encode(leave, now)).build();
+        Targets targets = Targets.newBuilder().addAllTargets(encode(leave)).build();
         if (leave.isNews()) {
             mToSave = true;
             mEntries.accept(targets);
@@ -202,14 +201,13 @@
         return mDeliveries.deliver(targets);
     }
 
-    private static List<Target> encode(Leave leave, long now) {
-        Target gone = TargetFrames.encode(leave.target(), Target.Standing.GONE);
-        Target suspended = TargetFrames.encode(new Suspension(leave.target(), now), 0);
-        return switch (leave.result()) {
-            case SUSPENDED -> List.of(suspended);
-            case UNPLACED -> List.of(gone, suspended);
-            default -> List.of(gone);
-        };
+    private static List<Target> encode(Leave leave) {
+        List<Target> targets = new ArrayList<>();
+        if (leave.isGone()) {
+            targets.add(TargetFrames.encode(leave.target(), Target.Standing.GONE));
+        }
+        leave.suspension().ifPresent(suspension -> targets.add(TargetFrames.encode(suspension, 0)));
+        return targets;
     }
 
     /**
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/instance/TargetFrames.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/instance/TargetFrames.java
@@ -92,13 +92,15 @@
         return Target.newBuilder()
                 .setId(suspension.target())
                 .setStanding(Target.Standing.SUSPENDED)
+                .setLeaving(suspension.orNext())
                 .setAgeMs(Math.max(0, ageMillis))
                 .build();
     }
 
     /** Returns the suspension that was told. */
     public static Suspension decodeSuspension(Target suspended, long now) {
-        return new Suspension(suspended.getId(), now - suspended.getAgeMs());
+        return new Suspension(
+                suspended.getId(), now - suspended.getAgeMs(), suspended.getLeaving());
     }
 
     /** Returns the form of the news that a target is gone or was silent for too long. */
