The log names a request by a fingerprint of its caller, path and body

Nothing in the log told that two requests are the same: attempts have ids of their own, and no line names path or body. No decision changes.

--- a/quilldyke-core/src/main/java/org/quilldyke/caller/ForwardRequest.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/caller/ForwardRequest.java
@@ -31,6 +31,7 @@
  * @param bodyBytes the size of its body
  * @param arrivedAt when it was read
  * @param answerBy when its time is over: the caller's own deadline or the route's timeout
+ * @param fingerprint names what it asks for, whatever its id
  * @param lastEvent the event after which its stream goes on, -1 to begin at the start
  */
 public record ForwardRequest(
@@ -43,6 +44,7 @@
         int bodyBytes,
         long arrivedAt,
         long answerBy,
+        RequestFingerprint fingerprint,
         long lastEvent) {
     /** Returns the rank of the request; 0 goes first. */
     public int priority() {
--- /dev/null
+++ b/quilldyke-core/src/main/java/org/quilldyke/caller/RequestFingerprint.java
@@ -0,0 +1,68 @@
+/*
+ * Copyright 2026 The quilldyke authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.quilldyke.caller;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+
+/**
+ * Names a request by what it asks for: the first 128 bits of a SHA-256 over its caller, method,
+ * host, path and body. Attempts at the same request have different ids and one fingerprint.
+ *
+ * @param high the first 64 bits
+ * @param low the next 64 bits
+ */
+public record RequestFingerprint(long high, long low) {
+    private static final String ALGORITHM = "SHA-256";
+
+    /**
+     * Returns the fingerprint of a request.
+     *
+     * @param organisation whose key the caller showed, empty if it showed none
+     * @param method the method
+     * @param host the host that it names
+     * @param path the path with its query
+     * @param body the body, which is left unread
+     */
+    public static RequestFingerprint of(
+            String organisation, String method, String host, String path, ByteBuffer body) {
+        MessageDigest digest = newDigest();
+        for (String part : new String[] {organisation, method, host, path}) {
+            byte[] bytes = part.getBytes(StandardCharsets.UTF_8);
+            // With its length, so that no two lists of parts are the same bytes.
+            digest.update(ByteBuffer.allocate(Integer.BYTES).putInt(0, bytes.length));
+            digest.update(bytes);
+        }
+        digest.update(body.duplicate());
+        ByteBuffer hash = ByteBuffer.wrap(digest.digest());
+        return new RequestFingerprint(hash.getLong(), hash.getLong());
+    }
+
+    /** Returns its first half in hexadecimal, as the log names it. */
+    public String label() {
+        return String.format("%016x", high);
+    }
+
+    private static MessageDigest newDigest() {
+        try {
+            return MessageDigest.getInstance(ALGORITHM);
+        } catch (NoSuchAlgorithmException e) {
+            throw new AssertionError("each Java platform has it", e);
+        }
+    }
+}
--- a/quilldyke-core/src/test/java/org/quilldyke/caller/AdmissionTest.java
+++ b/quilldyke-core/src/test/java/org/quilldyke/caller/AdmissionTest.java
@@ -48,7 +48,17 @@
     void requestsWithoutAPromptAreNeverHeldUp() {
         ForwardRequest plain =
                 new ForwardRequest(
-                        "id", route(1), "s", Optional.empty(), "", Optional.empty(), 0, 0, 1, -1);
+                        "id",
+                        route(1),
+                        "s",
+                        Optional.empty(),
+                        "",
+                        Optional.empty(),
+                        0,
+                        0,
+                        1,
+                        new RequestFingerprint(1, 1),
+                        -1);
         assertThat(Admission.admits(plain, 100_000)).isTrue();
     }
 
@@ -85,6 +95,7 @@
                 0,
                 0,
                 time,
+                new RequestFingerprint(1, 1),
                 -1);
     }
 
--- a/quilldyke-core/src/test/java/org/quilldyke/caller/ForwardingTest.java
+++ b/quilldyke-core/src/test/java/org/quilldyke/caller/ForwardingTest.java
@@ -547,7 +547,17 @@
                         kind == RequestKind.STREAMING);
         ForwardRequest request =
                 new ForwardRequest(
-                        "id", route, "s", Optional.empty(), "", Optional.empty(), 0, 0, 1000, -1);
+                        "id",
+                        route,
+                        "s",
+                        Optional.empty(),
+                        "",
+                        Optional.empty(),
+                        0,
+                        0,
+                        1000,
+                        new RequestFingerprint(1, 1),
+                        -1);
         return Forwarding.of(request, mBook, mRetries, mShutdown);
     }
 }
--- a/quilldyke-core/src/test/java/org/quilldyke/caller/ForwardingWalk.java
+++ b/quilldyke-core/src/test/java/org/quilldyke/caller/ForwardingWalk.java
@@ -110,6 +110,7 @@
                         0,
                         0,
                         millis,
+                        new RequestFingerprint(1, 1),
                         -1);
         mForwarding = Forwarding.of(request, mBook, mRetries, mShutdown);
     }
--- a/quilldyke-core/src/test/java/org/quilldyke/caller/ShutdownAdmissionTest.java
+++ b/quilldyke-core/src/test/java/org/quilldyke/caller/ShutdownAdmissionTest.java
@@ -243,6 +243,16 @@
                         true,
                         true);
         return new ForwardRequest(
-                "id", route, "s", Optional.empty(), "", prompt, 0, 0, answerBy, lastEvent);
+                "id",
+                route,
+                "s",
+                Optional.empty(),
+                "",
+                prompt,
+                0,
+                0,
+                answerBy,
+                new RequestFingerprint(1, 1),
+                lastEvent);
     }
 }
--- a/quilldyke-core/src/test/java/org/quilldyke/caller/SuccessorTest.java
+++ b/quilldyke-core/src/test/java/org/quilldyke/caller/SuccessorTest.java
@@ -190,7 +190,17 @@
                         resumable);
         ForwardRequest request =
                 new ForwardRequest(
-                        "id", route, "s", Optional.empty(), "", Optional.empty(), 0, 0, MILLIS, -1);
+                        "id",
+                        route,
+                        "s",
+                        Optional.empty(),
+                        "",
+                        Optional.empty(),
+                        0,
+                        0,
+                        MILLIS,
+                        new RequestFingerprint(1, 1),
+                        -1);
         return Forwarding.of(request, mBook, mRetries, ShutdownAdmission.create());
     }
 }
--- a/quilldyke-core/src/test/java/org/quilldyke/caller/TimelyEndTest.java
+++ b/quilldyke-core/src/test/java/org/quilldyke/caller/TimelyEndTest.java
@@ -227,6 +227,16 @@
                         mResumable);
         Prompt prompt = new Prompt("m", 800, TOKENS, List.of(new Prompt.Part(1, 800)));
         return new ForwardRequest(
-                "id", route, "s", Optional.empty(), "", Optional.of(prompt), 0, 0, OWN_MILLIS, -1);
+                "id",
+                route,
+                "s",
+                Optional.empty(),
+                "",
+                Optional.of(prompt),
+                0,
+                0,
+                OWN_MILLIS,
+                new RequestFingerprint(1, 1),
+                -1);
     }
 }
--- a/quilldyke-core/src/test/java/org/quilldyke/routing/TargetBookSizeTest.java
+++ b/quilldyke-core/src/test/java/org/quilldyke/routing/TargetBookSizeTest.java
@@ -28,6 +28,7 @@
 import org.junit.jupiter.api.Test;
 import org.quilldyke.caller.ForwardRequest;
 import org.quilldyke.caller.Prompt;
+import org.quilldyke.caller.RequestFingerprint;
 import org.quilldyke.engine.TargetReport;
 import org.quilldyke.manifest.RequestKind;
 import org.quilldyke.manifest.Route;
@@ -164,6 +165,7 @@
                         9000,
                         0,
                         5000,
+                        new RequestFingerprint(1, 1),
                         -1);
         return book.choose(request, excluded, 0).orElseThrow();
     }
--- a/quilldyke-core/src/test/java/org/quilldyke/routing/TargetBookTest.java
+++ b/quilldyke-core/src/test/java/org/quilldyke/routing/TargetBookTest.java
@@ -30,6 +30,7 @@
 import org.quilldyke.caller.Admission;
 import org.quilldyke.caller.ForwardRequest;
 import org.quilldyke.caller.Prompt;
+import org.quilldyke.caller.RequestFingerprint;
 import org.quilldyke.engine.TargetReport;
 import org.quilldyke.manifest.Organisation;
 import org.quilldyke.manifest.RequestKind;
@@ -482,7 +483,17 @@
     private static ForwardRequest plain() {
         ForwardRequest prompt = request(false);
         return new ForwardRequest(
-                "id", prompt.route(), "s", Optional.empty(), "", Optional.empty(), 0, 0, 4000, -1);
+                "id",
+                prompt.route(),
+                "s",
+                Optional.empty(),
+                "",
+                Optional.empty(),
+                0,
+                0,
+                4000,
+                new RequestFingerprint(1, 1),
+                -1);
     }
 
     private static ForwardRequest request(boolean isolated) {
@@ -515,6 +526,7 @@
                 bodyBytes,
                 0,
                 4000,
+                new RequestFingerprint(1, 1),
                 -1);
     }
 }
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/CallerRequests.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/CallerRequests.java
@@ -15,12 +15,14 @@
  */
 package org.quilldyke.gateway.caller;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpRequest;
 import java.util.Optional;
 import org.quilldyke.QuilldykeException;
 import org.quilldyke.ResultCode;
 import org.quilldyke.caller.ForwardRequest;
+import org.quilldyke.caller.RequestFingerprint;
 import org.quilldyke.gateway.dialect.CallerFacts;
 import org.quilldyke.manifest.Organisation;
 import org.quilldyke.manifest.Route;
@@ -38,12 +40,12 @@
      *
      * @param entry whose configuration decides
      * @param head what the caller sent
-     * @param bodyBytes the size of its body
+     * @param body its body, which is left unread
      * @param arrivedAt when it was read, in milliseconds of the entry's clock
      * @throws QuilldykeException if the configuration isn't known or confirmed, the route or the
      *     key isn't in it, or the head can't be read; nothing has run then
      */
-    static ForwardRequest admit(Entry entry, HttpRequest head, int bodyBytes, long arrivedAt)
+    static ForwardRequest admit(Entry entry, HttpRequest head, ByteBuf body, long arrivedAt)
             throws QuilldykeException {
         RouteTable routes = entry.routes();
         if (routes == null) {
@@ -74,9 +76,20 @@
                 owner,
                 routes.commonCache(),
                 route.usesModel() ? facts.prompt() : Optional.empty(),
-                bodyBytes,
+                body.readableBytes(),
                 arrivedAt,
                 arrivedAt + left,
+                fingerprint(owner, head, body),
                 facts.lastEvent().orElse(-1));
     }
+
+    private static RequestFingerprint fingerprint(
+            Optional<Organisation> owner, HttpRequest head, ByteBuf body) {
+        return RequestFingerprint.of(
+                owner.map(Organisation::name).orElse(""),
+                head.method().name(),
+                head.headers().get(HttpHeaderNames.HOST, ""),
+                head.uri(),
+                body.nioBuffer());
+    }
 }
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Exchange.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Exchange.java
@@ -89,7 +89,7 @@
                                 .schedule(this::start, START_UP_STEP_MILLIS, TimeUnit.MILLISECONDS);
                 return;
             }
-            mRequest = CallerRequests.admit(mEntry, mHead, mBody.readableBytes(), mArrivedAt);
+            mRequest = CallerRequests.admit(mEntry, mHead, mBody, mArrivedAt);
             mVersionBegun = mEntry.version();
         } catch (QuilldykeException e) {
             refuse(e.code(), e.retryAfterMillis(), e.getMessage());
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/ExchangeLog.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/ExchangeLog.java
@@ -43,6 +43,8 @@
                 Event.ROUTED,
                 "request",
                 request.id(),
+                "fingerprint",
+                request.fingerprint().label(),
                 "route",
                 request.route().name(),
                 "target",
