A request that has crashed three targets isn't sent on

What callers saw: a request under which three targets had ended was sent to targets 13 to 19 times more; its service was down for seconds, and other requests there got 502 or 503. Cause: what an entry learnt of a request's failures ended with the exchange. A repeat has an id of its own and comes to any entry, where it was a first send; nothing joined the two, at one entry or over all. The class: a promise that holds over all instances and attempts, decided by what one attempt knows. Change: an entry whose runs a target breaks off looks whether the target still listens; if not, it tells control processes which requests ran there (QD3010). These hand the evidence on to each other; each concludes who is to blame (CrashLedger, QD2005) and tells its entries. A request that ran to its end within 10 s before a crash, or after it, is never blamed. Ruled out: to blame by one entry's evidence (a request comes to all); to blame each request that was at three crashes (harmless ones are, beside one that crashes targets); a permit for each trial, given out by the leader (needs one; the trial's slip is a send or two).

--- a/quilldyke-core/src/main/java/org/quilldyke/caller/Forwarding.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/caller/Forwarding.java
@@ -62,6 +62,7 @@
     private final TargetBook mBook;
     private final RetryAllowance mRetries;
     private final ShutdownAdmission mShutdown;
+    private final SuspectRequests mSuspects;
     private final RunHistory mHistory;
     private final TimelyEnd mTimelyEnd;
     private final Handover mHandover;
@@ -80,11 +81,13 @@
             ForwardRequest request,
             TargetBook book,
             RetryAllowance retries,
-            ShutdownAdmission shutdown) {
+            ShutdownAdmission shutdown,
+            SuspectRequests suspects) {
         mRequest = request;
         mBook = book;
         mRetries = retries;
         mShutdown = shutdown;
+        mSuspects = suspects;
         mHistory = new RunHistory(request.route().maxAttempts());
         mHandover = new Handover(request.route());
         mTimelyEnd = new TimelyEnd(request, book, shutdown);
@@ -98,13 +101,15 @@
      * @param book the targets
      * @param retries bounds second attempts
      * @param shutdown which requests are taken while the instance shuts down
+     * @param suspects which requests may crash targets
      */
     public static Forwarding of(
             ForwardRequest request,
             TargetBook book,
             RetryAllowance retries,
-            ShutdownAdmission shutdown) {
-        return new Forwarding(request, book, retries, shutdown);
+            ShutdownAdmission shutdown,
+            SuspectRequests suspects) {
+        return new Forwarding(request, book, retries, shutdown, suspects);
     }
 
     /** Returns the first step. */
@@ -331,7 +336,7 @@
      */
     public Step onUnconfirmed(long retryAfterMillis, String why) {
         finishRun();
-        return refuse(ResultCode.KEYS_UNCONFIRMED, retryAfterMillis, why);
+        return refuse(new Step.Refuse(ResultCode.KEYS_UNCONFIRMED, retryAfterMillis, why));
     }
 
     /** Returns the step when this instance has to end before the target's answer does. */
@@ -473,6 +478,7 @@
                 route.mayRunAgain()
                         && route.resumable()
                         && mHistory.mayRunAnywhere()
+                        && maySendOn(now)
                         && hasTimeLeft(now);
         if (!mayGoOn) {
             return new Step.Break(mLostBy, mLeftBy);
@@ -498,7 +504,16 @@
 
     private boolean mayRunAgain(long now) {
         boolean mayGoOn = !mHeadPassed || mRequest.route().resumable();
-        return mRequest.route().mayRunAgain() && mayGoOn && hasTimeLeft(now) && hasOtherTarget(now);
+        return mRequest.route().mayRunAgain()
+                && mayGoOn
+                && maySendOn(now)
+                && hasTimeLeft(now)
+                && hasOtherTarget(now);
+    }
+
+    /** Returns whether the request may be sent to a target, or to one more. */
+    private boolean maySendOn(long now) {
+        return mSuspects.maySendOn(mRequest.fingerprint(), mHistory.targets(), now);
     }
 
     private boolean hasTimeLeft(long now) {
@@ -530,6 +545,9 @@
         if (left <= 0) {
             return giveUp(ResultCode.DEADLINE_PASSED, "no target in time", now);
         }
+        if (!maySendOn(now)) {
+            return refuse(mSuspects.refusal(mRequest.fingerprint(), now));
+        }
         Optional<Choice> choice = mBook.choose(mRequest, barred(), now);
         boolean fresh = !mHeadPassed && mHistory.targets() == 0;
         if (choice.isPresent()
@@ -557,17 +575,14 @@
     private Step giveUp(ResultCode code, String why, long now) {
         return mHeadPassed
                 ? goOn(code, now)
-                : refuse(code, mBook.retryAfterMillis(mRequest, now), why);
+                : refuse(new Step.Refuse(code, mBook.retryAfterMillis(mRequest, now), why));
     }
 
-    private Step refuse(ResultCode code, long retryAfterMillis, String why) {
+    private Step refuse(Step.Refuse unrun) {
         if (mHeadPassed) {
-            return new Step.Break(code, mLeftBy);
-        }
-        if (mHistory.targets() > 0) {
-            return new Step.Fail(ResultCode.TARGET_LOST);
+            return new Step.Break(unrun.code(), mLeftBy);
         }
-        return new Step.Refuse(code, retryAfterMillis, why);
+        return mHistory.targets() > 0 ? new Step.Fail(ResultCode.TARGET_LOST) : unrun;
     }
 
     private void finishAll() {
--- /dev/null
+++ b/quilldyke-core/src/main/java/org/quilldyke/caller/LostRuns.java
@@ -0,0 +1,72 @@
+/*
+ * Copyright 2026 The quilldyke authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.quilldyke.caller;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * Runs whose connections were closed by their targets, until it shows what that was.
+ *
+ * <p>A connection alone may be closed by a fault of the network or of one answer. A target that
+ * takes no connections right after it has closed some has crashed.
+ */
+public final class LostRuns {
+    /** A target that ends later than this after it closed a connection ended for another reason. */
+    static final long KEPT_MILLIS = 2000;
+
+    private final Map<String, Map<RequestFingerprint, Long>> mByTarget = new HashMap<>();
+
+    private LostRuns() {}
+
+    /** Returns an object that knows of no lost run. */
+    public static LostRuns create() {
+        return new LostRuns();
+    }
+
+    /** Notes that a target closed the connection of a run. */
+    public void onLost(String target, RequestFingerprint request, long now) {
+        expire(now);
+        mByTarget.computeIfAbsent(target, id -> new HashMap<>()).put(request, now);
+    }
+
+    /** Returns the crash of a target that has ended; nothing if it has closed no run before. */
+    public Optional<TargetCrash> onEnded(String target, long now) {
+        expire(now);
+        Map<RequestFingerprint, Long> lost = mByTarget.remove(target);
+        if (lost == null) {
+            return Optional.empty();
+        }
+        Set<RequestFingerprint> requests = new HashSet<>(lost.keySet());
+        long at = lost.values().stream().mapToLong(Long::longValue).min().orElse(now);
+        return Optional.of(new TargetCrash(target, requests, at));
+    }
+
+    /** Forgets the runs of a target that has left in peace. */
+    public void onLeft(String target) {
+        mByTarget.remove(target);
+    }
+
+    private void expire(long now) {
+        for (Map<RequestFingerprint, Long> lost : mByTarget.values()) {
+            lost.values().removeIf(at -> now - at > KEPT_MILLIS);
+        }
+        mByTarget.values().removeIf(Map::isEmpty);
+    }
+}
--- /dev/null
+++ b/quilldyke-core/src/main/java/org/quilldyke/caller/SuspectRequests.java
@@ -0,0 +1,103 @@
+/*
+ * Copyright 2026 The quilldyke authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.quilldyke.caller;
+
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import org.quilldyke.ResultCode;
+
+/**
+ * What an entry does with requests that are suspected to crash targets, and what it knows in their
+ * favour. Used by one thread.
+ */
+public final class SuspectRequests {
+    private static final int MAX_COMPLETIONS = 4096;
+
+    private final Map<RequestFingerprint, Suspect> mSuspects = new HashMap<>();
+    private final Map<RequestFingerprint, Long> mCompletedAt = new LinkedHashMap<>();
+
+    private SuspectRequests() {}
+
+    /** Returns an object that knows of no suspect. */
+    public static SuspectRequests create() {
+        return new SuspectRequests();
+    }
+
+    /**
+     * Takes what is concluded of a request.
+     *
+     * @return when it ran to its end here, if that may speak for it
+     */
+    public OptionalLong onSuspect(Suspect suspect) {
+        if (suspect.standing() == Suspect.Standing.CLEARED) {
+            mSuspects.remove(suspect.request());
+            return OptionalLong.empty();
+        }
+        mSuspects.put(suspect.request(), suspect);
+        Long completedAt = mCompletedAt.get(suspect.request());
+        return completedAt == null ? OptionalLong.empty() : OptionalLong.of(completedAt);
+    }
+
+    /** Returns what is known of suspects. */
+    public List<Suspect> suspects() {
+        return List.copyOf(mSuspects.values());
+    }
+
+    /**
+     * Returns whether a request may be sent to one more target. One that was refused before is
+     * tried by one alone.
+     *
+     * @param targets how many may have run it for this attempt of its caller
+     */
+    public boolean maySendOn(RequestFingerprint request, int targets, long now) {
+        Suspect suspect = mSuspects.get(request);
+        return suspect == null
+                || suspect.standing() != Suspect.Standing.REFUSED
+                || now >= suspect.until() && targets == 0;
+    }
+
+    /** Returns the refusal of a request that isn't sent on. */
+    public Step.Refuse refusal(RequestFingerprint request, long now) {
+        Suspect suspect = mSuspects.get(request);
+        return new Step.Refuse(
+                ResultCode.CRASHES_TARGETS,
+                Math.max(0, suspect.until() - now),
+                "fingerprint " + request.label() + " crashed " + suspect.targets());
+    }
+
+    /**
+     * Notes that a request ran to its end.
+     *
+     * @return whether others have to know
+     */
+    public boolean onCompleted(RequestFingerprint request, long now) {
+        mCompletedAt.remove(request);
+        mCompletedAt.put(request, now);
+        if (mCompletedAt.size() > MAX_COMPLETIONS) {
+            mCompletedAt.remove(mCompletedAt.keySet().iterator().next());
+        }
+        return mSuspects.containsKey(request);
+    }
+
+    /** Returns whether a request ran to its end here so lately that it crashes no target. */
+    public boolean isHarmless(RequestFingerprint request, long now) {
+        Long completedAt = mCompletedAt.get(request);
+        return completedAt != null && now - completedAt <= CrashLedger.HARMLESS_MILLIS;
+    }
+}
--- a/quilldyke-core/src/main/java/org/quilldyke/routing/TargetBook.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/routing/TargetBook.java
@@ -95,6 +95,12 @@
         return state == null ? Told.NOBODY : state.mTold;
     }
 
+    /** Returns whether a target has said that it leaves. */
+    public boolean isLeaving(String id) {
+        TargetState state = mTargets.get(id);
+        return state != null && state.isLeaving();
+    }
+
     /** Forgets a target. */
     public void onGone(String id) {
         mTargets.remove(id);
--- a/quilldyke-core/src/main/java/org/quilldyke/routing/TargetState.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/routing/TargetState.java
@@ -130,7 +130,11 @@
     }
 
     boolean serves(String service, long now) {
-        return mReport.service().equals(service) && !mReport.leaving() && !isLoading(now);
+        return mReport.service().equals(service) && !isLeaving() && !isLoading(now);
+    }
+
+    boolean isLeaving() {
+        return mReport.leaving();
     }
 
     String failureDomain() {
--- a/quilldyke-core/src/test/java/org/quilldyke/caller/ForwardingTest.java
+++ b/quilldyke-core/src/test/java/org/quilldyke/caller/ForwardingTest.java
@@ -20,6 +20,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -40,6 +41,7 @@
 
     private final TargetBook mBook = TargetBook.create("z", 7500, new SplittableRandom(1));
     private final ShutdownAdmission mShutdown = ShutdownAdmission.create();
+    private final SuspectRequests mSuspects = SuspectRequests.create();
     private RetryAllowance mRetries = RetryAllowance.create(0.2, 100, 10_000, 1);
 
     @BeforeEach
@@ -95,6 +97,36 @@
         assertThat(((Step.Refuse) end).retryAfterMillis()).isGreaterThan(0L);
     }
 
+    @Test
+    void requestThatCrashesTargetsIsRefusedUnrun() {
+        refuseUntil(700);
+
+        Step.Refuse refusal = (Step.Refuse) forwarding(RequestKind.IDEMPOTENT, 2).start(0);
+
+        assertThat(refusal.code()).isEqualTo(ResultCode.CRASHES_TARGETS);
+        assertThat(refusal.retryAfterMillis()).isEqualTo(700);
+    }
+
+    @Test
+    void requestThatIsFoundToCrashTargetsIsNotSentAgain() {
+        Forwarding forwarding = forwarding(RequestKind.IDEMPOTENT, 2);
+        sent(forwarding.start(0), forwarding);
+        refuseUntil(700);
+
+        assertThat(forwarding.onBroken(ResultCode.TARGET_LOST, 5))
+                .isEqualTo(new Step.Fail(ResultCode.TARGET_LOST));
+    }
+
+    @Test
+    void requestThatComesBackAfterItsRefusalIsSentToOneTarget() {
+        refuseUntil(10);
+        Forwarding forwarding = forwarding(RequestKind.IDEMPOTENT, 2);
+        sent(forwarding.start(20), forwarding);
+
+        assertThat(forwarding.onBroken(ResultCode.TARGET_LOST, 25))
+                .isEqualTo(new Step.Fail(ResultCode.TARGET_LOST));
+    }
+
     @Test
     void attemptsAreBoundedByTheRoute() {
         Forwarding forwarding = forwarding(RequestKind.IDEMPOTENT, 2);
@@ -529,6 +561,11 @@
         return ((Step.Send) step).choice().target();
     }
 
+    private void refuseUntil(long until) {
+        RequestFingerprint request = new RequestFingerprint(1, 1);
+        mSuspects.onSuspect(new Suspect(request, Suspect.Standing.REFUSED, Set.of("a"), until, 1));
+    }
+
     private Forwarding forwarding(RequestKind kind, int maxAttempts) {
         Route route =
                 new Route(
@@ -558,6 +595,6 @@
                         1000,
                         new RequestFingerprint(1, 1),
                         -1);
-        return Forwarding.of(request, mBook, mRetries, mShutdown);
+        return Forwarding.of(request, mBook, mRetries, mShutdown, mSuspects);
     }
 }
--- a/quilldyke-core/src/test/java/org/quilldyke/caller/ForwardingWalk.java
+++ b/quilldyke-core/src/test/java/org/quilldyke/caller/ForwardingWalk.java
@@ -112,7 +112,7 @@
                         millis,
                         new RequestFingerprint(1, 1),
                         -1);
-        mForwarding = Forwarding.of(request, mBook, mRetries, mShutdown);
+        mForwarding = Forwarding.of(request, mBook, mRetries, mShutdown, SuspectRequests.create());
     }
 
     /** Plays to the end, and returns what it was. */
--- a/quilldyke-core/src/test/java/org/quilldyke/caller/SuccessorTest.java
+++ b/quilldyke-core/src/test/java/org/quilldyke/caller/SuccessorTest.java
@@ -201,6 +201,7 @@
                         MILLIS,
                         new RequestFingerprint(1, 1),
                         -1);
-        return Forwarding.of(request, mBook, mRetries, ShutdownAdmission.create());
+        return Forwarding.of(
+                request, mBook, mRetries, ShutdownAdmission.create(), SuspectRequests.create());
     }
 }
--- a/quilldyke-core/src/test/java/org/quilldyke/caller/TimelyEndTest.java
+++ b/quilldyke-core/src/test/java/org/quilldyke/caller/TimelyEndTest.java
@@ -183,7 +183,8 @@
     }
 
     private Forwarding begin() {
-        Forwarding forwarding = Forwarding.of(request(), mBook, mRetries, mShutdown);
+        Forwarding forwarding =
+                Forwarding.of(request(), mBook, mRetries, mShutdown, SuspectRequests.create());
         assertThat(forwarding.start(0)).isInstanceOf(Step.Send.class);
         forwarding.onSending();
         forwarding.onAnswer(STREAM, 10);
--- a/quilldyke-daemon/src/main/java/org/quilldyke/daemon/log/Event.java
+++ b/quilldyke-daemon/src/main/java/org/quilldyke/daemon/log/Event.java
@@ -31,6 +31,7 @@
     ATTEMPT_FAILED(2002, Level.WARN, "attempt", "an attempt failed"),
     STREAM_CONTINUED(2003, Level.INFO, "continue", "a broken stream goes on"),
     CHUNK_DROPPED(2004, Level.WARN, "drop", "a late or crossed chunk was dropped"),
+    REQUEST_SUSPECTED(2005, Level.WARN, "suspect", "a request may crash targets; what follows"),
 
     TARGET_JOINED(3001, Level.INFO, "target-joined", "a target announced itself"),
     TARGET_RESTARTED(3002, Level.INFO, "target-restarted", "a target has a new incarnation"),
@@ -41,6 +42,7 @@
     WATCH_LOST(3007, Level.WARN, "watch-lost", "a holder of cached prompts does not answer"),
     NEWS_REFUSED(3008, Level.WARN, "news-refused", "what a target says cannot be taken"),
     TARGET_LEAVES(3009, Level.INFO, "target-leaves", "a target leaves, and what was made of it"),
+    TARGET_CRASHED(3010, Level.WARN, "target-crashed", "a target ended amid runs"),
 
     LEADER_WON(4001, Level.INFO, "leader-won", "this replica leads"),
     LEADER_LOST(4002, Level.INFO, "leader-lost", "this replica leads no longer"),
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/EntrySubscriber.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/EntrySubscriber.java
@@ -58,6 +58,7 @@
     private final LongSupplier mClock;
     private final EventLog mLog;
     private final RefusedNews mRefused;
+    private final CrashTelling mCrashes;
     private final TargetRegistry mRegistry = TargetRegistry.following();
     private volatile List<TargetLoad> mLoads = List.of();
     private long mHeldIndex;
@@ -68,13 +69,15 @@
             ControlDialect dialect,
             LongSupplier clock,
             EventLog log,
-            RefusedNews refused) {
+            RefusedNews refused,
+            CrashTelling crashes) {
         mInstance = instance;
         mEntry = entry;
         mDialect = dialect;
         mClock = clock;
         mLog = log;
         mRefused = refused;
+        mCrashes = crashes;
     }
 
     /** Begins to note what is open at targets; call it on the traffic thread. */
@@ -111,6 +114,7 @@
                 .setEntry(mInstance)
                 .setHeldIndex(mHeldIndex)
                 .setTargets(known)
+                .setCrashes(mCrashes.known())
                 .build();
     }
 
@@ -140,6 +144,7 @@
             case TARGETS -> onTargets(frame.getTargets(), control);
             case LOADING -> onLoading(frame.getLoading());
             case CACHES -> onCaches(frame.getCaches());
+            case CRASHES -> mCrashes.onNews(frame.getCrashes());
             case LOADS -> {
                 List<TargetLoad> loads = frame.getLoads().getTargetsList();
                 mEntry.loop().execute(() -> takeLoads(loads));
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/GatewayProcess.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/GatewayProcess.java
@@ -266,23 +266,33 @@
         registerGauges();
         mCallers = CallerServer.start(mSettings.callers(), mEntry);
         ProbeServer.start(mSettings.ready(), mTraffic, this::isReady, mMetrics.registry());
+        CrashTelling crashes = new CrashTelling(mEntry, mControl::execute, mClock, mLog);
+        mTraffic.execute(() -> mEntry.listenToCrashes(crashes));
         EntrySubscriber subscriber =
                 new EntrySubscriber(
-                        mSettings.instance(), mEntry, mDialect.control(), mClock, mLog, mRefused);
+                        mSettings.instance(),
+                        mEntry,
+                        mDialect.control(),
+                        mClock,
+                        mLog,
+                        mRefused,
+                        crashes);
         mTraffic.execute(subscriber::noteLoads);
         mTraffic.scheduleAtFixedRate(
                 mEntry.pool()::closeIdle, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
         mControl.execute(
-                () ->
-                        mLinks =
-                                ControlLinks.start(
-                                        mControl,
-                                        mClock,
-                                        mLog,
-                                        mSettings.failureDomain(),
-                                        mSettings.seedAddresses(),
-                                        Math.floorMod(mSettings.instance().hashCode(), 97),
-                                        subscriber));
+                () -> {
+                    mLinks =
+                            ControlLinks.start(
+                                    mControl,
+                                    mClock,
+                                    mLog,
+                                    mSettings.failureDomain(),
+                                    mSettings.seedAddresses(),
+                                    Math.floorMod(mSettings.instance().hashCode(), 97),
+                                    subscriber);
+                    crashes.tellTo(mLinks::sendToAll);
+                });
     }
 
     /** What is read when metrics are asked for, on the traffic thread. */
--- /dev/null
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/CrashWatch.java
@@ -0,0 +1,84 @@
+/*
+ * Copyright 2026 The quilldyke authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.quilldyke.gateway.caller;
+
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+import org.quilldyke.caller.LostRuns;
+import org.quilldyke.caller.RequestFingerprint;
+import org.quilldyke.caller.SuspectRequests;
+import org.quilldyke.caller.TargetCrash;
+
+/** Finds out which targets have crashed, and what they worked on then. On the traffic thread. */
+final class CrashWatch {
+    /** The other connections of a target that has ended are closed within this time. */
+    private static final long LOOK_MILLIS = 20;
+
+    private final Entry mEntry;
+    private final LostRuns mLost = LostRuns.create();
+    private final SuspectRequests mSuspects = SuspectRequests.create();
+    private CrashListener mListener = CrashListener.NONE;
+
+    CrashWatch(Entry entry) {
+        mEntry = entry;
+    }
+
+    void listen(CrashListener listener) {
+        mListener = listener;
+    }
+
+    SuspectRequests suspects() {
+        return mSuspects;
+    }
+
+    /** A target has closed the connection of a run: whether it has ended shows in a moment. */
+    void onRunLost(String target, RequestFingerprint request) {
+        mLost.onLost(target, request, mEntry.now());
+        mEntry.loop()
+                .schedule(() -> mEntry.pool().look(target), LOOK_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    /** A target takes no connections, or has started again. */
+    void onTargetEnded(String target) {
+        long now = mEntry.now();
+        mLost.onEnded(target, now)
+                .filter(crash -> !mEntry.book().isLeaving(target))
+                .ifPresent(crash -> tell(crash, now));
+    }
+
+    /** A target has said that it is gone: what it breaks off then is no crash. */
+    void onTargetLeft(String target) {
+        mLost.onLeft(target);
+    }
+
+    void onCompleted(RequestFingerprint request) {
+        long now = mEntry.now();
+        if (mSuspects.onCompleted(request, now)) {
+            mListener.onCompleted(request, now);
+        }
+    }
+
+    private void tell(TargetCrash crash, long now) {
+        Set<RequestFingerprint> requests =
+                crash.requests().stream()
+                        .filter(request -> !mSuspects.isHarmless(request, now))
+                        .collect(Collectors.toSet());
+        if (!requests.isEmpty()) {
+            mListener.onCrash(new TargetCrash(crash.target(), requests, crash.at()));
+        }
+    }
+}
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Entry.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Entry.java
@@ -25,9 +25,12 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
+import org.quilldyke.caller.ForwardRequest;
+import org.quilldyke.caller.Forwarding;
 import org.quilldyke.caller.KeyLease;
 import org.quilldyke.caller.RetryAllowance;
 import org.quilldyke.caller.ShutdownAdmission;
+import org.quilldyke.caller.SuspectRequests;
 import org.quilldyke.daemon.log.EventLog;
 import org.quilldyke.engine.TargetReport;
 import org.quilldyke.gateway.dialect.Dialect;
@@ -62,6 +65,7 @@
     private final GatewayMetrics mMetrics;
     private final Map<String, Set<Exchange>> mExchanges = new HashMap<>();
     private final Set<String> mLapsing = new HashSet<>();
+    private final CrashWatch mCrashes = new CrashWatch(this);
     private RouteTable mRoutes;
     private OptionalLong mDrainBegunAt = OptionalLong.empty();
 
@@ -78,8 +82,22 @@
                         mLoop,
                         mDialect.targets(),
                         mClock,
-                        fault -> mLog.fault(fault, "while a target is read"),
-                        mBook::onFreeConnections);
+                        new TargetPool.Listener() {
+                            @Override
+                            public void onFault(Throwable fault) {
+                                mLog.fault(fault, "while a target is read");
+                            }
+
+                            @Override
+                            public void onFree(String target, int free) {
+                                mBook.onFreeConnections(target, free);
+                            }
+
+                            @Override
+                            public void onRefused(String target) {
+                                mCrashes.onTargetEnded(target);
+                            }
+                        });
         mMetrics = parts.metrics();
     }
 
@@ -102,6 +120,9 @@
             mLoop.schedule(() -> checkLapsing(target), HEARD_CHECK_MILLIS, TimeUnit.MILLISECONDS);
             return;
         }
+        if (!silent) {
+            mCrashes.onTargetLeft(target);
+        }
         forget(target);
         if (silent) {
             open(target).forEach(exchange -> exchange.onTargetSilent(target));
@@ -113,6 +134,7 @@
      * hasn't begun to answer is lost.
      */
     public void onTargetEnded(String target) {
+        mCrashes.onTargetEnded(target);
         forget(target);
         open(target)
                 .forEach(
@@ -245,6 +267,25 @@
         return mRetries;
     }
 
+    /** Returns the decisions for a request. */
+    Forwarding forwarding(ForwardRequest request) {
+        return Forwarding.of(request, mBook, mRetries, mShutdown, suspects());
+    }
+
+    /** Returns which requests may crash targets. */
+    public SuspectRequests suspects() {
+        return mCrashes.suspects();
+    }
+
+    /** Has a listener hear of crashes; the one before hears no more. */
+    public void listenToCrashes(CrashListener listener) {
+        mCrashes.listen(listener);
+    }
+
+    CrashWatch crashes() {
+        return mCrashes;
+    }
+
     /** Returns for how long keys may be taken for good. */
     public KeyLease lease() {
         return mLease;
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Exchange.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Exchange.java
@@ -97,7 +97,7 @@
         }
         long left = Math.max(0, mRequest.answerBy() - now());
         mTimeOver = mEntry.loop().schedule(this::onTimeOver, left, TimeUnit.MILLISECONDS);
-        mForwarding = Forwarding.of(mRequest, mEntry.book(), mEntry.retries(), mEntry.shutdown());
+        mForwarding = mEntry.forwarding(mRequest);
         mEntry.metrics().onRequest(mRequest.route().kind());
         perform(mForwarding.start(now()));
     }
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/TargetAnswer.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/TargetAnswer.java
@@ -22,6 +22,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
 import org.quilldyke.ResultCode;
 import org.quilldyke.caller.AnswerHead;
 import org.quilldyke.caller.ForwardRequest;
@@ -187,6 +188,12 @@
 
     @Override
     public void onEnd() {
+        if (isFramed()) {
+            mEntry.crashes().onCompleted(mRequest.fingerprint());
+        } else {
+            // Its end looks like that of its target.
+            onRunLost();
+        }
         close();
         if (mEvents == null) {
             mExchange.onWhole(this);
@@ -200,6 +207,9 @@
 
     @Override
     public void onBroken(ResultCode code, String why) {
+        if (code == ResultCode.TARGET_LOST) {
+            onRunLost();
+        }
         close();
         release();
         mExchange.onBroken(this, code, why);
@@ -211,6 +221,14 @@
         mExchange.onBroken(this, code, why);
     }
 
+    private void onRunLost() {
+        mEntry.crashes().onRunLost(mChoice.target(), mRequest.fingerprint());
+    }
+
+    private boolean isFramed() {
+        return HttpUtil.isTransferEncodingChunked(mHead) || HttpUtil.isContentLengthSet(mHead);
+    }
+
     private void onEventBytes(ByteBuf bytes) {
         for (EventSplitter.Event event : mEvents.add(bytes)) {
             if (mAttempt == null) {
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/ControlNode.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/ControlNode.java
@@ -85,6 +85,7 @@
     private final RestartMemory mMemory;
     private final Deliveries mDeliveries;
     private final TargetSpread mTargets;
+    private final CrashSpread mCrashes;
     private final MembershipKeeper mMembership;
     private final WeightsKeeper mWeights;
     private final CacheWatch mCaches;
@@ -140,7 +141,8 @@
         mProposals = new Proposals(mGroup, mPeers, loop, clock);
         mDeliveries = new Deliveries(mPeers::sendToAll, clock, settings.toleratedLosses());
         mTargets = spread(settings.timings().targetReport(), refused);
-        mEntries.connect(mConfirmations::ask, mTargets);
+        mCrashes = new CrashSpread(mPeers::sendToAll, mEntries::onCrashes, clock, log, mMemory);
+        mEntries.connect(mConfirmations::ask, mTargets, mCrashes);
         mMembership =
                 new MembershipKeeper(mGroup, mPeers, mAddress, clock, settings.toleratedLosses());
         mWeights =
@@ -338,6 +340,7 @@
             case TAKEN -> mDeliveries.onTaken(frame.getAddress(), frame.getTaken().getNumber());
             case LOADING -> onLoading(frame.getLoading());
             case LOADS -> mEntries.onLoads(frame.getAddress(), frame.getLoads());
+            case CRASHES -> mCrashes.onPeerNews(frame.getCrashes());
             case CACHES -> mEntries.onCaches(frame.getCaches().getCachesList());
             default -> {
                 // A sign of life.
@@ -408,6 +411,8 @@
 
     private void onPeerUp(String address) {
         mPeers.send(address, PeerFrame.newBuilder().setTargets(mTargets.heard()));
+        mCrashes.all()
+                .ifPresent(all -> mPeers.send(address, PeerFrame.newBuilder().setCrashes(all)));
     }
 
     /** Tells all what caches changed since the last time. */
@@ -454,6 +459,7 @@
         mConfirmations.advance();
         mMembership.tick(mSeeds);
         mTargets.tick(isInTouch());
+        mCrashes.tick();
         mEntries.tick();
         tellCaches();
         List<TargetReport> targets = mTargets.reports();
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/EntrySessions.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/EntrySessions.java
@@ -37,6 +37,7 @@
 import org.quilldyke.gateway.instance.proto.Caches;
 import org.quilldyke.gateway.instance.proto.Configuration;
 import org.quilldyke.gateway.instance.proto.ControlFrame;
+import org.quilldyke.gateway.instance.proto.CrashNews;
 import org.quilldyke.gateway.instance.proto.EntryFrame;
 import org.quilldyke.gateway.instance.proto.Hello;
 import org.quilldyke.gateway.instance.proto.Loading;
@@ -69,6 +70,7 @@
     private final Map<String, Long> mLoadingSince = new HashMap<>();
     private Consumer<Consumer<Boolean>> mConfirm;
     private TargetSpread mTargets;
+    private CrashSpread mCrashes;
     private FleetState mState = FleetState.create();
     private boolean mStateTold;
     private long mToldVersion = -1;
@@ -89,10 +91,12 @@
      *
      * @param confirm takes who waits for a confirmation that all that was accepted is known here
      * @param targets takes the targets that entries know, and tells all
+     * @param crashes takes the crashes that entries have seen
      */
-    void connect(Consumer<Consumer<Boolean>> confirm, TargetSpread targets) {
+    void connect(Consumer<Consumer<Boolean>> confirm, TargetSpread targets, CrashSpread crashes) {
         mConfirm = confirm;
         mTargets = targets;
+        mCrashes = crashes;
     }
 
     /** Takes the state after a change; {@link #tellState} tells it to all. */
@@ -131,6 +135,11 @@
         tellAll(ControlFrame.newBuilder().setTargets(targets).build());
     }
 
+    /** Tells all what is concluded of requests that may crash targets. */
+    void onCrashes(CrashNews conclusions) {
+        tellAll(ControlFrame.newBuilder().setCrashes(conclusions).build());
+    }
+
     /** Tells all that an engine is about to load weights, or has done so. */
     void onLoading(Loading loading) {
         if (loading.getLoading()) {
@@ -262,6 +271,8 @@
                 onQuestion(frame.getQuestion());
             } else if (frame.getKindCase() == EntryFrame.KindCase.LOADS) {
                 mLoads.onLoad(mEntry, frame.getLoads().getTargetsList(), mHeardAt);
+            } else if (frame.getKindCase() == EntryFrame.KindCase.CRASHES) {
+                mCrashes.onEntryNews(frame.getCrashes());
             }
         }
 
@@ -289,11 +300,16 @@
             mEntry = hello.getEntry();
             mLog.write(Event.SUBSCRIBER_GAINED, "entry", mEntry, "index", hello.getHeldIndex());
             mTargets.onTargets(hello.getTargets());
+            mCrashes.onEntryNews(hello.getCrashes());
             mSessions.add(this);
             if (mState.hasManifest()) {
                 send(configuration(true));
             }
             send(ControlFrame.newBuilder().setTargets(mTargets.all()).build());
+            CrashNews conclusions = mCrashes.conclusions();
+            if (conclusions.getSuspectsCount() > 0) {
+                send(ControlFrame.newBuilder().setCrashes(conclusions).build());
+            }
             long now = mClock.getAsLong();
             mLoadingSince.values().removeIf(since -> now - since > TargetState.MAX_LOADING_MILLIS);
             for (String target : mLoadingSince.keySet()) {
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/RestartMemory.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/RestartMemory.java
@@ -37,6 +37,7 @@
 import org.quilldyke.gateway.instance.TargetFrames;
 import org.quilldyke.gateway.instance.proto.CacheNews;
 import org.quilldyke.gateway.instance.proto.Caches;
+import org.quilldyke.gateway.instance.proto.CrashNews;
 import org.quilldyke.gateway.instance.proto.Target;
 import org.quilldyke.gateway.instance.proto.Targets;
 
@@ -54,6 +55,7 @@
     private static final String TARGETS = "targets";
     private static final String CACHES = "caches";
     private static final String LEAVES = "leaves";
+    private static final String CRASHES = "crashes";
 
     private final DataFolder mFolder;
     private final DiskQueue mDisk;
@@ -111,6 +113,11 @@
         return load(CACHES, Caches.parser(), Caches.getDefaultInstance()).getCachesList();
     }
 
+    /** Returns what was stored last of requests that crash targets. */
+    CrashNews crashes() {
+        return load(CRASHES, CrashNews.parser(), CrashNews.getDefaultInstance());
+    }
+
     /** Stores targets; returns whether it is done, and not still busy with the write before. */
     boolean saveTargets(List<TargetReport> reports) {
         List<Target> targets = reports.stream().map(r -> TargetFrames.encode(r, 0)).toList();
@@ -127,6 +134,11 @@
         return save(CACHES, Caches.newBuilder().addAllCaches(whole).build());
     }
 
+    /** Stores what is known of requests that crash targets; returns as {@link #saveTargets}. */
+    boolean saveCrashes(CrashNews known) {
+        return save(CRASHES, known);
+    }
+
     void close() {
         mDisk.close();
     }
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/engine/TargetConnection.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/engine/TargetConnection.java
@@ -74,6 +74,12 @@
         mWritten = mContext.writeAndFlush(attempt.request());
     }
 
+    /** Waits for its first request. */
+    void keep() {
+        mUsableUntil = mSlot.now() + mIdleMillis;
+        mSlot.onFree(this);
+    }
+
     /** Returns whether a request may be sent at {@code now}. */
     boolean isUsable(long now) {
         return mContext.channel().isActive() && mAttempt == null && !mLast && now < mUsableUntil;
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/engine/TargetPool.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/engine/TargetPool.java
@@ -20,11 +20,13 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpDecoderConfig;
+import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -32,9 +34,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.function.Consumer;
 import java.util.function.LongSupplier;
-import java.util.function.ObjIntConsumer;
 import org.quilldyke.daemon.settings.Addresses;
 import org.quilldyke.engine.SocketAddresses;
 import org.quilldyke.gateway.dialect.TargetDialect;
@@ -49,21 +49,15 @@
     private final EventLoop mLoop;
     private final TargetDialect mDialect;
     private final LongSupplier mClock;
-    private final Consumer<Throwable> mOnFault;
-    private final ObjIntConsumer<String> mOnFree;
+    private final Listener mListener;
     private final Map<String, Slot> mSlots = new HashMap<>();
 
     private TargetPool(
-            EventLoop loop,
-            TargetDialect dialect,
-            LongSupplier clock,
-            Consumer<Throwable> onFault,
-            ObjIntConsumer<String> onFree) {
+            EventLoop loop, TargetDialect dialect, LongSupplier clock, Listener listener) {
         mLoop = loop;
         mDialect = dialect;
         mClock = clock;
-        mOnFault = onFault;
-        mOnFree = onFree;
+        mListener = listener;
     }
 
     /**
@@ -74,7 +68,7 @@
      * @param clock monotonic milliseconds
      */
     public static TargetPool create(EventLoop loop, TargetDialect dialect, LongSupplier clock) {
-        return create(loop, dialect, clock, fault -> {}, (target, free) -> {});
+        return create(loop, dialect, clock, new Listener() {});
     }
 
     /**
@@ -83,16 +77,11 @@
      * @param loop the traffic thread
      * @param dialect how targets speak
      * @param clock monotonic milliseconds
-     * @param onFault takes what listeners throw, which ends their connections
-     * @param onFree takes how many connections to a target are free, whenever that changes
+     * @param listener hears what becomes of connections
      */
     public static TargetPool create(
-            EventLoop loop,
-            TargetDialect dialect,
-            LongSupplier clock,
-            Consumer<Throwable> onFault,
-            ObjIntConsumer<String> onFree) {
-        return new TargetPool(loop, dialect, clock, onFault, onFree);
+            EventLoop loop, TargetDialect dialect, LongSupplier clock, Listener listener) {
+        return new TargetPool(loop, dialect, clock, listener);
     }
 
     /**
@@ -121,6 +110,17 @@
         return attempt;
     }
 
+    /**
+     * Finds out whether a target still takes connections, if none to it is open; one that is made
+     * is kept for the next request.
+     */
+    public void look(String target) {
+        Slot slot = mSlots.get(target);
+        if (slot != null) {
+            slot.look();
+        }
+    }
+
     /** Closes the connections to a target that is gone, as soon as they are free. */
     public void forget(String target) {
         Slot slot = mSlots.remove(target);
@@ -146,6 +146,7 @@
         private final Deque<TargetConnection> mFree = new ArrayDeque<>();
         private final List<TargetConnection> mOpen = new ArrayList<>();
         private boolean mRetired;
+        private boolean mLooking;
 
         Slot(String target, String address) {
             mTarget = target;
@@ -153,7 +154,7 @@
         }
 
         private void tellFree() {
-            mOnFree.accept(mTarget, mFree.size());
+            mListener.onFree(mTarget, mFree.size());
         }
 
         long now() {
@@ -161,7 +162,7 @@
         }
 
         void onFault(Throwable fault) {
-            mOnFault.accept(fault);
+            mListener.onFault(fault);
         }
 
         /** Returns the free connection that was used last, or null. */
@@ -182,9 +183,41 @@
                 return;
             }
             TargetConnection connection = new TargetConnection(this, mDialect);
+            open(connection)
+                    .addListener(
+                            (ChannelFuture connecting) ->
+                                    onConnected(connecting, connection, attempt));
+        }
+
+        void look() {
+            if (mLooking || mRetired || !mOpen.isEmpty()) {
+                return;
+            }
+            mLooking = true;
+            TargetConnection connection = new TargetConnection(this, mDialect);
+            open(connection).addListener((ChannelFuture made) -> onLooked(made, connection));
+        }
+
+        private void onLooked(ChannelFuture connecting, TargetConnection connection) {
+            mLooking = false;
+            if (connecting.isSuccess()) {
+                mOpen.add(connection);
+                connection.keep();
+            } else {
+                tellIfRefused(connecting.cause());
+            }
+        }
+
+        private ChannelFuture open(TargetConnection connection) {
             InetSocketAddress address = Addresses.parse(mAddress);
-            ChannelFuture connecting = bootstrap(connection).connect(address);
-            connecting.addListener(done -> onConnected(connecting, connection, attempt));
+            return bootstrap(connection).connect(address);
+        }
+
+        /** Whoever doesn't answer at all may be cut off; whoever refuses has nobody listening. */
+        private void tellIfRefused(Throwable cause) {
+            if (cause instanceof ConnectException && !(cause instanceof ConnectTimeoutException)) {
+                mListener.onRefused(mTarget);
+            }
         }
 
         void onFree(TargetConnection connection) {
@@ -225,6 +258,7 @@
         private void onConnected(
                 ChannelFuture connecting, TargetConnection connection, Attempt attempt) {
             if (!connecting.isSuccess()) {
+                tellIfRefused(connecting.cause());
                 giveUp(attempt, String.valueOf(connecting.cause()));
                 return;
             }
@@ -270,4 +304,16 @@
                 .setStrictLineParsing(true)
                 .setUseRfc9112TransferEncoding(true);
     }
+
+    /** Hears what becomes of connections, on the traffic thread. */
+    public interface Listener {
+        /** What a listener of an attempt has thrown, which ends its connection. */
+        default void onFault(Throwable fault) {}
+
+        /** So many connections to a target are free now. */
+        default void onFree(String target, int free) {}
+
+        /** Nobody listens at a target's address. */
+        default void onRefused(String target) {}
+    }
 }
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/instance/ControlLinks.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/instance/ControlLinks.java
@@ -112,6 +112,11 @@
         }
     }
 
+    /** Sends a frame to all control processes that are in reach. */
+    public void sendToAll(EntryFrame frame) {
+        mLinks.stream().filter(ControlLink::isUp).forEach(link -> link.send(frame));
+    }
+
     /** Closes all streams for good. */
     public void close() {
         mClosed = true;
--- a/quilldyke-gateway/src/test/java/org/quilldyke/gateway/control/FleetTellingTest.java
+++ b/quilldyke-gateway/src/test/java/org/quilldyke/gateway/control/FleetTellingTest.java
@@ -120,7 +120,9 @@
                         memory,
                         refused,
                         1000);
-        sessions.connect(done -> done.accept(true), targets);
+        CrashSpread crashes =
+                new CrashSpread(peers::sendToAll, sessions::onCrashes, () -> mNow, mLog, memory);
+        sessions.connect(done -> done.accept(true), targets, crashes);
         List<FakeEntry> entries = new ArrayList<>();
         for (int i = 0; i < Math.max(1, instances / INSTANCES_PER_CONTROL); i++) {
             entries.add(new FakeEntry("entry-" + i, sessions));
