A target that is displaced right after it broke off runs has crashed; a soak of requests that crash targets

Looking for the same cause elsewhere: an engine that is back at its address within 20 ms of its crash refuses no connection, so that the look finds it listening. Another that claims the address shows it, as a restart under the same id does.

--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Entry.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Entry.java
@@ -120,7 +120,9 @@
             mLoop.schedule(() -> checkLapsing(target), HEARD_CHECK_MILLIS, TimeUnit.MILLISECONDS);
             return;
         }
-        if (!silent) {
+        if (silent) {
+            mCrashes.onTargetEnded(target);
+        } else {
             mCrashes.onTargetLeft(target);
         }
         forget(target);
