A target that names a limit is sent no more than that by all instances together

What callers saw: nothing, there was room elsewhere; a target in need that had named 1.9 requests a second got 17 in 4 s, one with 1.2 got 19. Cause: nobody read the limit; what is counted of a target is what is open there, not what it was sent over time. The class: a bound over all instances that each must know of and has only a part in. Change: Server-Limit is read of each answer (LimitFact). Five entries at most use a target that names a limit, others for each target, by an entry's place among all, which control processes tell with their answers. For all others the target is no candidate, and its prompts go to the next one. Whatever begins or ends a limit is told to all entries (QD3011), so that one that hears a target seldom doesn't go on by old news. Why it holds: whenever the sharers ask, they send one request each and the limit's own in any span: 5 + 4 x limit in 4 s, where 1.5 x 4 x limit + 5 are allowed; nothing has to be agreed while requests come. An answer that says something else changes nothing; only one that has run says by naming none that there is none.

--- a/quilldyke-core/src/main/java/org/quilldyke/routing/TargetBook.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/routing/TargetBook.java
@@ -46,6 +46,7 @@
     private final Map<String, TargetState> mTargets = new HashMap<>();
     private final KvStoreView mStore = new KvStoreView();
     private final TargetRatings mRatings;
+    private InstanceRank mRank = InstanceRank.UNKNOWN;
 
     private TargetBook(String failureDomain, long oldestWeightsMillis, RandomGenerator random) {
         mOldestWeightsMillis = oldestWeightsMillis;
@@ -178,6 +179,24 @@
         }
     }
 
+    /**
+     * Takes what a target says of the requests that it takes from all instances together.
+     *
+     * @return whether that differs from what was known
+     */
+    public boolean onLimit(NamedLimit limit, long now) {
+        TargetState state = mTargets.get(limit.target());
+        return state != null && state.onLimit(limit, mRank, mRandom.nextDouble(), now);
+    }
+
+    /** Takes which of all instances this one is: targets' limits are shared among some. */
+    public void onRank(InstanceRank rank, long now) {
+        if (!rank.equals(mRank)) {
+            mRank = rank;
+            mTargets.values().forEach(state -> state.onRank(rank, mRandom.nextDouble(), now));
+        }
+    }
+
     /** Takes the weights that a target's answer names. */
     public void onWeightsSeen(String id, String model, long version) {
         TargetState state = mTargets.get(id);
--- a/quilldyke-core/src/main/java/org/quilldyke/routing/TargetState.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/routing/TargetState.java
@@ -65,11 +65,14 @@
     private long mLoadingUntil = Long.MIN_VALUE;
     private long mLoadingSince;
     private boolean mAnswersWatch = true;
+    private NamedLimit mNamedLimit;
+    private LimitShare mLimitShare;
 
     TargetState(TargetReport report) {
         mReport = report;
         mIdHash = Rendezvous.hash(report.id());
         mWeights.putAll(report.weights());
+        mNamedLimit = new NamedLimit(report.id(), NamedLimit.NONE, Long.MIN_VALUE);
     }
 
     /** Returns the target's id. */
@@ -130,7 +133,38 @@
     }
 
     boolean serves(String service, long now) {
-        return mReport.service().equals(service) && !isLeaving() && !isLoading(now);
+        return mReport.service().equals(service)
+                && !isLeaving()
+                && !isLoading(now)
+                && (!mNamedLimit.isSet() || mLimitShare != null && mLimitShare.hasTurn(now));
+    }
+
+    /**
+     * Takes what the target says of its limit, if that is the newest word.
+     *
+     * @param rank which instance this is
+     * @param phase see {@link LimitShare#of}
+     * @return whether it differs from what was known
+     */
+    boolean onLimit(NamedLimit limit, InstanceRank rank, double phase, long now) {
+        if (limit.at() < mNamedLimit.at()) {
+            return false;
+        }
+        boolean differs = limit.differsFrom(mNamedLimit);
+        mNamedLimit = limit;
+        onRank(rank, phase, now);
+        return differs;
+    }
+
+    /** Takes which instance this is: it may use a target that names a limit, or may not. */
+    void onRank(InstanceRank rank, double phase, long now) {
+        if (!mNamedLimit.isSet() || !rank.isSharer(mIdHash)) {
+            mLimitShare = null;
+        } else if (mLimitShare == null) {
+            mLimitShare = LimitShare.of(mNamedLimit.perSecond(), rank.sharers(), phase, now);
+        } else {
+            mLimitShare.onChange(mNamedLimit.perSecond(), rank.sharers(), now);
+        }
     }
 
     boolean isLeaving() {
@@ -223,6 +257,9 @@
         mWaitingSince = mRequests == 0 ? now : mWaitingSince;
         mRequests++;
         mTokens += choice.missingTokens();
+        if (mLimitShare != null) {
+            mLimitShare.use(now);
+        }
         if (prompt != null) {
             mCache.expect(choice.cacheSalt(), prompt, now);
         }
--- /dev/null
+++ b/quilldyke-core/src/test/java/org/quilldyke/routing/LimitShareTest.java
@@ -0,0 +1,129 @@
+/*
+ * Copyright 2026 The quilldyke authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.quilldyke.routing;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+
+/** What all instances together send to a target that names a limit. */
+class LimitShareTest {
+    private static final long SPAN_MILLIS = 4000;
+    private static final long STEP_MILLIS = 20;
+    private static final long PLAY_MILLIS = 120_000;
+
+    /** Beyond one and a half times the limit, so many requests are a target's own slack. */
+    private static final int SLACK = 5;
+
+    @Test
+    void turnsAreThoseOfTheShare() {
+        LimitShare share = LimitShare.of(2, 4, 0.5, 0);
+
+        assertThat(share.hasTurn(999)).isFalse();
+        assertThat(share.hasTurn(1000)).isTrue();
+        share.use(1300);
+        assertThat(share.hasTurn(3299)).isFalse();
+        assertThat(share.hasTurn(3300)).isTrue();
+    }
+
+    @Test
+    void turnsAreNotSavedUp() {
+        LimitShare share = LimitShare.of(2, 4, 0.5, 0);
+
+        assertThat(share.hasTurn(100_000)).isTrue();
+        share.use(100_000);
+        assertThat(share.hasTurn(101_999)).isFalse();
+    }
+
+    @Test
+    void changeKeepsThePartOfTheWaitThatIsLeft() {
+        LimitShare share = LimitShare.of(1, 10, 1, 0);
+        share.onChange(10, 10, 5000);
+
+        assertThat(share.hasTurn(5499)).isFalse();
+        assertThat(share.hasTurn(5500)).isTrue();
+    }
+
+    @Test
+    void targetThatTakesNothingIsAskedNowAndThen() {
+        LimitShare share = LimitShare.of(0, 1, 1, 0);
+
+        assertThat(share.hasTurn(9999)).isFalse();
+        assertThat(share.hasTurn(10_000)).isTrue();
+    }
+
+    @Test
+    void someInstancesShareATargetAndOthersAnotherOne() {
+        for (int instances : List.of(1, 3, 5, 11, 87, 300)) {
+            Set<Integer> users = new HashSet<>();
+            for (long target = -500; target < 500; target++) {
+                int sharers = 0;
+                for (int rank = 0; rank < instances; rank++) {
+                    if (new InstanceRank(rank, instances).isSharer(target)) {
+                        sharers++;
+                        users.add(rank);
+                    }
+                }
+                assertThat(sharers).isEqualTo(Math.min(SLACK, instances));
+            }
+            assertThat(users).hasSize(instances);
+        }
+        assertThat(InstanceRank.UNKNOWN.isSharer(7)).isFalse();
+    }
+
+    @Test
+    void sumOverAllSharersKeepsTheLimitWheneverTheyAsk() {
+        for (int sharers = 1; sharers <= SLACK; sharers++) {
+            for (double limit : List.of(0.0, 0.3, 1.2, 1.9, 5.0, 40.0)) {
+                for (int seed = 1; seed <= 20; seed++) {
+                    int allowed = (int) (1.5 * limit * SPAN_MILLIS / 1000) + SLACK;
+                    assertThat(mostInSpan(sharers, limit, 0, seed)).isAtMost(allowed);
+                    assertThat(mostInSpan(sharers, limit, PLAY_MILLIS / 2, seed)).isAtMost(allowed);
+                }
+            }
+        }
+    }
+
+    /** Returns the most that is sent in a span if all ask all the time from a time on. */
+    private static int mostInSpan(int sharers, double limit, long from, int seed) {
+        SplittableRandom random = new SplittableRandom(seed);
+        List<LimitShare> shares = new ArrayList<>();
+        for (int i = 0; i < sharers; i++) {
+            shares.add(LimitShare.of(limit, sharers, random.nextDouble(), 0));
+        }
+        List<Long> sent = new ArrayList<>();
+        int first = 0;
+        int most = 0;
+        for (long now = from; now < PLAY_MILLIS; now += STEP_MILLIS) {
+            for (LimitShare share : shares) {
+                if (share.hasTurn(now)) {
+                    share.use(now);
+                    sent.add(now);
+                }
+            }
+            while (first < sent.size() && sent.get(first) <= now - SPAN_MILLIS) {
+                first++;
+            }
+            most = Math.max(most, sent.size() - first);
+        }
+        return most;
+    }
+}
--- a/quilldyke-daemon/src/main/java/org/quilldyke/daemon/log/Event.java
+++ b/quilldyke-daemon/src/main/java/org/quilldyke/daemon/log/Event.java
@@ -43,6 +43,7 @@
     NEWS_REFUSED(3008, Level.WARN, "news-refused", "what a target says cannot be taken"),
     TARGET_LEAVES(3009, Level.INFO, "target-leaves", "a target leaves, and what was made of it"),
     TARGET_CRASHED(3010, Level.WARN, "target-crashed", "a target ended amid runs"),
+    TARGET_LIMITED(3011, Level.INFO, "target-limit", "a target limits what it takes, or no more"),
 
     LEADER_WON(4001, Level.INFO, "leader-won", "this replica leads"),
     LEADER_LOST(4002, Level.INFO, "leader-lost", "this replica leads no longer"),
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/EntrySubscriber.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/EntrySubscriber.java
@@ -29,12 +29,14 @@
 import org.quilldyke.gateway.engine.RefusedNews;
 import org.quilldyke.gateway.instance.Compression;
 import org.quilldyke.gateway.instance.ControlLinks;
+import org.quilldyke.gateway.instance.LimitFrames;
 import org.quilldyke.gateway.instance.TargetFrames;
 import org.quilldyke.gateway.instance.proto.Answer;
 import org.quilldyke.gateway.instance.proto.Caches;
 import org.quilldyke.gateway.instance.proto.Configuration;
 import org.quilldyke.gateway.instance.proto.ControlFrame;
 import org.quilldyke.gateway.instance.proto.Hello;
+import org.quilldyke.gateway.instance.proto.Limits;
 import org.quilldyke.gateway.instance.proto.Loading;
 import org.quilldyke.gateway.instance.proto.ModelWeights;
 import org.quilldyke.gateway.instance.proto.Target;
@@ -42,6 +44,8 @@
 import org.quilldyke.gateway.instance.proto.Targets;
 import org.quilldyke.manifest.RouteTable;
 import org.quilldyke.routing.CacheNews;
+import org.quilldyke.routing.InstanceRank;
+import org.quilldyke.routing.NamedLimit;
 import org.quilldyke.routing.TargetState;
 
 /**
@@ -131,12 +135,19 @@
                             boolean before = mEntry.isConfirmed();
                             mEntry.lease().onConfirmed(askedAt);
                             mEntry.retries().onInstances(answer.getEntries());
+                            mEntry.book().onRank(rank(answer), mEntry.now());
                             if (!before && mEntry.isConfirmed()) {
                                 mLog.write(Event.CONFIRMED, "age", mEntry.now() - askedAt);
                             }
                         });
     }
 
+    private static InstanceRank rank(Answer answer) {
+        return answer.getPlace() == 0
+                ? InstanceRank.UNKNOWN
+                : new InstanceRank(answer.getPlace() - 1, answer.getEntries());
+    }
+
     @Override
     public void onNews(ControlFrame frame, String control) {
         switch (frame.getKindCase()) {
@@ -145,6 +156,7 @@
             case LOADING -> onLoading(frame.getLoading());
             case CACHES -> onCaches(frame.getCaches());
             case CRASHES -> mCrashes.onNews(frame.getCrashes());
+            case LIMITS -> onLimits(frame.getLimits(), control);
             case LOADS -> {
                 List<TargetLoad> loads = frame.getLoads().getTargetsList();
                 mEntry.loop().execute(() -> takeLoads(loads));
@@ -301,6 +313,11 @@
         }
     }
 
+    private void onLimits(Limits limits, String control) {
+        List<NamedLimit> told = LimitFrames.decode(limits, mClock.getAsLong());
+        mEntry.loop().execute(() -> told.forEach(limit -> mEntry.onLimitTold(limit, control)));
+    }
+
     private void onCaches(Caches caches) {
         List<CacheNews> decoded =
                 caches.getCachesList().stream().map(EntrySubscriber::decode).toList();
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/GatewayProcess.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/GatewayProcess.java
@@ -19,6 +19,7 @@
 import com.codahale.metrics.MetricRegistry;
 import io.netty.channel.EventLoop;
 import java.util.HashSet;
+import java.util.List;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
@@ -40,12 +41,16 @@
 import org.quilldyke.gateway.engine.EngineOrders;
 import org.quilldyke.gateway.engine.RefusedNews;
 import org.quilldyke.gateway.instance.ControlLinks;
+import org.quilldyke.gateway.instance.LimitFrames;
 import org.quilldyke.gateway.instance.NettyLoop;
 import org.quilldyke.gateway.instance.SessionServer;
+import org.quilldyke.gateway.instance.proto.EntryFrame;
+import org.quilldyke.gateway.instance.proto.Limits;
 import org.quilldyke.gateway.operator.ControlServer;
 import org.quilldyke.gateway.platform.GatewayMetrics;
 import org.quilldyke.gateway.platform.ProbeServer;
 import org.quilldyke.gateway.settings.GatewaySettings;
+import org.quilldyke.routing.NamedLimit;
 import org.quilldyke.routing.TargetBook;
 
 /** One process of a gateway: two threads, and the parts that its role asks for. */
@@ -292,6 +297,15 @@
                                     Math.floorMod(mSettings.instance().hashCode(), 97),
                                     subscriber);
                     crashes.tellTo(mLinks::sendToAll);
+                    mTraffic.execute(() -> mEntry.tellLimits(this::tellLimit));
+                });
+    }
+
+    private void tellLimit(NamedLimit limit) {
+        mControl.execute(
+                () -> {
+                    Limits limits = LimitFrames.encode(List.of(limit), mClock.getAsLong());
+                    mLinks.sendToAll(EntryFrame.newBuilder().setLimits(limits).build());
                 });
     }
 
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Entry.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Entry.java
@@ -24,6 +24,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.quilldyke.caller.ForwardRequest;
 import org.quilldyke.caller.Forwarding;
@@ -31,6 +32,7 @@
 import org.quilldyke.caller.RetryAllowance;
 import org.quilldyke.caller.ShutdownAdmission;
 import org.quilldyke.caller.SuspectRequests;
+import org.quilldyke.daemon.log.Event;
 import org.quilldyke.daemon.log.EventLog;
 import org.quilldyke.engine.TargetReport;
 import org.quilldyke.gateway.dialect.Dialect;
@@ -38,6 +40,7 @@
 import org.quilldyke.gateway.platform.GatewayMetrics;
 import org.quilldyke.manifest.Limits;
 import org.quilldyke.manifest.RouteTable;
+import org.quilldyke.routing.NamedLimit;
 import org.quilldyke.routing.TargetBook;
 
 /** What all requests at an entry instance share. Lives on the traffic thread. */
@@ -53,6 +56,9 @@
 
     private static final long NO_VERSION = -1;
 
+    /** Stands for this entry where a control process may have told something. */
+    private static final String OWN = "answer";
+
     private final EventLoop mLoop;
     private final LongSupplier mClock;
     private final Dialect mDialect;
@@ -66,6 +72,7 @@
     private final Map<String, Set<Exchange>> mExchanges = new HashMap<>();
     private final Set<String> mLapsing = new HashSet<>();
     private final CrashWatch mCrashes = new CrashWatch(this);
+    private Consumer<NamedLimit> mOnLimit = limit -> {};
     private RouteTable mRoutes;
     private OptionalLong mDrainBegunAt = OptionalLong.empty();
 
@@ -159,6 +166,38 @@
         mBook.onReport(report);
     }
 
+    /** Takes what a target's answer says of its limit, and tells others if that is new. */
+    void onLimitHeard(NamedLimit limit) {
+        if (takeLimit(limit, OWN)) {
+            mOnLimit.accept(limit);
+        }
+    }
+
+    /** Takes what a target said of its limit to another entry, as a control process tells. */
+    public void onLimitTold(NamedLimit limit, String control) {
+        takeLimit(limit, control);
+    }
+
+    private boolean takeLimit(NamedLimit limit, String by) {
+        boolean news = mBook.onLimit(limit, now());
+        if (news) {
+            mLog.write(
+                    Event.TARGET_LIMITED,
+                    "target",
+                    limit.target(),
+                    "per_second",
+                    limit.isSet() ? limit.perSecond() : "none",
+                    "by",
+                    by);
+        }
+        return news;
+    }
+
+    /** Has a consumer take limits that targets name anew here; the one before takes no more. */
+    public void tellLimits(Consumer<NamedLimit> onLimit) {
+        mOnLimit = onLimit;
+    }
+
     /** Notes that a target is about to load weights, or has done so. */
     public void onLoading(String target, boolean loading) {
         mBook.onLoading(target, loading, now());
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/TargetAnswer.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/TargetAnswer.java
@@ -27,9 +27,11 @@
 import org.quilldyke.caller.AnswerHead;
 import org.quilldyke.caller.ForwardRequest;
 import org.quilldyke.gateway.dialect.AnswerFacts;
+import org.quilldyke.gateway.dialect.LimitFact;
 import org.quilldyke.gateway.engine.Attempt;
 import org.quilldyke.gateway.engine.AttemptListener;
 import org.quilldyke.routing.Choice;
+import org.quilldyke.routing.NamedLimit;
 
 /** What one target sends for a request, read for the {@link Exchange} that asked it. */
 final class TargetAnswer implements AttemptListener {
@@ -160,6 +162,7 @@
             onHeard();
         }
         noteWeights();
+        noteLimit();
         if (head.headers().contains(HttpHeaderNames.CONTENT_ENCODING)) {
             giveUp(ResultCode.ANSWER_SPOILED, "encoded");
         } else if (facts().isNotRun()) {
@@ -263,6 +266,19 @@
         }
     }
 
+    /** Only who has run a request says by naming no limit that there is none. */
+    private void noteLimit() {
+        LimitFact limit = mFacts.limit();
+        if (limit.isRead() && (limit.perSecond().isPresent() || hasRun())) {
+            double perSecond = limit.perSecond().orElse(NamedLimit.NONE);
+            mEntry.onLimitHeard(new NamedLimit(mChoice.target(), perSecond, mHeardAt));
+        }
+    }
+
+    private boolean hasRun() {
+        return facts().isGenuine() && !facts().isNotRun();
+    }
+
     /** The attempt is over, whatever became of it. */
     private void close() {
         if (mAttempt != null) {
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/ControlNode.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/ControlNode.java
@@ -86,6 +86,7 @@
     private final Deliveries mDeliveries;
     private final TargetSpread mTargets;
     private final CrashSpread mCrashes;
+    private final LimitSpread mLimits;
     private final MembershipKeeper mMembership;
     private final WeightsKeeper mWeights;
     private final CacheWatch mCaches;
@@ -142,7 +143,8 @@
         mDeliveries = new Deliveries(mPeers::sendToAll, clock, settings.toleratedLosses());
         mTargets = spread(settings.timings().targetReport(), refused);
         mCrashes = new CrashSpread(mPeers::sendToAll, mEntries::onCrashes, clock, log, mMemory);
-        mEntries.connect(mConfirmations::ask, mTargets, mCrashes);
+        mLimits = new LimitSpread(mPeers::sendToAll, mEntries::onLimits, clock);
+        mEntries.connect(mConfirmations::ask, mTargets, mCrashes, mLimits);
         mMembership =
                 new MembershipKeeper(mGroup, mPeers, mAddress, clock, settings.toleratedLosses());
         mWeights =
@@ -341,6 +343,7 @@
             case LOADING -> onLoading(frame.getLoading());
             case LOADS -> mEntries.onLoads(frame.getAddress(), frame.getLoads());
             case CRASHES -> mCrashes.onPeerNews(frame.getCrashes());
+            case LIMITS -> mLimits.onPeerNews(frame.getLimits());
             case CACHES -> mEntries.onCaches(frame.getCaches().getCachesList());
             default -> {
                 // A sign of life.
@@ -411,6 +414,7 @@
 
     private void onPeerUp(String address) {
         mPeers.send(address, PeerFrame.newBuilder().setTargets(mTargets.heard()));
+        mPeers.send(address, PeerFrame.newBuilder().setLimits(mLimits.limits()));
         mCrashes.all()
                 .ifPresent(all -> mPeers.send(address, PeerFrame.newBuilder().setCrashes(all)));
     }
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/EntryLoads.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/EntryLoads.java
@@ -22,6 +22,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import org.quilldyke.gateway.instance.proto.Loads;
 import org.quilldyke.gateway.instance.proto.TargetLoad;
 
@@ -42,17 +43,24 @@
     private final Map<String, Known> mHere = new HashMap<>();
     private final Map<String, Known> mOthers = new HashMap<>();
     private final Map<String, Long> mNamedAt = new HashMap<>();
+    private Map<String, Integer> mPlaces = Map.of();
 
     /** Takes what an entry told here. */
     void onLoad(String entry, List<TargetLoad> targets, long now) {
         mHere.put(entry, new Known(targets, now));
-        mNamedAt.put(entry, now);
+        onNamed(entry, now);
     }
 
     /** Notes that what an entry told here last is still so. */
     void onAlive(String entry, long now) {
         mHere.computeIfPresent(entry, (id, known) -> new Known(known.targets(), now));
-        mNamedAt.put(entry, now);
+        onNamed(entry, now);
+    }
+
+    private void onNamed(String entry, long now) {
+        if (mNamedAt.put(entry, now) == null) {
+            mPlaces = Map.of();
+        }
     }
 
     /** Notes that an entry tells what it has open elsewhere, or has ended. */
@@ -85,11 +93,24 @@
 
     /** Returns how many entries there are. */
     int entries(long now) {
-        mNamedAt.values().removeIf(at -> now - at > FORGOTTEN_MILLIS);
+        if (mNamedAt.values().removeIf(at -> now - at > FORGOTTEN_MILLIS)) {
+            mPlaces = Map.of();
+        }
         mHere.keySet().retainAll(mNamedAt.keySet());
         return mNamedAt.size();
     }
 
+    /** Returns an entry's place among all by name, from 1 on; 0 if it isn't known. */
+    int place(String entry) {
+        if (mPlaces.isEmpty()) {
+            mPlaces = new HashMap<>();
+            for (String name : new TreeSet<>(mNamedAt.keySet())) {
+                mPlaces.put(name, mPlaces.size() + 1);
+            }
+        }
+        return mPlaces.getOrDefault(entry, 0);
+    }
+
     /** Returns how many requests all entries have open at each target, as of {@code now}. */
     Map<String, Integer> openRequests(long now) {
         Map<String, Integer> open = new HashMap<>();
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/EntrySessions.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/EntrySessions.java
@@ -40,6 +40,7 @@
 import org.quilldyke.gateway.instance.proto.CrashNews;
 import org.quilldyke.gateway.instance.proto.EntryFrame;
 import org.quilldyke.gateway.instance.proto.Hello;
+import org.quilldyke.gateway.instance.proto.Limits;
 import org.quilldyke.gateway.instance.proto.Loading;
 import org.quilldyke.gateway.instance.proto.Loads;
 import org.quilldyke.gateway.instance.proto.ModelWeights;
@@ -71,6 +72,7 @@
     private Consumer<Consumer<Boolean>> mConfirm;
     private TargetSpread mTargets;
     private CrashSpread mCrashes;
+    private LimitSpread mLimits;
     private FleetState mState = FleetState.create();
     private boolean mStateTold;
     private long mToldVersion = -1;
@@ -92,11 +94,17 @@
      * @param confirm takes who waits for a confirmation that all that was accepted is known here
      * @param targets takes the targets that entries know, and tells all
      * @param crashes takes the crashes that entries have seen
+     * @param limits takes the limits that targets have named at entries
      */
-    void connect(Consumer<Consumer<Boolean>> confirm, TargetSpread targets, CrashSpread crashes) {
+    void connect(
+            Consumer<Consumer<Boolean>> confirm,
+            TargetSpread targets,
+            CrashSpread crashes,
+            LimitSpread limits) {
         mConfirm = confirm;
         mTargets = targets;
         mCrashes = crashes;
+        mLimits = limits;
     }
 
     /** Takes the state after a change; {@link #tellState} tells it to all. */
@@ -140,6 +148,11 @@
         tellAll(ControlFrame.newBuilder().setCrashes(conclusions).build());
     }
 
+    /** Tells all what targets say of the requests that they take. */
+    void onLimits(Limits limits) {
+        tellAll(ControlFrame.newBuilder().setLimits(limits).build());
+    }
+
     /** Tells all that an engine is about to load weights, or has done so. */
     void onLoading(Loading loading) {
         if (loading.getLoading()) {
@@ -273,6 +286,8 @@
                 mLoads.onLoad(mEntry, frame.getLoads().getTargetsList(), mHeardAt);
             } else if (frame.getKindCase() == EntryFrame.KindCase.CRASHES) {
                 mCrashes.onEntryNews(frame.getCrashes());
+            } else if (frame.getKindCase() == EntryFrame.KindCase.LIMITS) {
+                mLimits.onEntryNews(frame.getLimits());
             }
         }
 
@@ -310,6 +325,10 @@
             if (conclusions.getSuspectsCount() > 0) {
                 send(ControlFrame.newBuilder().setCrashes(conclusions).build());
             }
+            Limits limits = mLimits.limits();
+            if (limits.getLimitsCount() > 0) {
+                send(ControlFrame.newBuilder().setLimits(limits).build());
+            }
             long now = mClock.getAsLong();
             mLoadingSince.values().removeIf(since -> now - since > TargetState.MAX_LOADING_MILLIS);
             for (String target : mLoadingSince.keySet()) {
@@ -354,6 +373,7 @@
                             Answer.newBuilder()
                                     .setNumber(number)
                                     .setEntries(mLoads.entries(mClock.getAsLong()))
+                                    .setPlace(mLoads.place(mEntry))
                                     .setFailureDomain(mFailureDomain)
                                     .addAllControlAddresses(mPeers.known()))
                     .build();
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/dialect/AnswerFacts.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/dialect/AnswerFacts.java
@@ -24,5 +24,7 @@
  * @param head what decides about the request
  * @param requestId the request that it answers, empty if it doesn't say
  * @param weights the version of the weights that answered
+ * @param limit how many requests a second the target takes from all instances together
  */
-public record AnswerFacts(AnswerHead head, String requestId, OptionalLong weights) {}
+public record AnswerFacts(
+        AnswerHead head, String requestId, OptionalLong weights, LimitFact limit) {}
--- a/quilldyke-gateway/src/test/java/org/quilldyke/gateway/control/FleetTellingTest.java
+++ b/quilldyke-gateway/src/test/java/org/quilldyke/gateway/control/FleetTellingTest.java
@@ -122,7 +122,11 @@
                         1000);
         CrashSpread crashes =
                 new CrashSpread(peers::sendToAll, sessions::onCrashes, () -> mNow, mLog, memory);
-        sessions.connect(done -> done.accept(true), targets, crashes);
+        sessions.connect(
+                done -> done.accept(true),
+                targets,
+                crashes,
+                new LimitSpread(peers::sendToAll, sessions::onLimits, () -> mNow));
         List<FakeEntry> entries = new ArrayList<>();
         for (int i = 0; i < Math.max(1, instances / INSTANCES_PER_CONTROL); i++) {
             entries.add(new FakeEntry("entry-" + i, sessions));
