A key's lease ends while the machine is suspended, too

What callers would have seen: not seen by users yet; by reading. After seconds of suspension an entry would go on with a key that had been withdrawn meanwhile, for what was left of its lease by a clock that had stood still. Cause: leases are measured on the steady clock alone, which doesn't count suspended time. A freeze of the process is no such case: there the clock goes on. Change: leases have a clock of their own (LeaseClock): the steady clock's time and whatever the time of day gains on it at once. When a question was sent and whether the lease is valid are both read from it, so that a suspension between question and answer counts as well. Why it holds: a suspension shows in the time of day at the first reading after it. A time of day that is set forward ends the lease early: it is renewed with the next answer, within a quarter of a second; one that is set back changes nothing. Ruled out: the time of day alone (it may be set back); to read CLOCK_BOOTTIME (Java 17 has no call for it, a native library costs each start); this clock for everything (a time of day that is set forward would make all targets lapse and end leaderships). Confirmations need nothing: a leader confirms a question by a majority that has answered a message sent after it came. Left: ages of targets, suspicions and time-outs still stand still, as for a machine that has missed news; a suspension while the time of day is set back by as much isn't seen.

--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/EntrySubscriber.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/EntrySubscriber.java
@@ -137,7 +137,7 @@
                             mEntry.retries().onInstances(answer.getEntries());
                             mEntry.book().onRank(rank(answer), mEntry.now());
                             if (!before && mEntry.isConfirmed()) {
-                                mLog.write(Event.CONFIRMED, "age", mEntry.now() - askedAt);
+                                mLog.write(Event.CONFIRMED, "age", mEntry.keyAge());
                             }
                         });
     }
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/GatewayProcess.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/GatewayProcess.java
@@ -31,6 +31,7 @@
 import org.quilldyke.QuilldykeException;
 import org.quilldyke.ResultCode;
 import org.quilldyke.caller.KeyLease;
+import org.quilldyke.caller.LeaseClock;
 import org.quilldyke.caller.RetryAllowance;
 import org.quilldyke.daemon.log.Event;
 import org.quilldyke.daemon.log.EventLog;
@@ -94,6 +95,7 @@
     private final Dialect mDialect;
     private final EventLog mLog;
     private final LongSupplier mClock = GatewayProcess::now;
+    private final LeaseClock mLeaseClock = LeaseClock.create();
     private final long mStartedAt;
     private final GatewayMetrics mMetrics = GatewayMetrics.create();
     private final RefusedNews mRefused;
@@ -120,6 +122,10 @@
         return System.nanoTime() / 1_000_000;
     }
 
+    private long leaseNow() {
+        return mLeaseClock.now(now(), System.currentTimeMillis());
+    }
+
     /**
      * Starts a process.
      *
@@ -267,7 +273,15 @@
         mEntry =
                 Entry.of(
                         new Entry.Parts(
-                                mTraffic, mClock, mDialect, book, retries, lease, mLog, mMetrics));
+                                mTraffic,
+                                mClock,
+                                this::leaseNow,
+                                mDialect,
+                                book,
+                                retries,
+                                lease,
+                                mLog,
+                                mMetrics));
         registerGauges();
         mCallers = CallerServer.start(mSettings.callers(), mEntry);
         ProbeServer.start(mSettings.ready(), mTraffic, this::isReady, mMetrics.registry());
@@ -291,6 +305,7 @@
                             ControlLinks.start(
                                     mControl,
                                     mClock,
+                                    this::leaseNow,
                                     mLog,
                                     mSettings.failureDomain(),
                                     mSettings.seedAddresses(),
@@ -314,8 +329,7 @@
         MetricRegistry registry = mMetrics.registry();
         registry.register("targets.known", (Gauge<Integer>) () -> mEntry.book().targets().size());
         registry.register("targets.connections", (Gauge<Integer>) mEntry.pool()::connections);
-        registry.register(
-                "keys.lease-age.ms", (Gauge<Long>) () -> mEntry.lease().age(mEntry.now()));
+        registry.register("keys.lease-age.ms", (Gauge<Long>) () -> mEntry.keyAge());
     }
 
     private void startControl() throws QuilldykeException {
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Entry.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Entry.java
@@ -61,6 +61,7 @@
 
     private final EventLoop mLoop;
     private final LongSupplier mClock;
+    private final LongSupplier mLeaseClock;
     private final Dialect mDialect;
     private final TargetBook mBook;
     private final TargetPool mPool;
@@ -79,6 +80,7 @@
     private Entry(Parts parts) {
         mLoop = parts.loop();
         mClock = parts.clock();
+        mLeaseClock = parts.leaseClock();
         mDialect = parts.dialect();
         mBook = parts.book();
         mRetries = parts.retries();
@@ -280,7 +282,7 @@
 
     /** Returns whether the configuration was confirmed a short while ago. */
     public boolean isConfirmed() {
-        return mRoutes != null && mLease.isValid(now());
+        return mRoutes != null && mLease.isValid(mLeaseClock.getAsLong());
     }
 
     /** Returns the present time in monotonic milliseconds. */
@@ -327,6 +329,11 @@
         return mCrashes;
     }
 
+    /** Returns the time since the configuration was confirmed, see {@link KeyLease#age}. */
+    public long keyAge() {
+        return mLease.age(mLeaseClock.getAsLong());
+    }
+
     /** Returns for how long keys may be taken for good. */
     public KeyLease lease() {
         return mLease;
@@ -368,6 +375,7 @@
      *
      * @param loop the traffic thread
      * @param clock monotonic milliseconds
+     * @param leaseClock the time by which leases end, in milliseconds
      * @param dialect how callers and targets speak
      * @param book the targets
      * @param retries bounds second attempts
@@ -378,6 +386,7 @@
     public record Parts(
             EventLoop loop,
             LongSupplier clock,
+            LongSupplier leaseClock,
             Dialect dialect,
             TargetBook book,
             RetryAllowance retries,
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Exchange.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Exchange.java
@@ -338,7 +338,7 @@
     private void send(Step.Send send) {
         mChoice = send.choice();
         if (!mayUseKey()) {
-            String age = "age " + mEntry.lease().age(now());
+            String age = "age " + mEntry.keyAge();
             perform(mForwarding.onUnconfirmed(CallerRequests.UNCONFIRMED_RETRY_MILLIS, age));
             return;
         }
@@ -580,7 +580,7 @@
                         mForwarding.lastEvent(),
                         mForwarding.runs(),
                         mEntry.retries().left(mRequest.service(), now()),
-                        mEntry.lease().age(now()),
+                        mEntry.keyAge(),
                         mVersionBegun,
                         mEntry.version(),
                         mEntry.drainMillis()));
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/instance/ControlLink.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/instance/ControlLink.java
@@ -32,14 +32,21 @@
 
     private final LongSupplier mClock;
     private final ControlLinks mOwner;
-    private final Map<Long, Long> mAskedAt = new HashMap<>();
+    private final LongSupplier mLeaseClock;
+    private final Map<Long, Asked> mAsked = new HashMap<>();
     private long mQuestion;
     private long mConfirmedAt;
     private ControlFrame mOthersLoads = NO_LOADS;
 
-    ControlLink(NettyLoop loop, LongSupplier clock, String address, ControlLinks owner) {
+    ControlLink(
+            NettyLoop loop,
+            LongSupplier clock,
+            LongSupplier leaseClock,
+            String address,
+            ControlLinks owner) {
         super(loop, clock, address);
         mClock = clock;
+        mLeaseClock = leaseClock;
         mOwner = owner;
         mConfirmedAt = clock.getAsLong();
     }
@@ -61,7 +68,7 @@
 
     @Override
     void onOpened() {
-        mAskedAt.clear();
+        mAsked.clear();
         mOthersLoads = NO_LOADS;
         send(EntryFrame.newBuilder().setHello(mOwner.hello()).build());
         onBeat();
@@ -70,18 +77,18 @@
     @Override
     void onBeat() {
         mQuestion++;
-        mAskedAt.put(mQuestion, mClock.getAsLong());
+        mAsked.put(mQuestion, new Asked(mClock.getAsLong(), mLeaseClock.getAsLong()));
         send(EntryFrame.newBuilder().setQuestion(mOwner.question(this, mQuestion)).build());
     }
 
     @Override
     void onFrame(ControlFrame frame) {
         if (frame.getKindCase() == ControlFrame.KindCase.ANSWER) {
-            Long askedAt = mAskedAt.remove(frame.getAnswer().getNumber());
-            if (askedAt != null) {
-                mAskedAt.values().removeIf(at -> at < askedAt);
-                mConfirmedAt = Math.max(mConfirmedAt, askedAt);
-                mOwner.onAnswer(this, frame.getAnswer(), askedAt);
+            Asked asked = mAsked.remove(frame.getAnswer().getNumber());
+            if (asked != null) {
+                mAsked.values().removeIf(other -> other.at() < asked.at());
+                mConfirmedAt = Math.max(mConfirmedAt, asked.at());
+                mOwner.onAnswer(this, frame.getAnswer(), asked.leaseAt());
             }
         } else {
             mOthersLoads = frame.hasLoads() ? frame : mOthersLoads;
@@ -98,4 +105,12 @@
     void onDown(String why) {
         mOwner.onLink(address(), false, why);
     }
+
+    /**
+     * When a question was sent.
+     *
+     * @param at by the steady clock
+     * @param leaseAt by the leases' clock
+     */
+    private record Asked(long at, long leaseAt) {}
 }
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/instance/ControlLinks.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/instance/ControlLinks.java
@@ -52,6 +52,7 @@
 
     private final NettyLoop mLoop;
     private final LongSupplier mClock;
+    private final LongSupplier mLeaseClock;
     private final EventLog mLog;
     private final Subscriber mSubscriber;
     private final String mFailureDomain;
@@ -67,11 +68,13 @@
     private ControlLinks(
             NettyLoop loop,
             LongSupplier clock,
+            LongSupplier leaseClock,
             EventLog log,
             String failureDomain,
             Subscriber subscriber) {
         mLoop = loop;
         mClock = clock;
+        mLeaseClock = leaseClock;
         mLog = log;
         mFailureDomain = failureDomain;
         mSubscriber = subscriber;
@@ -82,6 +85,7 @@
      *
      * @param loop the control thread
      * @param clock monotonic milliseconds
+     * @param leaseClock the time by which leases end, in milliseconds
      * @param log where gained and lost control processes go
      * @param failureDomain where this entry stands; a control process there is heard rather than
      *     others, since what crosses to another one costs
@@ -92,12 +96,14 @@
     public static ControlLinks start(
             NettyLoop loop,
             LongSupplier clock,
+            LongSupplier leaseClock,
             EventLog log,
             String failureDomain,
             List<String> addresses,
             int first,
             Subscriber subscriber) {
-        ControlLinks links = new ControlLinks(loop, clock, log, failureDomain, subscriber);
+        ControlLinks links =
+                new ControlLinks(loop, clock, leaseClock, log, failureDomain, subscriber);
         links.mAddresses.addAll(addresses);
         links.mNext = first;
         links.check();
@@ -193,7 +199,7 @@
                 });
         leaveForNearer();
         while (mLinks.size() < Math.min(LINKS, mAddresses.size())) {
-            ControlLink link = new ControlLink(mLoop, mClock, nextAddress(), this);
+            ControlLink link = new ControlLink(mLoop, mClock, mLeaseClock, nextAddress(), this);
             mLinks.add(link);
             link.open();
         }
@@ -257,7 +263,7 @@
         /** Returns what this entry has open at targets. */
         List<TargetLoad> loads();
 
-        /** Takes the answer to a question that was sent at the given time. */
+        /** Takes the answer to a question that was sent at the given time of the leases' clock. */
         void onAnswer(Answer answer, long askedAt);
 
         /** Takes anything else that the control process at an address tells. */
--- a/quilldyke-gateway/src/test/java/org/quilldyke/gateway/instance/ControlLinksTest.java
+++ b/quilldyke-gateway/src/test/java/org/quilldyke/gateway/instance/ControlLinksTest.java
@@ -83,6 +83,7 @@
                                         ControlLinks.start(
                                                 mLoop,
                                                 () -> NOW,
+                                                () -> NOW,
                                                 EventLog.of("test"),
                                                 DOMAIN,
                                                 List.of(far, near),
