Entries that other control processes name have places among all

Cause: an entry's place was counted anew only when an entry became known here, not when another control process named it. Two entries might have one place, and one target more sharers than five. LimitedTargetTest hadn't seen it: entries start together there.

--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/EntryLoads.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/EntryLoads.java
@@ -71,7 +71,7 @@
     /** Takes the sums of another control process. */
     void onOthers(String control, Loads loads, long now) {
         mOthers.put(control, new Known(loads.getTargetsList(), now));
-        loads.getEntriesList().forEach(entry -> mNamedAt.put(entry, now));
+        loads.getEntriesList().forEach(entry -> onNamed(entry, now));
     }
 
     /** Returns the sums of what entries have told here lately. */
--- a/quilldyke-gateway/src/test/java/org/quilldyke/gateway/control/EntryLoadsTest.java
+++ b/quilldyke-gateway/src/test/java/org/quilldyke/gateway/control/EntryLoadsTest.java
@@ -56,6 +56,19 @@
         assertThat(mLoads.entries(10)).isEqualTo(1);
     }
 
+    @Test
+    void entriesHavePlacesByTheirNames() {
+        mLoads.onLoad("b", List.of(), 0);
+        mLoads.onAlive("a", 0);
+        assertThat(mLoads.place("b")).isEqualTo(2);
+        mLoads.onOthers("other", Loads.newBuilder().addEntries("aa").build(), 10_000);
+
+        assertThat(mLoads.place("b")).isEqualTo(3);
+        assertThat(mLoads.place("c")).isEqualTo(0);
+        assertThat(mLoads.entries(EntryLoads.FORGOTTEN_MILLIS + 1)).isEqualTo(1);
+        assertThat(mLoads.place("aa")).isEqualTo(1);
+    }
+
     @Test
     void loadThatIsConfirmedDoesNotGoStale() {
         mLoads.onLoad("a", List.of(load("x", 2, 100)), 0);
