A target's limit is told again while it holds, and ends when nobody hears of it any more

By reading: an entry that doesn't share a target never asks it, so that it learns only from others that a limit has ended. Had it missed that word, cut off or while the control process that knew it was replaced, the target would have been none of its for good. Change: who hears a limit tells it again after 20 s; whoever hasn't heard of it for 60 s takes it as ended. A stream that is opened anew tells the last word of each target, also that there is no limit.

--- a/quilldyke-core/src/main/java/org/quilldyke/routing/NamedLimit.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/routing/NamedLimit.java
@@ -26,17 +26,35 @@
     /** Stands for no limit. */
     public static final double NONE = Double.POSITIVE_INFINITY;
 
+    /** A limit holds for so long after it was heard last anywhere. */
+    static final long KEPT_MILLIS = 60_000;
+
+    /** A limit that is heard again is told this often. */
+    static final long RENEWED_MILLIS = 20_000;
+
     /** Limits that differ by less than this part are told as one. */
     private static final double SAME_PART = 0.2;
 
+    /** Returns that a target has said nothing yet. */
+    static NamedLimit unheard(String target) {
+        return new NamedLimit(target, NONE, Long.MIN_VALUE / 2);
+    }
+
     /** Returns whether it names a limit. */
     public boolean isSet() {
         return perSecond != NONE;
     }
 
-    /** Returns whether it says something else than an earlier word of the target. */
-    public boolean differsFrom(NamedLimit earlier) {
-        double difference = Math.abs(perSecond - earlier.perSecond);
-        return isSet() != earlier.isSet() || difference > SAME_PART * earlier.perSecond;
+    /** Returns whether it limits the target at {@code now}. */
+    boolean isInForce(long now) {
+        return isSet() && now - at < KEPT_MILLIS;
+    }
+
+    /** Returns whether others should hear of it who know an earlier word of the target. */
+    public boolean isNewsAfter(NamedLimit told) {
+        double difference = Math.abs(perSecond - told.perSecond);
+        return isSet() != told.isSet()
+                || difference > SAME_PART * told.perSecond
+                || isSet() && at - told.at >= RENEWED_MILLIS;
     }
 }
--- a/quilldyke-core/src/main/java/org/quilldyke/routing/TargetBook.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/routing/TargetBook.java
@@ -182,7 +182,7 @@
     /**
      * Takes what a target says of the requests that it takes from all instances together.
      *
-     * @return whether that differs from what was known
+     * @return whether others should hear of it
      */
     public boolean onLimit(NamedLimit limit, long now) {
         TargetState state = mTargets.get(limit.target());
--- a/quilldyke-core/src/main/java/org/quilldyke/routing/TargetState.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/routing/TargetState.java
@@ -66,13 +66,15 @@
     private long mLoadingSince;
     private boolean mAnswersWatch = true;
     private NamedLimit mNamedLimit;
+    private NamedLimit mToldLimit;
     private LimitShare mLimitShare;
 
     TargetState(TargetReport report) {
         mReport = report;
         mIdHash = Rendezvous.hash(report.id());
         mWeights.putAll(report.weights());
-        mNamedLimit = new NamedLimit(report.id(), NamedLimit.NONE, Long.MIN_VALUE);
+        mNamedLimit = NamedLimit.unheard(report.id());
+        mToldLimit = mNamedLimit;
     }
 
     /** Returns the target's id. */
@@ -136,7 +138,7 @@
         return mReport.service().equals(service)
                 && !isLeaving()
                 && !isLoading(now)
-                && (!mNamedLimit.isSet() || mLimitShare != null && mLimitShare.hasTurn(now));
+                && (!mNamedLimit.isInForce(now) || mLimitShare != null && mLimitShare.hasTurn(now));
     }
 
     /**
@@ -144,16 +146,19 @@
      *
      * @param rank which instance this is
      * @param phase see {@link LimitShare#of}
-     * @return whether it differs from what was known
+     * @return whether others should hear of it
      */
     boolean onLimit(NamedLimit limit, InstanceRank rank, double phase, long now) {
         if (limit.at() < mNamedLimit.at()) {
             return false;
         }
-        boolean differs = limit.differsFrom(mNamedLimit);
         mNamedLimit = limit;
         onRank(rank, phase, now);
-        return differs;
+        boolean news = limit.isNewsAfter(mToldLimit);
+        if (news) {
+            mToldLimit = limit;
+        }
+        return news;
     }
 
     /** Takes which instance this is: it may use a target that names a limit, or may not. */
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/ControlNode.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/ControlNode.java
@@ -414,7 +414,7 @@
 
     private void onPeerUp(String address) {
         mPeers.send(address, PeerFrame.newBuilder().setTargets(mTargets.heard()));
-        mPeers.send(address, PeerFrame.newBuilder().setLimits(mLimits.limits()));
+        mPeers.send(address, PeerFrame.newBuilder().setLimits(mLimits.all()));
         mCrashes.all()
                 .ifPresent(all -> mPeers.send(address, PeerFrame.newBuilder().setCrashes(all)));
     }
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/EntrySessions.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/EntrySessions.java
@@ -325,7 +325,7 @@
             if (conclusions.getSuspectsCount() > 0) {
                 send(ControlFrame.newBuilder().setCrashes(conclusions).build());
             }
-            Limits limits = mLimits.limits();
+            Limits limits = mLimits.all();
             if (limits.getLimitsCount() > 0) {
                 send(ControlFrame.newBuilder().setLimits(limits).build());
             }
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/LimitSpread.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/LimitSpread.java
@@ -61,10 +61,9 @@
         }
     }
 
-    /** Returns the limits that are known. */
-    Limits limits() {
-        return LimitFrames.encode(
-                mLatest.values().stream().filter(NamedLimit::isSet).toList(), mClock.getAsLong());
+    /** Returns the last word of each target, also that it names no limit any more. */
+    Limits all() {
+        return LimitFrames.encode(List.copyOf(mLatest.values()), mClock.getAsLong());
     }
 
     private Limits take(Limits told) {
@@ -72,12 +71,11 @@
         List<NamedLimit> news = new ArrayList<>();
         for (NamedLimit limit : LimitFrames.decode(told, now)) {
             NamedLimit known = mLatest.get(limit.target());
-            if (known != null && known.at() > limit.at()) {
-                continue;
-            }
-            mLatest.remove(limit.target());
-            mLatest.put(limit.target(), limit);
-            if (known == null || limit.differsFrom(known)) {
+            boolean isNews = known == null || limit.at() >= known.at() && limit.isNewsAfter(known);
+            if (isNews) {
+                // Put anew, so that it is dropped after those of whom nothing was heard for longer.
+                mLatest.remove(limit.target());
+                mLatest.put(limit.target(), limit);
                 news.add(limit);
             }
         }
