--- a/quilldyke-core/src/main/java/org/quilldyke/caller/RequestFingerprint.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/caller/RequestFingerprint.java
@@ -19,6 +19,7 @@
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
 
 /**
  * Names a request by what it asks for: the first 128 bits of a SHA-256 over its caller, method,
@@ -55,7 +56,7 @@
 
     /** Returns its first half in hexadecimal, as the log names it. */
     public String label() {
-        return String.format("%016x", high);
+        return HexFormat.of().toHexDigits(high);
     }
 
     private static MessageDigest newDigest() {
