--- /dev/null
+++ b/quilldyke-gateway/src/test/java/org/quilldyke/gateway/control/CrashSpreadTest.java
@@ -0,0 +1,189 @@
+/*
+ * Copyright 2026 The quilldyke authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.quilldyke.gateway.control;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.codahale.metrics.MetricRegistry;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.quilldyke.caller.RequestFingerprint;
+import org.quilldyke.caller.TargetCrash;
+import org.quilldyke.daemon.control.DataFolder;
+import org.quilldyke.daemon.log.EventLog;
+import org.quilldyke.gateway.engine.RefusedNews;
+import org.quilldyke.gateway.instance.CrashFrames;
+import org.quilldyke.gateway.instance.NettyLoop;
+import org.quilldyke.gateway.instance.proto.CrashNews;
+import org.quilldyke.gateway.instance.proto.PeerFrame;
+import org.quilldyke.gateway.instance.proto.SuspectRequest;
+
+/** What a control process makes of crashes that entries have seen, and tells of it. */
+class CrashSpreadTest {
+    private static final RequestFingerprint CRASHING = new RequestFingerprint(1, 1);
+    private static final int REQUESTS_OF_A_CRASH = 32;
+    private static final long SAVED_NANOS = 5_000_000_000L;
+
+    @TempDir Path mFolder;
+    private final MultiThreadIoEventLoopGroup mGroup =
+            new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLog mLog = EventLog.of("test");
+    private final List<CrashNews> mToPeers = new ArrayList<>();
+    private final List<SuspectRequest> mToEntries = new ArrayList<>();
+    private RestartMemory mMemory;
+    private CrashSpread mSpread;
+    private long mNow;
+
+    @BeforeEach
+    void start() throws Exception {
+        NettyLoop loop = new NettyLoop(mGroup.next());
+        RefusedNews refused = RefusedNews.create(new MetricRegistry(), mLog, () -> mNow);
+        mMemory = RestartMemory.in(DataFolder.open(mFolder), loop, mLog, refused, "127.0.0.1:1");
+        mSpread =
+                new CrashSpread(
+                        frame -> mToPeers.add(frame.build().getCrashes()),
+                        news -> mToEntries.addAll(news.getSuspectsList()),
+                        () -> mNow,
+                        mLog,
+                        mMemory);
+    }
+
+    @AfterEach
+    void stop() {
+        mMemory.close();
+        mGroup.shutdownGracefully();
+    }
+
+    @Test
+    void whatAnEntryHasSeenGoesOnToPeersAndItsConclusionToEntries() {
+        crash("a");
+        crash("b");
+        crash("c");
+        crash("c");
+
+        assertThat(mToPeers).hasSize(3);
+        assertThat(standings())
+                .containsExactly(SuspectRequest.Standing.WATCHED, SuspectRequest.Standing.REFUSED)
+                .inOrder();
+    }
+
+    @Test
+    void whatAPeerTellsIsConcludedFromAndNotToldOn() {
+        mSpread.onPeerNews(news("a"));
+        mSpread.onPeerNews(news("b"));
+        mSpread.onPeerNews(news("c"));
+
+        assertThat(mToPeers).isEmpty();
+        assertThat(standings()).contains(SuspectRequest.Standing.REFUSED);
+    }
+
+    @Test
+    void requestThatRanToItsEndIsCleared() {
+        crash("a");
+        crash("b");
+        crash("c");
+
+        mSpread.onEntryNews(
+                CrashNews.newBuilder()
+                        .addCompletions(CrashFrames.encode(CRASHING, mNow, mNow))
+                        .build());
+
+        assertThat(standings().get(2)).isEqualTo(SuspectRequest.Standing.CLEARED);
+        assertThat(mSpread.conclusions().getSuspectsList()).isEmpty();
+    }
+
+    @Test
+    void refusalIsKnownAfterARestart() throws Exception {
+        crash("a");
+        crash("b");
+        crash("c");
+        mNow = 1000;
+        mSpread.tick();
+        long until = System.nanoTime() + SAVED_NANOS;
+        while (!Files.exists(mFolder.resolve("hint-crashes")) && System.nanoTime() < until) {
+            Thread.sleep(5);
+        }
+        mMemory.close();
+        mToEntries.clear();
+        mNow = 7;
+        start();
+
+        assertThat(standings()).containsExactly(SuspectRequest.Standing.REFUSED);
+        assertThat(mSpread.conclusions().getSuspectsList()).hasSize(1);
+    }
+
+    @Test
+    void processThatHasLostItsMemoryIsToldByEntriesAndPeers() throws Exception {
+        crash("a");
+        crash("b");
+        crash("c");
+        CrashNews atEntries = mSpread.conclusions();
+        CrashNews atPeers = mSpread.all().orElseThrow();
+
+        start();
+        mSpread.onEntryNews(atEntries);
+        assertThat(mSpread.conclusions().getSuspectsCount()).isEqualTo(1);
+
+        start();
+        mSpread.onPeerNews(atPeers);
+        assertThat(mSpread.conclusions().getSuspectsCount()).isEqualTo(1);
+    }
+
+    @Test
+    void crashAndRefusalCostAFrameOfHundredsOfBytesEach() {
+        Set<RequestFingerprint> requests =
+                IntStream.range(0, REQUESTS_OF_A_CRASH)
+                        .mapToObj(i -> new RequestFingerprint(-i - 1, i + 1))
+                        .collect(Collectors.toSet());
+        TargetCrash crash = new TargetCrash("i-0123456789#1796278568028", requests, 0);
+        CrashNews news = CrashNews.newBuilder().addCrashes(CrashFrames.encode(crash, 20)).build();
+        int crashBytes = PeerFrame.newBuilder().setCrashes(news).build().getSerializedSize();
+        crash("i-0123456780#1796278568028");
+        crash("i-0123456781#1796278568028");
+        crash("i-0123456782#1796278568028");
+        int refusalBytes = mSpread.conclusions().getSerializedSize();
+
+        System.out.printf(
+                "crash of %d requests: %d bytes, refusal: %d bytes%n",
+                REQUESTS_OF_A_CRASH, crashBytes, refusalBytes);
+        assertThat(crashBytes).isLessThan(1000);
+        assertThat(refusalBytes).isLessThan(200);
+    }
+
+    private List<SuspectRequest.Standing> standings() {
+        return mToEntries.stream().map(SuspectRequest::getStanding).toList();
+    }
+
+    private void crash(String target) {
+        mSpread.onEntryNews(news(target));
+    }
+
+    private CrashNews news(String target) {
+        TargetCrash crash = new TargetCrash(target, Set.of(CRASHING), mNow);
+        return CrashNews.newBuilder().addCrashes(CrashFrames.encode(crash, mNow)).build();
+    }
+}
