Suspects at an entry are bounded, and handed on as the traffic thread holds them

By reading: a control process that lost its memory clears nothing that it never told, so that an entry kept watched requests for good. 4,096 at the most now, the oldest dropped; what a control process hears of them on a new stream is a copy of these.

--- a/quilldyke-core/src/main/java/org/quilldyke/caller/SuspectRequests.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/caller/SuspectRequests.java
@@ -15,7 +15,6 @@
  */
 package org.quilldyke.caller;
 
-import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -27,9 +26,10 @@
  * favour. Used by one thread.
  */
 public final class SuspectRequests {
+    static final int MAX_SUSPECTS = 4096;
     private static final int MAX_COMPLETIONS = 4096;
 
-    private final Map<RequestFingerprint, Suspect> mSuspects = new HashMap<>();
+    private final Map<RequestFingerprint, Suspect> mSuspects = new LinkedHashMap<>();
     private final Map<RequestFingerprint, Long> mCompletedAt = new LinkedHashMap<>();
 
     private SuspectRequests() {}
@@ -50,6 +50,7 @@
             return OptionalLong.empty();
         }
         mSuspects.put(suspect.request(), suspect);
+        dropOldest(mSuspects, MAX_SUSPECTS);
         Long completedAt = mCompletedAt.get(suspect.request());
         return completedAt == null ? OptionalLong.empty() : OptionalLong.of(completedAt);
     }
@@ -89,9 +90,7 @@
     public boolean onCompleted(RequestFingerprint request, long now) {
         mCompletedAt.remove(request);
         mCompletedAt.put(request, now);
-        if (mCompletedAt.size() > MAX_COMPLETIONS) {
-            mCompletedAt.remove(mCompletedAt.keySet().iterator().next());
-        }
+        dropOldest(mCompletedAt, MAX_COMPLETIONS);
         return mSuspects.containsKey(request);
     }
 
@@ -100,4 +99,10 @@
         Long completedAt = mCompletedAt.get(request);
         return completedAt != null && now - completedAt <= CrashLedger.HARMLESS_MILLIS;
     }
+
+    private static <V> void dropOldest(Map<RequestFingerprint, V> known, int most) {
+        if (known.size() > most) {
+            known.remove(known.keySet().iterator().next());
+        }
+    }
 }
--- a/quilldyke-core/src/test/java/org/quilldyke/caller/SuspectRequestsTest.java
+++ b/quilldyke-core/src/test/java/org/quilldyke/caller/SuspectRequestsTest.java
@@ -56,6 +56,17 @@
         assertThat(mSuspects.suspects()).isEmpty();
     }
 
+    @Test
+    void suspectsAreKeptInBounds() {
+        for (int i = 0; i < 2 * SuspectRequests.MAX_SUSPECTS; i++) {
+            RequestFingerprint request = new RequestFingerprint(i, 0);
+            mSuspects.onSuspect(
+                    new Suspect(request, Suspect.Standing.REFUSED, Set.of("a"), UNTIL, 1));
+        }
+
+        assertThat(mSuspects.suspects()).hasSize(SuspectRequests.MAX_SUSPECTS);
+    }
+
     @Test
     void whatSpeaksForASuspectIsTold() {
         assertThat(mSuspects.onCompleted(ONE, 40)).isFalse();
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/CrashTelling.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/CrashTelling.java
@@ -17,8 +17,7 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
-import java.util.HashMap;
-import java.util.Map;
+import java.util.List;
 import java.util.OptionalLong;
 import java.util.concurrent.Executor;
 import java.util.function.Consumer;
@@ -33,7 +32,6 @@
 import org.quilldyke.gateway.instance.CrashFrames;
 import org.quilldyke.gateway.instance.proto.CrashNews;
 import org.quilldyke.gateway.instance.proto.EntryFrame;
-import org.quilldyke.gateway.instance.proto.SuspectRequest;
 
 /**
  * Tells control processes which crashes this entry has seen, and hands the traffic thread what they
@@ -47,7 +45,10 @@
     private final LongSupplier mClock;
     private final EventLog mLog;
     private final Deque<TargetCrash> mCrashes = new ArrayDeque<>();
-    private final Map<RequestFingerprint, Suspect> mSuspects = new HashMap<>();
+
+    /** What the traffic thread knows, for the control thread. */
+    private volatile List<Suspect> mSuspects = List.of();
+
     private Consumer<EntryFrame> mOut = frame -> {};
 
     /**
@@ -102,21 +103,22 @@
         long now = mClock.getAsLong();
         CrashNews.Builder known = CrashNews.newBuilder();
         mCrashes.forEach(crash -> known.addCrashes(CrashFrames.encode(crash, now)));
-        return known.addAllSuspects(CrashFrames.encode(mSuspects.values(), now)).build();
+        return known.addAllSuspects(CrashFrames.encode(mSuspects, now)).build();
     }
 
     /** Takes what a control process concludes. */
     void onNews(CrashNews news) {
         long now = mClock.getAsLong();
-        for (SuspectRequest told : news.getSuspectsList()) {
-            Suspect suspect = CrashFrames.decode(told, now);
-            if (suspect.standing() == Suspect.Standing.CLEARED) {
-                mSuspects.remove(suspect.request());
-            } else {
-                mSuspects.put(suspect.request(), suspect);
-            }
-            mEntry.loop().execute(() -> onSuspect(suspect));
-        }
+        List<Suspect> told =
+                news.getSuspectsList().stream()
+                        .map(suspect -> CrashFrames.decode(suspect, now))
+                        .toList();
+        mEntry.loop()
+                .execute(
+                        () -> {
+                            told.forEach(this::onSuspect);
+                            mSuspects = mEntry.suspects().suspects();
+                        });
     }
 
     private void onSuspect(Suspect suspect) {
