Only a success speaks for a request that may crash targets

By reading, then by a test: a failure of a target (500, run to its end) counted as a completion, which clears a request for 10 s and takes back a refusal. A target that fails part of its requests would have cleared one that crashes all others. Change: a completion is a framed, signed answer with a success.

--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/TargetAnswer.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/TargetAnswer.java
@@ -191,11 +191,11 @@
 
     @Override
     public void onEnd() {
-        if (isFramed()) {
-            mEntry.crashes().onCompleted(mRequest.fingerprint());
-        } else {
+        if (!isFramed()) {
             // Its end looks like that of its target.
             onRunLost();
+        } else if (facts().isSuccess() && facts().isGenuine()) {
+            mEntry.crashes().onCompleted(mRequest.fingerprint());
         }
         close();
         if (mEvents == null) {
