Log which control processes an entry tries, and which configuration decides

Nothing told what an entry tried while no control process confirmed, or how old the confirmation behind an answer was. QD5019, QD5020; version, index, confirmed_ms, confirmed_by in QD2001 and QD1001; control in QD5012.

--- a/quilldyke-daemon/src/main/java/org/quilldyke/daemon/log/Event.java
+++ b/quilldyke-daemon/src/main/java/org/quilldyke/daemon/log/Event.java
@@ -83,7 +83,9 @@
     SUBSCRIBER_GAINED(5015, Level.INFO, "subscriber", "an entry process listens here"),
     SUBSCRIBER_LOST(5016, Level.INFO, "subscriber-lost", "an entry process listens no longer"),
     NO_CLASS_ARCHIVE(5017, Level.WARN, "no-archive", "classes come from the jars, a slow start"),
-    LOOP_STUCK(5018, Level.ERROR, "loop-stuck", "a thread did not stop in time; addresses stay");
+    LOOP_STUCK(5018, Level.ERROR, "loop-stuck", "a thread did not stop in time; addresses stay"),
+    CONTROL_TRIED(5019, Level.INFO, "control-tried", "a stream to a control process is opened"),
+    CONTROL_LEFT(5020, Level.INFO, "control-left", "a control process is given up for another");
 
     private final int mNumber;
     private final Level mLevel;
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/EntrySubscriber.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/EntrySubscriber.java
@@ -128,16 +128,21 @@
     }
 
     @Override
-    public void onAnswer(Answer answer, long askedAt) {
+    public void onAnswer(Answer answer, long askedAt, String control) {
         mEntry.loop()
                 .execute(
                         () -> {
                             boolean before = mEntry.isConfirmed();
-                            mEntry.lease().onConfirmed(askedAt);
+                            mEntry.onConfirmed(askedAt, control);
                             mEntry.retries().onInstances(answer.getEntries());
                             mEntry.book().onRank(rank(answer), mEntry.now());
                             if (!before && mEntry.isConfirmed()) {
-                                mLog.write(Event.CONFIRMED, "age", mEntry.keyAge());
+                                mLog.write(
+                                        Event.CONFIRMED,
+                                        "age",
+                                        mEntry.keyAge(),
+                                        "control",
+                                        control);
                             }
                         });
     }
@@ -194,7 +199,7 @@
             byte[] document = Compression.expand(configuration.getDocument().toByteArray());
             RouteTable routes = RouteTable.of(mDialect.readManifest(document));
             mHeldIndex = configuration.getIndex();
-            mEntry.loop().execute(() -> mEntry.onRoutes(routes));
+            mEntry.loop().execute(() -> mEntry.onRoutes(routes, configuration.getIndex()));
             mLog.write(
                     Event.CONFIGURATION,
                     "version",
--- /dev/null
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/ConfigurationStanding.java
@@ -0,0 +1,26 @@
+/*
+ * Copyright 2026 The quilldyke authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.quilldyke.gateway.caller;
+
+/**
+ * Which configuration decides on a request, as its log lines tell it.
+ *
+ * @param version the manifest's version, -1 if none is known
+ * @param index where in the replicated log it was accepted, -1 if none is known
+ * @param confirmedMillis time since the last confirmed question was sent, -1 if none was
+ * @param control who confirmed it, empty if nobody has
+ */
+record ConfigurationStanding(long version, long index, long confirmedMillis, String control) {}
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Entry.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Entry.java
@@ -75,6 +75,8 @@
     private final CrashWatch mCrashes = new CrashWatch(this);
     private Consumer<NamedLimit> mOnLimit = limit -> {};
     private RouteTable mRoutes;
+    private long mIndex = NO_VERSION;
+    private String mConfirmedBy = "";
     private OptionalLong mDrainBegunAt = OptionalLong.empty();
 
     private Entry(Parts parts) {
@@ -115,9 +117,15 @@
         return new Entry(parts);
     }
 
-    /** Takes a configuration. */
-    public void onRoutes(RouteTable routes) {
+    /**
+     * Takes a configuration.
+     *
+     * @param routes what it allows
+     * @param index where in the replicated log it was accepted
+     */
+    public void onRoutes(RouteTable routes, long index) {
         mRoutes = routes;
+        mIndex = index;
         mBook.onServices(routes.manifest().services());
     }
 
@@ -280,6 +288,23 @@
         return mRoutes == null ? NO_VERSION : mRoutes.manifest().version();
     }
 
+    /**
+     * Notes that a control process has confirmed the present configuration.
+     *
+     * @param askedAt when it was asked, by the leases' clock
+     * @param control its address
+     */
+    public void onConfirmed(long askedAt, String control) {
+        mLease.onConfirmed(askedAt);
+        mConfirmedBy = control;
+    }
+
+    /** Returns which configuration is in force here, and how sure that is. */
+    ConfigurationStanding standing() {
+        long age = mLease.wasGranted() ? keyAge() : NO_VERSION;
+        return new ConfigurationStanding(version(), mIndex, age, mConfirmedBy);
+    }
+
     /** Returns whether the configuration was confirmed a short while ago. */
     public boolean isConfirmed() {
         return mRoutes != null && mLease.isValid(mLeaseClock.getAsLong());
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Exchange.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Exchange.java
@@ -357,7 +357,7 @@
     private TargetAnswer ask(Step.Send send) {
         TargetAnswer answer =
                 new TargetAnswer(this, mEntry, mRequest, send.choice(), mBody.alloc());
-        mLog.routed(mRequest, send, mEntry.book(), now());
+        mLog.routed(mRequest, send, mEntry.book(), mEntry.standing(), now());
         mEntry.metrics().onAttempt();
         // What is heard of it at once is heard of the answer that is asked for here.
         if (mAnswer == null) {
@@ -587,7 +587,7 @@
     }
 
     private void logEnd(ResultCode code, String why) {
-        mLog.ended(id(), code, why, mChoice, now() - mArrivedAt);
+        mLog.ended(id(), code, why, mChoice, mEntry.standing(), now() - mArrivedAt);
     }
 
     private String id() {
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/ExchangeLog.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/ExchangeLog.java
@@ -36,7 +36,12 @@
     }
 
     /** A target was chosen: what the choice rests on. */
-    void routed(ForwardRequest request, Step.Send send, TargetBook book, long now) {
+    void routed(
+            ForwardRequest request,
+            Step.Send send,
+            TargetBook book,
+            ConfigurationStanding standing,
+            long now) {
         Choice choice = send.choice();
         Told told = book.told(choice.target());
         mLog.write(
@@ -78,7 +83,15 @@
                 "told_by",
                 told.by(),
                 "heard_before_ms",
-                told.ageMillis(now));
+                told.ageMillis(now),
+                "version",
+                standing.version(),
+                "index",
+                standing.index(),
+                "confirmed_ms",
+                standing.confirmedMillis(),
+                "confirmed_by",
+                standing.control());
     }
 
     void attemptFailed(String request, Choice choice, String outcome, String why) {
@@ -134,7 +147,13 @@
     }
 
     /** The request was refused or failed; {@code choice} is null if nothing was chosen. */
-    void ended(String request, ResultCode code, String why, Choice choice, long millis) {
+    void ended(
+            String request,
+            ResultCode code,
+            String why,
+            Choice choice,
+            ConfigurationStanding standing,
+            long millis) {
         mLog.write(
                 Event.REFUSED,
                 "request",
@@ -146,7 +165,15 @@
                 "target",
                 choice == null ? "" : choice.target(),
                 "ms",
-                millis);
+                millis,
+                "version",
+                standing.version(),
+                "index",
+                standing.index(),
+                "confirmed_ms",
+                standing.confirmedMillis(),
+                "confirmed_by",
+                standing.control());
     }
 
     /**
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/instance/ControlLinks.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/instance/ControlLinks.java
@@ -146,7 +146,7 @@
     void onAnswer(ControlLink link, Answer answer, long askedAt) {
         onAddresses(answer.getControlAddressesList());
         mDomains.put(link.address(), answer.getFailureDomain());
-        mSubscriber.onAnswer(answer, askedAt);
+        mSubscriber.onAnswer(answer, askedAt, link.address());
     }
 
     /**
@@ -192,6 +192,12 @@
                 link -> {
                     boolean stale = now - link.confirmedAt() > UNCONFIRMED_MILLIS;
                     if (stale) {
+                        mLog.write(
+                                Event.CONTROL_LEFT,
+                                "control",
+                                link.address(),
+                                "unconfirmed_ms",
+                                now - link.confirmedAt());
                         link.close();
                         mFailedAt.put(link.address(), now);
                     }
@@ -200,6 +206,14 @@
         leaveForNearer();
         while (mLinks.size() < Math.min(LINKS, mAddresses.size())) {
             ControlLink link = new ControlLink(mLoop, mClock, mLeaseClock, nextAddress(), this);
+            mLog.write(
+                    Event.CONTROL_TRIED,
+                    "control",
+                    link.address(),
+                    "links",
+                    mLinks.size(),
+                    "known",
+                    mAddresses.size());
             mLinks.add(link);
             link.open();
         }
@@ -263,8 +277,11 @@
         /** Returns what this entry has open at targets. */
         List<TargetLoad> loads();
 
-        /** Takes the answer to a question that was sent at the given time of the leases' clock. */
-        void onAnswer(Answer answer, long askedAt);
+        /**
+         * Takes the answer of the control process at an address to a question that was sent at the
+         * given time of the leases' clock.
+         */
+        void onAnswer(Answer answer, long askedAt, String control);
 
         /** Takes anything else that the control process at an address tells. */
         void onNews(ControlFrame frame, String control);
--- a/quilldyke-gateway/src/test/java/org/quilldyke/gateway/instance/ControlLinksTest.java
+++ b/quilldyke-gateway/src/test/java/org/quilldyke/gateway/instance/ControlLinksTest.java
@@ -165,7 +165,7 @@
         }
 
         @Override
-        public void onAnswer(Answer answer, long askedAt) {
+        public void onAnswer(Answer answer, long askedAt, String control) {
             // The links take the failure domain from it.
         }
 
