An entry that hears no control process asks more of them, each before any again

Callers saw an old version long after a change was acknowledged, at entries in touch whose two control processes were silent or gone, though three others were up. Cause: an entry without a control process in its domain went once round all addresses for each choice and took the last free one, the same each time, whether it had just failed or not. Evidence: QD5019 names the same two lost addresses every 1.5 s for 10 s, of five known (ControlLossTest, entry m-6). Two wrong choices in a row took 3.5 s, and addresses of machines that are gone were never dropped.

ControlLinkPlanner decides now, as a state machine: without a confirmation for a second, up to two more links than may be lost are open at once, one more each 250 ms; addresses that failed, that control processes no longer tell and that were tried later come last; a nearer one is tried beside the two that confirm. So in 2,000 such losses (ControlLinkPlannerTest) a confirmation comes within 2 s.

--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/GatewayProcess.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/GatewayProcess.java
@@ -51,6 +51,7 @@
 import org.quilldyke.gateway.platform.GatewayMetrics;
 import org.quilldyke.gateway.platform.ProbeServer;
 import org.quilldyke.gateway.settings.GatewaySettings;
+import org.quilldyke.instance.ControlLinkPlanner;
 import org.quilldyke.routing.NamedLimit;
 import org.quilldyke.routing.TargetBook;
 
@@ -171,7 +172,7 @@
                         mNode.onSeeds(new HashSet<>(settings.seedAddresses()));
                     }
                     if (mLinks != null) {
-                        mLinks.onAddresses(settings.seedAddresses());
+                        mLinks.onSeeds(settings.seedAddresses());
                     }
                 });
     }
@@ -307,15 +308,22 @@
                                     mClock,
                                     this::leaseNow,
                                     mLog,
-                                    mSettings.failureDomain(),
+                                    planner(),
                                     mSettings.seedAddresses(),
-                                    Math.floorMod(mSettings.instance().hashCode(), 97),
                                     subscriber);
                     crashes.tellTo(mLinks::sendToAll);
                     mTraffic.execute(() -> mEntry.tellLimits(this::tellLimit));
                 });
     }
 
+    private ControlLinkPlanner planner() {
+        return ControlLinkPlanner.create(
+                mSettings.failureDomain(),
+                mSettings.toleratedLosses(),
+                mSettings.instance().hashCode(),
+                mClock.getAsLong());
+    }
+
     private void tellLimit(NamedLimit limit) {
         mControl.execute(
                 () -> {
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/instance/ControlLink.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/instance/ControlLink.java
@@ -33,7 +33,7 @@
     private final LongSupplier mClock;
     private final ControlLinks mOwner;
     private final LongSupplier mLeaseClock;
-    private final Map<Long, Asked> mAsked = new HashMap<>();
+    private final Map<Long, ControlLinks.Asked> mAsked = new HashMap<>();
     private long mQuestion;
     private long mConfirmedAt;
     private ControlFrame mOthersLoads = NO_LOADS;
@@ -77,18 +77,18 @@
     @Override
     void onBeat() {
         mQuestion++;
-        mAsked.put(mQuestion, new Asked(mClock.getAsLong(), mLeaseClock.getAsLong()));
+        mAsked.put(mQuestion, new ControlLinks.Asked(mClock.getAsLong(), mLeaseClock.getAsLong()));
         send(EntryFrame.newBuilder().setQuestion(mOwner.question(this, mQuestion)).build());
     }
 
     @Override
     void onFrame(ControlFrame frame) {
         if (frame.getKindCase() == ControlFrame.KindCase.ANSWER) {
-            Asked asked = mAsked.remove(frame.getAnswer().getNumber());
+            ControlLinks.Asked asked = mAsked.remove(frame.getAnswer().getNumber());
             if (asked != null) {
                 mAsked.values().removeIf(other -> other.at() < asked.at());
                 mConfirmedAt = Math.max(mConfirmedAt, asked.at());
-                mOwner.onAnswer(this, frame.getAnswer(), asked.leaseAt());
+                mOwner.onAnswer(this, frame.getAnswer(), asked);
             }
         } else {
             mOthersLoads = frame.hasLoads() ? frame : mOthersLoads;
@@ -105,12 +105,4 @@
     void onDown(String why) {
         mOwner.onLink(address(), false, why);
     }
-
-    /**
-     * When a question was sent.
-     *
-     * @param at by the steady clock
-     * @param leaseAt by the leases' clock
-     */
-    private record Asked(long at, long leaseAt) {}
 }
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/instance/ControlLinks.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/instance/ControlLinks.java
@@ -15,12 +15,9 @@
  */
 package org.quilldyke.gateway.instance;
 
-import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.LinkedHashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.function.LongSupplier;
 import org.quilldyke.daemon.log.Event;
 import org.quilldyke.daemon.log.EventLog;
@@ -31,38 +28,24 @@
 import org.quilldyke.gateway.instance.proto.Question;
 import org.quilldyke.gateway.instance.proto.TargetLoad;
 import org.quilldyke.gateway.instance.proto.TargetLoads;
+import org.quilldyke.instance.ControlLinkPlanner;
 
 /**
- * Keeps an entry process in touch with two control processes, and with others when these fail.
- *
- * <p>A control process that is cut off from its leader still speaks, but can't answer questions;
- * one that hasn't answered for a while is replaced by the next. Lives on the control thread.
+ * Keeps an entry process in touch with two control processes, and with others when these fail, as a
+ * planner decides. Lives on the control thread.
  */
 public final class ControlLinks {
-    /** One more than needed, so that the loss of one goes unnoticed. */
-    private static final int LINKS = 2;
-
-    /** A control process that answers no question for this long is left for another. */
-    private static final long UNCONFIRMED_MILLIS = 1500;
-
     private static final long CHECK_MILLIS = 250;
 
-    /** A near control process that didn't answer is preferred again after this long. */
-    private static final long NEAR_RETRY_MILLIS = 5000;
-
     private final NettyLoop mLoop;
     private final LongSupplier mClock;
     private final LongSupplier mLeaseClock;
     private final EventLog mLog;
     private final Subscriber mSubscriber;
-    private final String mFailureDomain;
-    private final Set<String> mAddresses = new LinkedHashSet<>();
-    private final Map<String, String> mDomains = new HashMap<>();
-    private final Map<String, Long> mFailedAt = new HashMap<>();
-    private final List<ControlLink> mLinks = new ArrayList<>();
+    private final ControlLinkPlanner mPlanner;
+    private final Map<String, ControlLink> mLinks = new LinkedHashMap<>();
     private List<TargetLoad> mLoadsTold = List.of();
     private ControlLink mMain;
-    private int mNext;
     private boolean mClosed;
 
     private ControlLinks(
@@ -70,13 +53,13 @@
             LongSupplier clock,
             LongSupplier leaseClock,
             EventLog log,
-            String failureDomain,
+            ControlLinkPlanner planner,
             Subscriber subscriber) {
         mLoop = loop;
         mClock = clock;
         mLeaseClock = leaseClock;
         mLog = log;
-        mFailureDomain = failureDomain;
+        mPlanner = planner;
         mSubscriber = subscriber;
     }
 
@@ -87,10 +70,8 @@
      * @param clock monotonic milliseconds
      * @param leaseClock the time by which leases end, in milliseconds
      * @param log where gained and lost control processes go
-     * @param failureDomain where this entry stands; a control process there is heard rather than
-     *     others, since what crosses to another one costs
-     * @param addresses those known from the settings
-     * @param first where among them to begin, so that entries spread over them
+     * @param planner decides to which control processes there are streams
+     * @param seeds the addresses known from the settings
      * @param subscriber hears what they tell
      */
     public static ControlLinks start(
@@ -98,41 +79,36 @@
             LongSupplier clock,
             LongSupplier leaseClock,
             EventLog log,
-            String failureDomain,
-            List<String> addresses,
-            int first,
+            ControlLinkPlanner planner,
+            List<String> seeds,
             Subscriber subscriber) {
-        ControlLinks links =
-                new ControlLinks(loop, clock, leaseClock, log, failureDomain, subscriber);
-        links.mAddresses.addAll(addresses);
-        links.mNext = first;
+        ControlLinks links = new ControlLinks(loop, clock, leaseClock, log, planner, subscriber);
+        links.onSeeds(seeds);
         links.check();
         links.tellLoads();
         return links;
     }
 
-    /** Takes the addresses of control processes that are known now; old ones may still be tried. */
-    public void onAddresses(List<String> addresses) {
-        if (!addresses.isEmpty()) {
-            mAddresses.addAll(addresses);
-        }
+    /** Takes the addresses of control processes that the settings name now. */
+    public void onSeeds(List<String> addresses) {
+        mPlanner.onSeeds(addresses, mClock.getAsLong());
     }
 
     /** Sends a frame to all control processes that are in reach. */
     public void sendToAll(EntryFrame frame) {
-        mLinks.stream().filter(ControlLink::isUp).forEach(link -> link.send(frame));
+        mLinks.values().stream().filter(ControlLink::isUp).forEach(link -> link.send(frame));
     }
 
     /** Closes all streams for good. */
     public void close() {
         mClosed = true;
-        mLinks.forEach(ControlLink::close);
+        mLinks.values().forEach(ControlLink::close);
         mLinks.clear();
     }
 
     /** Returns whether any control process is in reach. */
     public boolean isUp() {
-        return mLinks.stream().anyMatch(ControlLink::isUp);
+        return mLinks.values().stream().anyMatch(ControlLink::isUp);
     }
 
     Hello hello() {
@@ -143,10 +119,12 @@
         return Question.newBuilder().setNumber(number).setMain(isMain(link)).build();
     }
 
-    void onAnswer(ControlLink link, Answer answer, long askedAt) {
-        onAddresses(answer.getControlAddressesList());
-        mDomains.put(link.address(), answer.getFailureDomain());
-        mSubscriber.onAnswer(answer, askedAt, link.address());
+    void onAnswer(ControlLink link, Answer answer, Asked asked) {
+        long now = mClock.getAsLong();
+        mPlanner.onConfirmed(link.address(), asked.at());
+        mPlanner.onTold(answer.getControlAddressesList(), now);
+        mPlanner.onDomain(link.address(), answer.getFailureDomain(), now);
+        mSubscriber.onAnswer(answer, asked.leaseAt(), link.address());
     }
 
     /**
@@ -164,7 +142,7 @@
      * caches and of others' loads: one that is up, and rather one in the own failure domain.
      */
     private boolean isMain(ControlLink link) {
-        boolean replaced = mMain == null || !mLinks.contains(mMain) || !mMain.isUp();
+        boolean replaced = mMain == null || mLinks.get(mMain.address()) != mMain || !mMain.isUp();
         if (replaced || isNear(link) && link.isUp() && !isNear(mMain)) {
             mMain = link;
             mLoadsTold = List.of();
@@ -175,7 +153,7 @@
     }
 
     private boolean isNear(ControlLink link) {
-        return mFailureDomain.equals(mDomains.get(link.address()));
+        return mPlanner.isNear(link.address());
     }
 
     void onLink(String address, boolean up, String why) {
@@ -188,57 +166,35 @@
         }
         mLoop.schedule(CHECK_MILLIS, this::check);
         long now = mClock.getAsLong();
-        mLinks.removeIf(
-                link -> {
-                    boolean stale = now - link.confirmedAt() > UNCONFIRMED_MILLIS;
-                    if (stale) {
-                        mLog.write(
-                                Event.CONTROL_LEFT,
-                                "control",
-                                link.address(),
-                                "unconfirmed_ms",
-                                now - link.confirmedAt());
-                        link.close();
-                        mFailedAt.put(link.address(), now);
-                    }
-                    return stale;
-                });
-        leaveForNearer();
-        while (mLinks.size() < Math.min(LINKS, mAddresses.size())) {
-            ControlLink link = new ControlLink(mLoop, mClock, mLeaseClock, nextAddress(), this);
-            mLog.write(
-                    Event.CONTROL_TRIED,
-                    "control",
-                    link.address(),
-                    "links",
-                    mLinks.size(),
-                    "known",
-                    mAddresses.size());
-            mLinks.add(link);
-            link.open();
-        }
-    }
-
-    /** Leaves a far link if the other one is far, too, and a control process may be near. */
-    private void leaveForNearer() {
-        boolean settled = mLinks.size() == LINKS && mLinks.stream().allMatch(ControlLink::isUp);
-        if (!settled || mLinks.stream().anyMatch(this::isNear)) {
-            return;
-        }
-        boolean hope = mAddresses.stream().anyMatch(address -> mayBeNear(address));
-        if (hope) {
-            mLinks.remove(LINKS - 1).close();
-        }
-    }
-
-    /** Returns whether an address without a link is in the own failure domain, or may be. */
-    private boolean mayBeNear(String address) {
-        String domain = mDomains.getOrDefault(address, mFailureDomain);
-        Long failedAt = mFailedAt.get(address);
-        boolean failed = failedAt != null && mClock.getAsLong() - failedAt < NEAR_RETRY_MILLIS;
-        return !failed
-                && domain.equals(mFailureDomain)
-                && mLinks.stream().noneMatch(link -> link.address().equals(address));
+        ControlLinkPlanner.Plan plan = mPlanner.plan(now);
+        plan.close().forEach(address -> close(mLinks.remove(address), now));
+        plan.open().forEach(address -> open(address, now));
+    }
+
+    private void close(ControlLink link, long now) {
+        mLog.write(
+                Event.CONTROL_LEFT,
+                "control",
+                link.address(),
+                "unconfirmed_ms",
+                now - link.confirmedAt());
+        link.close();
+    }
+
+    private void open(String address, long now) {
+        ControlLink link = new ControlLink(mLoop, mClock, mLeaseClock, address, this);
+        mLinks.put(address, link);
+        mLog.write(
+                Event.CONTROL_TRIED,
+                "control",
+                address,
+                "links",
+                mLinks.size(),
+                "known",
+                mPlanner.known(),
+                "unconfirmed_ms",
+                mPlanner.unconfirmedMillis(now));
+        link.open();
     }
 
     private void tellLoads() {
@@ -254,20 +210,13 @@
         }
     }
 
-    private String nextAddress() {
-        List<String> all = new ArrayList<>(mAddresses);
-        boolean near = mLinks.stream().anyMatch(this::isNear);
-        String fallback = all.get(0);
-        for (int i = 0; i < all.size(); i++) {
-            String address = all.get(Math.floorMod(mNext++, all.size()));
-            boolean free = mLinks.stream().noneMatch(link -> link.address().equals(address));
-            if (free && (near || mayBeNear(address))) {
-                return address;
-            }
-            fallback = free ? address : fallback;
-        }
-        return fallback;
-    }
+    /**
+     * When a question was sent.
+     *
+     * @param at by the steady clock
+     * @param leaseAt by the leases' clock
+     */
+    record Asked(long at, long leaseAt) {}
 
     /** Hears what control processes tell, on the control thread. */
     public interface Subscriber {
--- a/quilldyke-gateway/src/test/java/org/quilldyke/gateway/instance/ControlLinksTest.java
+++ b/quilldyke-gateway/src/test/java/org/quilldyke/gateway/instance/ControlLinksTest.java
@@ -37,6 +37,7 @@
 import org.quilldyke.gateway.instance.proto.PeerFrame;
 import org.quilldyke.gateway.instance.proto.TargetLoad;
 import org.quilldyke.gateway.instance.proto.TargetLoads;
+import org.quilldyke.instance.ControlLinkPlanner;
 
 /**
  * What others have open is what the main control process told last.
@@ -85,9 +86,8 @@
                                                 () -> NOW,
                                                 () -> NOW,
                                                 EventLog.of("test"),
-                                                DOMAIN,
+                                                ControlLinkPlanner.create(DOMAIN, 1, 0, NOW),
                                                 List.of(far, near),
-                                                0,
                                                 mHeard))
                         .get();
         // The first questions go out before either stream is up, and don't settle who is main.
