An entry whose configuration may be old denies no path and no key

By reading: 404, 401 and 403 were told for 0.7 of the bound for keys (3,500 ms) after the last confirmation, longer than a change may take to be in force (2,500 ms); no caller comes back after them. Past the new setting timings.apply an entry that has had no confirmation refuses such a request unrun (QR2018, 503, Retry-After 0.8 s) instead. Keyed and public requests of routes that it holds are served as before: they may be served right, and a refusal would cost each caller of a fleet that is cut in two. DenialTest failed before (404 past the bound).

--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/GatewayProcess.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/GatewayProcess.java
@@ -281,6 +281,7 @@
                                 book,
                                 retries,
                                 lease,
+                                timings.apply(),
                                 mLog,
                                 mMetrics));
         registerGauges();
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/CallerRequests.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/CallerRequests.java
@@ -57,16 +57,15 @@
         Optional<Route> found = routes.route(head.headers().get(HttpHeaderNames.HOST), path);
         boolean open = found.isPresent() && (found.get().open() || !routes.needsKeys());
         if (!open && !entry.isConfirmed()) {
-            throw QuilldykeException.notRunRetryAfter(
-                    ResultCode.KEYS_UNCONFIRMED, "", UNCONFIRMED_RETRY_MILLIS);
+            throw unconfirmed();
         }
         if (found.isEmpty()) {
-            throw QuilldykeException.notRun(ResultCode.UNKNOWN_PATH, path);
+            throw denied(entry, ResultCode.UNKNOWN_PATH, path);
         }
         Route route = found.get();
         Optional<Organisation> owner = facts.key().flatMap(routes::owner);
         if (!open && owner.isEmpty()) {
-            throw QuilldykeException.notRun(ResultCode.UNKNOWN_TOKEN, "");
+            throw denied(entry, ResultCode.UNKNOWN_TOKEN, "");
         }
         long left = Math.min(route.timeoutMillis(), facts.millisLeft().orElse(Long.MAX_VALUE));
         return new ForwardRequest(
@@ -83,6 +82,16 @@
                 facts.lastEvent().orElse(-1));
     }
 
+    /** What isn't here may have been added meanwhile, and no caller comes back after a denial. */
+    private static QuilldykeException denied(Entry entry, ResultCode code, String detail) {
+        return entry.mayDeny() ? QuilldykeException.notRun(code, detail) : unconfirmed();
+    }
+
+    private static QuilldykeException unconfirmed() {
+        return QuilldykeException.notRunRetryAfter(
+                ResultCode.KEYS_UNCONFIRMED, "", UNCONFIRMED_RETRY_MILLIS);
+    }
+
     private static RequestFingerprint fingerprint(
             Optional<Organisation> owner, HttpRequest head, ByteBuf body) {
         return RequestFingerprint.of(
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Entry.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Entry.java
@@ -68,6 +68,7 @@
     private final RetryAllowance mRetries;
     private final ShutdownAdmission mShutdown = ShutdownAdmission.create();
     private final KeyLease mLease;
+    private final long mApplyMillis;
     private final EventLog mLog;
     private final GatewayMetrics mMetrics;
     private final Map<String, Set<Exchange>> mExchanges = new HashMap<>();
@@ -87,6 +88,7 @@
         mBook = parts.book();
         mRetries = parts.retries();
         mLease = parts.lease();
+        mApplyMillis = parts.applyMillis();
         mLog = parts.log();
         mPool =
                 TargetPool.create(
@@ -305,6 +307,14 @@
         return new ConfigurationStanding(version(), mIndex, age, mConfirmedBy);
     }
 
+    /**
+     * Returns whether the configuration is the newest, as far as can be known: only then a path or
+     * a key that it doesn't hold is denied.
+     */
+    public boolean mayDeny() {
+        return mRoutes != null && keyAge() < mApplyMillis;
+    }
+
     /** Returns whether the configuration was confirmed a short while ago. */
     public boolean isConfirmed() {
         return mRoutes != null && mLease.isValid(mLeaseClock.getAsLong());
@@ -405,6 +415,7 @@
      * @param book the targets
      * @param retries bounds second attempts
      * @param lease for how long keys may be taken for good
+     * @param applyMillis within what time an accepted configuration must be in force
      * @param log where events go
      * @param metrics what is counted
      */
@@ -416,6 +427,7 @@
             TargetBook book,
             RetryAllowance retries,
             KeyLease lease,
+            long applyMillis,
             EventLog log,
             GatewayMetrics metrics) {}
 }
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/settings/GatewaySettings.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/settings/GatewaySettings.java
@@ -75,6 +75,7 @@
      * Times in milliseconds and bounds.
      *
      * @param targetReport how often targets report themselves
+     * @param apply within what time an accepted manifest must be in force everywhere
      * @param revoke within what time a key that was taken away must be refused everywhere
      * @param grace how long a process has to shut down
      * @param orderLease for how long a new holder of the right to order must wait for the last one
@@ -85,6 +86,7 @@
      */
     public record Timings(
             long targetReport,
+            long apply,
             long revoke,
             long grace,
             long orderLease,
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/settings/GatewaySettingsReader.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/settings/GatewaySettingsReader.java
@@ -113,6 +113,7 @@
         GatewaySettings.Timings timings =
                 new GatewaySettings.Timings(
                         in.integer("targetReport"),
+                        in.integer("apply"),
                         in.integer("revoke"),
                         in.integer("grace"),
                         in.integer("orderLease"),
@@ -136,6 +137,7 @@
 
     private static void checkTimings(GatewaySettings.Timings t) throws QuilldykeException {
         requirePositive("targetReport", t.targetReport());
+        requirePositive("apply", t.apply());
         requirePositive("revoke", t.revoke());
         requirePositive("grace", t.grace());
         requirePositive("convergence", t.convergence());
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/warmup/WarmUp.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/warmup/WarmUp.java
@@ -209,7 +209,7 @@
                 entry ? "" : mFolder.resolve("data-" + machine).toString(),
                 1,
                 new GatewaySettings.Timings(
-                        1000, 5000, GRACE_MILLIS, 3000, 10_000, 10_000, 0.2, 10));
+                        1000, 2500, 5000, GRACE_MILLIS, 3000, 10_000, 10_000, 0.2, 10));
     }
 
     private static void delete(Path folder) throws IOException {
--- a/quilldyke-gateway/src/test/java/org/quilldyke/gateway/control/ControlNodeTest.java
+++ b/quilldyke-gateway/src/test/java/org/quilldyke/gateway/control/ControlNodeTest.java
@@ -381,7 +381,7 @@
                 false,
                 mFolder.toString(),
                 1,
-                new GatewaySettings.Timings(1000, 5000, 8000, 3000, 10_000, 10_000, 0.2, 62));
+                new GatewaySettings.Timings(1000, 2500, 5000, 8000, 3000, 10_000, 10_000, 0.2, 62));
     }
 
     private <T> T onLoop(Callable<T> task) throws Exception {
