A manifest whose chunks are broken isn't taken

Operators would have seen 200 for a manifest that couldn't be read in full: its document whole in the first chunk, then bytes that are no chunk. Cause: the aggregator ends the message at the broken chunk and notes it in the decoder's result, which nobody looked at for calls of operators and targets; callers' requests were checked. RequestFraming moves to the package that all HTTP servers share.

--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/CallerConnection.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/CallerConnection.java
@@ -44,6 +44,7 @@
 import org.quilldyke.QuilldykeException;
 import org.quilldyke.ResultCode;
 import org.quilldyke.daemon.log.Event;
+import org.quilldyke.gateway.http.RequestFraming;
 
 /**
  * One connection of a caller: reads a request whole, has it answered, then reads the next.
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/RequestFraming.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/http/RequestFraming.java
@@ -13,7 +13,7 @@
  * See the License for the specific language governing permissions and
  * limitations under the License.
  */
-package org.quilldyke.gateway.caller;
+package org.quilldyke.gateway.http;
 
 import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.TooLongFrameException;
@@ -30,7 +30,7 @@
  * Refuses requests whose end is open to doubt: what one reader takes for a body, another might take
  * for a second request (RFC 9112, 11.2).
  */
-final class RequestFraming {
+public final class RequestFraming {
     private RequestFraming() {}
 
     /**
@@ -39,7 +39,7 @@
      * @throws QuilldykeException {@link ResultCode#MALFORMED_REQUEST}, {@link
      *     ResultCode#HEADERS_TOO_LARGE}, {@link ResultCode#BODY_TOO_LARGE}
      */
-    static void check(HttpRequest head, long bodyBytes) throws QuilldykeException {
+    public static void check(HttpRequest head, long bodyBytes) throws QuilldykeException {
         checkDecoded(head.decoderResult());
         HttpHeaders headers = head.headers();
         if (!head.protocolVersion().equals(HttpVersion.HTTP_1_1)
@@ -67,7 +67,7 @@
     }
 
     /** Checks what the decoder says of a part of a request. */
-    static void checkDecoded(DecoderResult result) throws QuilldykeException {
+    public static void checkDecoded(DecoderResult result) throws QuilldykeException {
         if (result.isSuccess()) {
             return;
         }
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/operator/ControlServer.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/operator/ControlServer.java
@@ -49,6 +49,7 @@
 import org.quilldyke.gateway.dialect.ControlDialect;
 import org.quilldyke.gateway.engine.RefusedNews;
 import org.quilldyke.gateway.http.HttpListener;
+import org.quilldyke.gateway.http.RequestFraming;
 import org.quilldyke.gateway.instance.NettyLoop;
 import org.quilldyke.gateway.platform.MetricsText;
 import org.quilldyke.manifest.ManifestRules;
@@ -194,7 +195,9 @@
     private final class Handler extends SimpleChannelInboundHandler<FullHttpRequest> {
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
-            boolean keepAlive = HttpUtil.isKeepAlive(request);
+            // Where a malformed call ends is not known, so nothing after it can be read.
+            boolean keepAlive =
+                    HttpUtil.isKeepAlive(request) && request.decoderResult().isSuccess();
             mOpen.incrementAndGet();
             String path = request.uri().split("[?#]", 2)[0];
             if (path.equals(MetricsText.PATH) && request.method() == HttpMethod.GET) {
@@ -203,6 +206,7 @@
                 return;
             }
             try {
+                RequestFraming.checkDecoded(request.decoderResult());
                 ControlCall call =
                         mDialect.read(
                                 request.method().name(),
