--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/ControlNode.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/ControlNode.java
@@ -236,7 +236,7 @@
     /** Stops without a word to the others, and closes the files. */
     public void stop() throws QuilldykeException {
         mStopped = true;
-        mPeers.retain(Set.of());
+        mPeers.close();
         mMemory.close();
         mGroup.node().stop();
     }
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/MembershipKeeper.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/MembershipKeeper.java
@@ -58,6 +58,7 @@
         Set<String> addresses = new HashSet<>(seeds);
         replica.membership().all().forEach(member -> addresses.add(member.address()));
         mPeers.connect(addresses);
+        mPeers.forgetUnnamed();
         long now = mClock.getAsLong();
         if (mGroup.leads()) {
             mPlanner.next(replica, mGroup.selfId(), mGroup.node().leaderSince(), now)
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/instance/Peers.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/instance/Peers.java
@@ -20,6 +20,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.quilldyke.daemon.log.Event;
@@ -28,11 +29,15 @@
 
 /** The streams from one control process to all others. Lives on the control thread. */
 public final class Peers {
+    /** A peer that nobody has named and that hasn't spoken for this long is gone for good. */
+    static final long FORGET_MILLIS = 120_000;
+
     private final NettyLoop mLoop;
     private final LongSupplier mClock;
     private final EventLog mLog;
     private final String mSelf;
     private final Map<String, PeerLink> mLinks = new HashMap<>();
+    private final Map<String, Long> mNamedAt = new HashMap<>();
     private Consumer<String> mOnUp = address -> {};
 
     private Peers(NettyLoop loop, LongSupplier clock, EventLog log, String self) {
@@ -59,9 +64,10 @@
         mOnUp = listener;
     }
 
-    /** Opens streams to addresses to which there are none yet. */
+    /** Opens streams to addresses to which there are none yet; they are named by this. */
     public void connect(Collection<String> addresses) {
         for (String address : addresses) {
+            mNamedAt.put(address, mClock.getAsLong());
             if (!address.equals(mSelf) && !mLinks.containsKey(address)) {
                 PeerLink link = new PeerLink(mLoop, mClock, mSelf, address, this::onLink);
                 mLinks.put(address, link);
@@ -70,8 +76,19 @@
         }
     }
 
-    /** Closes streams to other addresses than these. */
-    public void retain(Collection<String> addresses) {
+    /** Closes streams to addresses that weren't named for a while. */
+    public void forgetUnnamed() {
+        long now = mClock.getAsLong();
+        mNamedAt.values().removeIf(namedAt -> now - namedAt > FORGET_MILLIS);
+        retain(mNamedAt.keySet());
+    }
+
+    /** Closes all streams. */
+    public void close() {
+        retain(Set.of());
+    }
+
+    private void retain(Set<String> addresses) {
         mLinks.entrySet()
                 .removeIf(
                         entry -> {
