--- a/quilldyke-core/src/test/java/org/quilldyke/instance/ControlLinkPlannerTest.java
+++ b/quilldyke-core/src/test/java/org/quilldyke/instance/ControlLinkPlannerTest.java
@@ -128,6 +128,30 @@
         assertThat(mPlanner.known()).isEqualTo(members.size());
     }
 
+    @Test
+    void searchOfManyEntriesSpreadsOverThoseThatAreLeft() {
+        for (int entries : new int[] {87, 300}) {
+            Map<String, Integer> opened = new HashMap<>();
+            for (int entry = 0; entry < entries; entry++) {
+                List<String> members = start(new Random(entry), 8, 2);
+                run(10_000);
+                mAlive.removeAll(List.of("control-0", "control-1", "control-2"));
+                mOpened.clear();
+                run(10_000);
+                mOpened.stream()
+                        .filter(mAlive::contains)
+                        .forEach(address -> opened.merge(address, 1, Integer::sum));
+                assertThat(members).hasSize(8);
+            }
+            System.out.printf("%d entries lose 3 of 8 control processes: %s%n", entries, opened);
+
+            assertThat(opened).hasSize(5);
+            int all = opened.values().stream().mapToInt(Integer::intValue).sum();
+            assertThat(all).isAtMost(2 * entries);
+            assertThat(Collections.max(opened.values())).isAtMost(2 * all / 5);
+        }
+    }
+
     /** Starts an entry that knows three seeds of a group whose members are in other domains. */
     private List<String> start(Random random, int members, int losses) {
         mDomains.clear();
