--- a/quilldyke-daemon/src/main/java/org/quilldyke/daemon/log/Event.java
+++ b/quilldyke-daemon/src/main/java/org/quilldyke/daemon/log/Event.java
@@ -85,7 +85,8 @@
     NO_CLASS_ARCHIVE(5017, Level.WARN, "no-archive", "classes come from the jars, a slow start"),
     LOOP_STUCK(5018, Level.ERROR, "loop-stuck", "a thread did not stop in time; addresses stay"),
     CONTROL_TRIED(5019, Level.INFO, "control-tried", "a stream to a control process is opened"),
-    CONTROL_LEFT(5020, Level.INFO, "control-left", "a control process is given up for another");
+    CONTROL_LEFT(5020, Level.INFO, "control-left", "a control process is given up for another"),
+    NO_DISK(5021, Level.INFO, "no-disk", "without a disk, callers are sent on to others");
 
     private final int mNumber;
     private final Level mLevel;
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/GatewayProcess.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/GatewayProcess.java
@@ -48,6 +48,7 @@
 import org.quilldyke.gateway.instance.proto.EntryFrame;
 import org.quilldyke.gateway.instance.proto.Limits;
 import org.quilldyke.gateway.operator.ControlServer;
+import org.quilldyke.gateway.operator.RedirectServer;
 import org.quilldyke.gateway.platform.GatewayMetrics;
 import org.quilldyke.gateway.platform.ProbeServer;
 import org.quilldyke.gateway.settings.GatewaySettings;
@@ -107,6 +108,7 @@
     private CallerServer mCallers;
     private ControlNode mNode;
     private ControlServer mCalls;
+    private RedirectServer mRedirects;
     private ControlLinks mLinks;
     private SessionServer mSessions;
 
@@ -171,6 +173,9 @@
                     if (mNode != null) {
                         mNode.onSeeds(new HashSet<>(settings.seedAddresses()));
                     }
+                    if (mRedirects != null) {
+                        mRedirects.onSeeds(settings.seeds());
+                    }
                     if (mLinks != null) {
                         mLinks.onSeeds(settings.seedAddresses());
                     }
@@ -185,7 +190,7 @@
      */
     public void shutdown(long start) {
         mDraining.set(true);
-        int open = mEntry == null ? mCalls.open() : onTraffic(mCallers::busyConnections);
+        int open = mEntry == null ? openCalls() : onTraffic(mCallers::busyConnections);
         mLog.write(Event.SHUTTING_DOWN, "role", mSettings.role(), "open", open);
         int cut = mEntry == null ? endControl(start) : endEntry(start);
         mLog.write(Event.STOPPED, "after", mClock.getAsLong() - start, "cut", cut);
@@ -193,12 +198,18 @@
 
     /** Returns how many calls were cut: those that take longer than calls ever should. */
     private int endControl(long start) {
-        mControl.execute(mNode::leave);
+        if (mNode != null) {
+            mControl.execute(mNode::leave);
+        }
         pause(POLL_MILLIS);
-        while (mCalls.open() > 0 && mClock.getAsLong() < start + LAST_CALLS_MILLIS) {
+        while (openCalls() > 0 && mClock.getAsLong() < start + LAST_CALLS_MILLIS) {
             pause(POLL_MILLIS);
         }
-        return mCalls.open();
+        return openCalls();
+    }
+
+    private int openCalls() {
+        return mCalls == null ? 0 : mCalls.open();
     }
 
     /** Returns how many requests were cut: those that outlast the time to shut down. */
@@ -342,6 +353,11 @@
     }
 
     private void startControl() throws QuilldykeException {
+        if (mSettings.dataFolder().isEmpty()) {
+            mRedirects = RedirectServer.start(mSettings.control(), mTraffic, mSettings.seeds());
+            mLog.write(Event.NO_DISK, "seeds", mSettings.seeds());
+            return;
+        }
         EngineOrders orders = EngineOrders.create(mTraffic, mDialect.targets(), mClock, mRefused);
         mNode = startNode(orders);
         mSessions = SessionServer.start(mSettings.internalAddress(mSettings.ip()), mControl, mNode);
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/ControlNode.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/ControlNode.java
@@ -92,6 +92,7 @@
     private final CacheWatch mCaches;
     private final CacheBatch mNews = new CacheBatch();
     private final ControlDialect mDialect;
+    private final int mNeededVoters;
     private volatile Set<String> mSeeds;
     private long mCachesSavedAt;
     private boolean mTellPosted;
@@ -111,6 +112,7 @@
         mClock = clock;
         mLog = log;
         mAddress = settings.internalAddress(settings.ip());
+        mNeededVoters = 2 * settings.toleratedLosses() + 1;
         mSeeds = new HashSet<>(settings.seedAddresses());
         mPeers = Peers.create(loop, clock, log, mAddress);
         mEntries = new EntrySessions(clock, log, mPeers, settings.failureDomain());
@@ -373,7 +375,9 @@
                 "voters",
                 membership.voters().stream().map(Membership.Member::id).toList(),
                 "standbys",
-                membership.standbys().stream().map(Membership.Member::id).toList());
+                membership.standbys().stream().map(Membership.Member::id).toList(),
+                "needed",
+                mNeededVoters);
     }
 
     private void onTargets(String from, Targets targets) {
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/operator/ControlServer.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/operator/ControlServer.java
@@ -57,9 +57,9 @@
 /** Takes operators' calls and targets' reports over HTTP. */
 public final class ControlServer {
     /** A manifest of tens of thousands of routes. */
-    private static final int MAX_BODY_BYTES = 16 << 20;
+    static final int MAX_BODY_BYTES = 16 << 20;
 
-    private static final long IDLE_SECONDS = 60;
+    static final long IDLE_SECONDS = 60;
 
     private final NettyLoop mControl;
     private final ControlNode mNode;
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/settings/GatewaySettings.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/settings/GatewaySettings.java
@@ -32,7 +32,8 @@
  *     there for the others
  * @param seeds where some control processes take calls; all know the same at the first start
  * @param firstStart whether the whole system starts for the first time, with empty disks
- * @param dataFolder where a control process keeps its files
+ * @param dataFolder where a control process keeps its files; empty for one without a disk, which
+ *     sends its callers on to the seeds
  * @param toleratedLosses how many disks may be lost at once
  * @param timings times and bounds
  */
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/settings/GatewaySettingsReader.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/settings/GatewaySettingsReader.java
@@ -129,10 +129,6 @@
         boolean entry = settings.role() == GatewaySettings.Role.ENTRY;
         require(!entry || !settings.callers().isEmpty(), "callers", "is empty at an entry");
         require(entry || !settings.control().isEmpty(), "control", "is empty at a control process");
-        require(
-                entry || !settings.dataFolder().isEmpty(),
-                "dataFolder",
-                "is empty at a control process");
     }
 
     private static void checkTimings(GatewaySettings.Timings t) throws QuilldykeException {
