--- a/quilldyke-gateway/src/test/java/org/quilldyke/gateway/settings/GatewaySettingsReaderTest.java
+++ b/quilldyke-gateway/src/test/java/org/quilldyke/gateway/settings/GatewaySettingsReaderTest.java
@@ -30,9 +30,9 @@
              "ready": "", "control": "10.1.0.30:8783", "ip": "10.1.0.30", "firstPort": 7340,
              "seeds": ["10.1.0.30:8783", "10.2.0.22:8783"], "firstStart": true,
              "dataFolder": "/data/x", "toleratedLosses": 1,
-             "timings": {"targetReport": 1200, "apply": 2500, "revoke": 5000, "grace": 8000, "orderLease": 3000,
-                         "convergence": 10000, "retryWindow": 10000, "retryRatio": 0.2,
-                         "retryFixed": 62}}
+             "timings": {"targetReport": 1200, "apply": 2500, "revoke": 5000, "grace": 8000,
+                         "orderLease": 3000, "convergence": 10000, "retryWindow": 10000,
+                         "retryRatio": 0.2, "retryFixed": 62}}
             """;
 
     @Test
