Quotas that all instances enforce together

Change: the leader grants units of each quota to control processes (QuotaLedger, QuotaBucket), which decide on each request of an entry (QuotaPool, QuotaInquiries) before its first attempt. While an organisation is well below its quota, units are granted in advance; near it, each request that lacks units asks the leader. Units are valid for 800 ms after they were requested, and a new leader starts with none, so that no window exceeds the bound through failures, cuts and pauses. QR2003 (429) says that the quota is used up, QR2023 (503) that it can't be checked; both with Retry-After. Invalid quotas make a manifest invalid.

QuotaPathTest on processes with control restarts: within the bound.

--- a/quilldyke-core/src/main/java/org/quilldyke/caller/ForwardRequest.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/caller/ForwardRequest.java
@@ -34,6 +34,8 @@
  * @param fingerprint digest of the request, independent of its id
  * @param resumeAfterEvent the number of the event after which its stream continues, -1 to start at
  *     the beginning
+ * @param quotaUnits the units that it counts against the quota of its organisation; 0 if there is
+ *     no quota
  */
 public record ForwardRequest(
         String id,
@@ -46,7 +48,8 @@
         long arrivedAt,
         long deadline,
         RequestFingerprint fingerprint,
-        long resumeAfterEvent) {
+        long resumeAfterEvent,
+        long quotaUnits) {
     /** Returns the priority of the request; 0 is the highest. */
     public int priority() {
         return organisation
--- a/quilldyke-core/src/main/java/org/quilldyke/caller/Forwarding.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/caller/Forwarding.java
@@ -47,9 +47,6 @@
     /** Number of failed connections after which a request is refused or its stream backs off. */
     private static final int MAX_UNREACHABLE = 5;
 
-    /** Shortest time without data before another target is asked, whatever the objective. */
-    private static final long MIN_UNRESPONSIVE_MILLIS = 800;
-
     /**
      * Retries that must be available to move a stream from a working target: one for the move, and
      * two that remain for answers whose target fails.
@@ -324,14 +321,16 @@
                 new Step.Refuse(ResultCode.DEADLINE_PASSED, 0, "no target in time"));
     }
 
-    /**
-     * Returns the step when the caller's key cannot be confirmed before the request is sent.
-     *
-     * @param retryAfterMillis when the caller may retry if nothing has run
-     */
-    public Step onKeyUnconfirmed(long retryAfterMillis, String detail) {
+    /** Returns the step when the request must not be sent; the refusal if nothing has run. */
+    public Step onNotPermitted(Step.Refuse refusal) {
+        finishRun();
+        return refuse(refusal);
+    }
+
+    /** Returns the step when sending was delayed, so that the target is chosen again. */
+    public Step onChoiceOutdated(long now) {
         finishRun();
-        return refuse(new Step.Refuse(ResultCode.KEYS_UNCONFIRMED, retryAfterMillis, detail));
+        return chooseTarget(now);
     }
 
     /** Returns the step when the shutdown deadline comes before the end of the answer. */
@@ -358,12 +357,7 @@
 
     /** Returns how long the current target may send nothing before another one is asked. */
     public long unresponsiveTimeoutMillis() {
-        if (!mRequest.route().mayRunAgain()) {
-            return Long.MAX_VALUE;
-        }
-        long objective = mRequest.route().latencyObjectiveMillis();
-        long timeout = mAnswerStarted ? 2 * mRequest.route().eventGapMillis() : 2 * objective;
-        return Math.max(MIN_UNRESPONSIVE_MILLIS, timeout);
+        return mHandover.unresponsiveTimeoutMillis(mAnswerStarted);
     }
 
     /**
--- a/quilldyke-core/src/main/java/org/quilldyke/caller/Handover.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/caller/Handover.java
@@ -35,6 +35,9 @@
      */
     private static final double MAX_HOLD_EVENT_GAPS = 2;
 
+    /** Shortest time without data before another target is asked, whatever the objective. */
+    private static final long MIN_UNRESPONSIVE_MILLIS = 800;
+
     private final Route mRoute;
     private TargetRun mSuccessor;
     private CutCause mCause = CutCause.MOVE;
@@ -44,6 +47,15 @@
         mRoute = route;
     }
 
+    /** Returns how long the current run may send nothing before a successor is asked. */
+    long unresponsiveTimeoutMillis(boolean answerStarted) {
+        if (!mRoute.mayRunAgain()) {
+            return Long.MAX_VALUE;
+        }
+        long expected = answerStarted ? mRoute.eventGapMillis() : mRoute.latencyObjectiveMillis();
+        return Math.max(MIN_UNRESPONSIVE_MILLIS, 2 * expected);
+    }
+
     /** Records that a successor is asked. */
     void ask(TargetRun successor, CutCause cause) {
         mSuccessor = successor;
--- a/quilldyke-core/src/main/java/org/quilldyke/caller/Prompt.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/caller/Prompt.java
@@ -36,6 +36,11 @@
         return parts.isEmpty() ? parts : parts.subList(0, parts.size() - 1);
     }
 
+    /** Returns the number of tokens in the prompt and of tokens that may be generated. */
+    public long totalTokens() {
+        return (long) tokens + maxOutputTokens;
+    }
+
     /** Returns the number of tokens in the parts that other requests may share. */
     public int sharedTokens() {
         return sharedParts().stream().mapToInt(Part::tokens).sum();
--- a/quilldyke-core/src/main/java/org/quilldyke/manifest/Manifest.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/manifest/Manifest.java
@@ -15,7 +15,10 @@
  */
 package org.quilldyke.manifest;
 
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
+import org.quilldyke.quota.Quota;
 
 /**
  * One version of the operators' declarations.
@@ -38,4 +41,13 @@
         services = List.copyOf(services);
         organisations = List.copyOf(organisations);
     }
+
+    /** Returns the quotas of the organisations that have one, by their names. */
+    public Map<String, Quota> quotas() {
+        Map<String, Quota> quotas = new HashMap<>();
+        for (Organisation organisation : organisations) {
+            organisation.quota().ifPresent(quota -> quotas.put(organisation.name(), quota));
+        }
+        return quotas;
+    }
 }
--- a/quilldyke-core/src/main/java/org/quilldyke/manifest/Organisation.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/manifest/Organisation.java
@@ -15,8 +15,10 @@
  */
 package org.quilldyke.manifest;
 
+import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.Set;
+import org.quilldyke.quota.Quota;
 
 /**
  * A sender of requests.
@@ -25,8 +27,14 @@
  * @param keys the API keys of its callers
  * @param priority the priority of its requests, which overrides that of their route
  * @param isolated whether it shares no cached prompts with other organisations
+ * @param quota the limit on what it may send; empty if there is none
  */
-public record Organisation(String name, Set<String> keys, OptionalInt priority, boolean isolated) {
+public record Organisation(
+        String name,
+        Set<String> keys,
+        OptionalInt priority,
+        boolean isolated,
+        Optional<Quota> quota) {
     /** Copies the keys. */
     public Organisation {
         keys = Set.copyOf(keys);
--- a/quilldyke-core/src/test/java/org/quilldyke/caller/AdmissionTest.java
+++ b/quilldyke-core/src/test/java/org/quilldyke/caller/AdmissionTest.java
@@ -63,7 +63,8 @@
                         0,
                         1,
                         new RequestFingerprint(1, 1),
-                        -1);
+                        -1,
+                        0);
         assertThat(Admission.admits(plain, 100_000)).isTrue();
     }
 
@@ -101,7 +102,8 @@
                 0,
                 deadline,
                 new RequestFingerprint(1, 1),
-                -1);
+                -1,
+                0);
     }
 
     private static Route route(int priority) {
--- a/quilldyke-core/src/test/java/org/quilldyke/caller/ForwardingSimulation.java
+++ b/quilldyke-core/src/test/java/org/quilldyke/caller/ForwardingSimulation.java
@@ -116,7 +116,8 @@
                         0,
                         millis,
                         new RequestFingerprint(1, 1),
-                        -1);
+                        -1,
+                        0);
         mForwarding =
                 Forwarding.of(request, mTargets, mRetryBudget, mShutdown, SuspectRequests.create());
     }
--- a/quilldyke-core/src/test/java/org/quilldyke/caller/ForwardingTest.java
+++ b/quilldyke-core/src/test/java/org/quilldyke/caller/ForwardingTest.java
@@ -592,7 +592,8 @@
                         0,
                         1000,
                         new RequestFingerprint(1, 1),
-                        -1);
+                        -1,
+                        0);
         return Forwarding.of(request, mTargets, mRetryBudget, mShutdown, mSuspects);
     }
 }
--- a/quilldyke-core/src/test/java/org/quilldyke/caller/ShutdownAdmissionTest.java
+++ b/quilldyke-core/src/test/java/org/quilldyke/caller/ShutdownAdmissionTest.java
@@ -263,6 +263,7 @@
                 0,
                 deadline,
                 new RequestFingerprint(1, 1),
-                resumeAfterEvent);
+                resumeAfterEvent,
+                0);
     }
 }
--- a/quilldyke-core/src/test/java/org/quilldyke/caller/ShutdownMigrationTest.java
+++ b/quilldyke-core/src/test/java/org/quilldyke/caller/ShutdownMigrationTest.java
@@ -243,6 +243,7 @@
                 0,
                 REQUEST_DEADLINE,
                 new RequestFingerprint(1, 1),
-                -1);
+                -1,
+                0);
     }
 }
--- a/quilldyke-core/src/test/java/org/quilldyke/caller/SuccessorTest.java
+++ b/quilldyke-core/src/test/java/org/quilldyke/caller/SuccessorTest.java
@@ -206,7 +206,8 @@
                         0,
                         TIMEOUT_MILLIS,
                         new RequestFingerprint(1, 1),
-                        -1);
+                        -1,
+                        0);
         return Forwarding.of(
                 request,
                 mTargets,
--- a/quilldyke-core/src/test/java/org/quilldyke/manifest/ManifestRulesTest.java
+++ b/quilldyke-core/src/test/java/org/quilldyke/manifest/ManifestRulesTest.java
@@ -105,8 +105,10 @@
     /** Cached prompts of an organisation are out of reach of others once it is isolated. */
     @Test
     void sharedCacheScopeChangesWithIsolation() {
-        Organisation shared = new Organisation("o", Set.of("k"), OptionalInt.empty(), false);
-        Organisation isolated = new Organisation("o", Set.of("k"), OptionalInt.empty(), true);
+        Organisation shared =
+                new Organisation("o", Set.of("k"), OptionalInt.empty(), false, Optional.empty());
+        Organisation isolated =
+                new Organisation("o", Set.of("k"), OptionalInt.empty(), true, Optional.empty());
 
         assertThat(sharedCacheScope(shared)).isEqualTo(sharedCacheScope(organisation("p", "q")));
         assertThat(sharedCacheScope(isolated)).isNotEqualTo(sharedCacheScope(shared));
@@ -134,7 +136,7 @@
     }
 
     private static Organisation organisation(String name, String... keys) {
-        return new Organisation(name, Set.of(keys), OptionalInt.empty(), false);
+        return new Organisation(name, Set.of(keys), OptionalInt.empty(), false, Optional.empty());
     }
 
     private static Route route(String name, String prefix, String service, int weight) {
--- a/quilldyke-core/src/test/java/org/quilldyke/routing/TargetSelectorScaleTest.java
+++ b/quilldyke-core/src/test/java/org/quilldyke/routing/TargetSelectorScaleTest.java
@@ -167,7 +167,8 @@
                         0,
                         5000,
                         new RequestFingerprint(1, 1),
-                        -1);
+                        -1,
+                        0);
         return selector.choose(request, excluded, 0).orElseThrow();
     }
 }
--- a/quilldyke-core/src/test/java/org/quilldyke/routing/TargetSelectorTest.java
+++ b/quilldyke-core/src/test/java/org/quilldyke/routing/TargetSelectorTest.java
@@ -531,7 +531,8 @@
                 0,
                 4000,
                 new RequestFingerprint(1, 1),
-                -1);
+                -1,
+                0);
     }
 
     private static ForwardRequest request(boolean isolated) {
@@ -558,13 +559,16 @@
                 "id",
                 route,
                 "s",
-                Optional.of(new Organisation("o", Set.of("k"), OptionalInt.empty(), isolated)),
+                Optional.of(
+                        new Organisation(
+                                "o", Set.of("k"), OptionalInt.empty(), isolated, Optional.empty())),
                 "",
                 Optional.of(PROMPT),
                 bodyBytes,
                 0,
                 4000,
                 new RequestFingerprint(1, 1),
-                -1);
+                -1,
+                0);
     }
 }
--- a/quilldyke-daemon/src/main/java/org/quilldyke/daemon/log/Event.java
+++ b/quilldyke-daemon/src/main/java/org/quilldyke/daemon/log/Event.java
@@ -65,6 +65,7 @@
     ORDER_RIGHT(4018, Level.INFO, "order-right", "this replica may order engines now"),
     CALL_REFUSED(4019, Level.WARN, "call-refused", "a call of an operator or a target failed"),
     DISK_CLEARED(4020, Level.ERROR, "disk-cleared", "a damaged data folder was emptied"),
+    QUOTA_REFUSED(4021, Level.INFO, "quota-refused", "a request is over a quota, or unchecked"),
 
     STARTED(5001, Level.INFO, "start", "the instance serves"),
     SHUTTING_DOWN(5002, Level.INFO, "drain", "the instance takes only what ends before it has to"),
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/EntrySubscriber.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/EntrySubscriber.java
@@ -63,6 +63,7 @@
     private final EventLog mLog;
     private final RefusalLog mRefused;
     private final CrashTelling mCrashes;
+    private final QuotaClient mQuotas;
     private final TargetRegistry mRegistry = TargetRegistry.createFollower();
     private volatile List<TargetLoad> mLoads = List.of();
     private long mHeldIndex;
@@ -74,7 +75,8 @@
             LongSupplier clock,
             EventLog log,
             RefusalLog refused,
-            CrashTelling crashes) {
+            CrashTelling crashes,
+            QuotaClient quotas) {
         mInstance = instance;
         mEntry = entry;
         mDialect = dialect;
@@ -82,6 +84,7 @@
         mLog = log;
         mRefused = refused;
         mCrashes = crashes;
+        mQuotas = quotas;
     }
 
     /** Begins to note what is open at targets; call it on the traffic thread. */
@@ -163,6 +166,7 @@
             case CACHES -> onCaches(frame.getCaches());
             case CRASHES -> mCrashes.onNews(frame.getCrashes());
             case LIMITS -> onLimits(frame.getLimits(), control);
+            case QUOTAS -> mQuotas.onVerdicts(frame.getQuotas());
             case LOADS -> {
                 List<TargetLoad> loads = frame.getLoads().getTargetsList();
                 mEntry.loop().execute(() -> takeLoads(loads));
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/GatewayProcess.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/GatewayProcess.java
@@ -300,6 +300,8 @@
         ProbeServer.start(mSettings.ready(), mTraffic, this::isReady, mMetrics.registry());
         CrashTelling crashes = new CrashTelling(mEntry, mControl::execute, mClock, mLog);
         mTraffic.execute(() -> mEntry.setCrashListener(crashes));
+        QuotaClient quotas = new QuotaClient(mControl, mTraffic, mClock);
+        mTraffic.execute(() -> mEntry.setQuotaGate(quotas));
         EntrySubscriber subscriber =
                 new EntrySubscriber(
                         mSettings.instance(),
@@ -308,7 +310,8 @@
                         mClock,
                         mLog,
                         mRefused,
-                        crashes);
+                        crashes,
+                        quotas);
         mTraffic.execute(subscriber::noteLoads);
         mTraffic.scheduleAtFixedRate(
                 mEntry.pool()::closeIdle, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
@@ -324,6 +327,7 @@
                                     mSettings.seedAddresses(),
                                     subscriber);
                     crashes.tellTo(mLinks::sendToAll);
+                    quotas.setLinks(mLinks);
                     mTraffic.execute(() -> mEntry.setLimitConsumer(this::tellLimit));
                 });
     }
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/EntryContext.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/EntryContext.java
@@ -40,6 +40,7 @@
 import org.quilldyke.gateway.platform.GatewayMetrics;
 import org.quilldyke.manifest.Limits;
 import org.quilldyke.manifest.RouteTable;
+import org.quilldyke.quota.QuotaVerdict;
 import org.quilldyke.routing.AdvertisedLimit;
 import org.quilldyke.routing.TargetSelector;
 
@@ -79,6 +80,8 @@
     private final Set<String> mUnreported = new HashSet<>();
 
     private final CrashDetector mCrashDetector = new CrashDetector(this);
+    private QuotaGate mQuotaGate =
+            (request, giveUpAt) -> request.onVerdict().accept(QuotaVerdict.unavailable());
     private Consumer<AdvertisedLimit> mLimitConsumer = limit -> {};
     private RouteTable mRoutes;
     private long mLogIndex = NO_VERSION;
@@ -225,6 +228,15 @@
         mLimitConsumer = consumer;
     }
 
+    /** Sets what decides on quotas; replaces the previous one. */
+    public void setQuotaGate(QuotaGate gate) {
+        mQuotaGate = gate;
+    }
+
+    QuotaGate quotaGate() {
+        return mQuotaGate;
+    }
+
     /** Records that a target is about to load weights, or has finished doing so. */
     public void onLoading(String target, boolean loading) {
         mTargetSelector.onLoading(target, loading, now());
@@ -338,6 +350,12 @@
         return mRoutes != null && mKeyLease.isValid(mLeaseClock.getAsLong());
     }
 
+    /** Returns whether the caller's key allows to send a request now. */
+    boolean mayUseKey(ForwardRequest request) {
+        boolean needsKey = !request.route().allowsAnonymous() && mRoutes.requiresKeys();
+        return !needsKey || isConfigurationConfirmed();
+    }
+
     /** Returns the current time in monotonic milliseconds. */
     public long now() {
         return mClock.getAsLong();
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Exchange.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Exchange.java
@@ -25,8 +25,8 @@
 import org.quilldyke.caller.CutCause;
 import org.quilldyke.caller.ForwardRequest;
 import org.quilldyke.caller.Forwarding;
-import org.quilldyke.caller.StartUpWait;
 import org.quilldyke.caller.Step;
+import org.quilldyke.quota.QuotaVerdict;
 import org.quilldyke.routing.Choice;
 
 /** One request from its arrival to its answer: performs the steps of {@link Forwarding}. */
@@ -42,7 +42,8 @@
     private final long mArrivedAt;
     private final CallerStream mStream;
     private final UnresponsiveTargetDetector mUnresponsiveDetector;
-    private long mMillisLeftAtArrival = -1;
+    private final StartUpCheck mStartUpCheck;
+    private final QuotaCheck mQuotaCheck;
     private ForwardRequest mRequest;
     private Forwarding mForwarding;
 
@@ -77,13 +78,15 @@
         mLog = new ExchangeLog(entry.log());
         mStream = new CallerStream(caller);
         mUnresponsiveDetector = new UnresponsiveTargetDetector(entry, this::onUnresponsive);
+        mQuotaCheck = new QuotaCheck(entry);
         mArrivedAt = entry.now();
+        mStartUpCheck = new StartUpCheck(entry, head, mArrivedAt);
     }
 
     /** Parses the request and performs the first step. */
     void start() {
         try {
-            if (waitsForStartUp()) {
+            if (mStartUpCheck.mustWait()) {
                 mWaitTimer =
                         mEntry.loop()
                                 .schedule(this::start, START_UP_POLL_MILLIS, TimeUnit.MILLISECONDS);
@@ -292,18 +295,6 @@
         }
     }
 
-    /** Returns whether the instance has just started and the request can wait until it is ready. */
-    private boolean waitsForStartUp() throws QuilldykeException {
-        if (mEntry.routes() != null && mEntry.keyLease().wasGranted()) {
-            return false;
-        }
-        if (mMillisLeftAtArrival < 0) {
-            mMillisLeftAtArrival =
-                    mEntry.dialect().callers().read(mHead).millisLeft().orElse(Long.MAX_VALUE);
-        }
-        return StartUpWait.mayWait(mArrivedAt, mMillisLeftAtArrival, now());
-    }
-
     private void perform(Step step) {
         if (step instanceof Step.Send send) {
             send(send);
@@ -335,11 +326,18 @@
     private void send(Step.Send send) {
         mChoice = send.choice();
         if (!mayUseKey()) {
-            String age = "confirmation age in ms: " + mEntry.confirmationAgeMillis();
-            perform(mForwarding.onKeyUnconfirmed(RequestAdmission.UNCONFIRMED_RETRY_MILLIS, age));
-            return;
+            perform(mForwarding.onNotPermitted(RequestAdmission.keyUnconfirmed(mEntry)));
+        } else if (mQuotaCheck.isRequired(mRequest)) {
+            mQuotaCheck.start(mRequest, verdict -> onQuotaVerdict(send, verdict));
+        } else {
+            mAnswer = startAttempt(send);
+        }
+    }
+
+    private void onQuotaVerdict(Step.Send send, QuotaVerdict verdict) {
+        if (!mEnded) {
+            perform(mQuotaCheck.next(verdict, mRequest, send, mForwarding));
         }
-        mAnswer = startAttempt(send);
     }
 
     /**
@@ -348,8 +346,7 @@
      * that stays at its target does.
      */
     private boolean mayUseKey() {
-        boolean needsKey = !mRequest.route().allowsAnonymous() && mEntry.routes().requiresKeys();
-        return !needsKey || mForwarding.isAnswerStarted() || mEntry.isConfigurationConfirmed();
+        return mForwarding.isAnswerStarted() || mEntry.mayUseKey(mRequest);
     }
 
     private TargetAnswer startAttempt(Step.Send send) {
--- /dev/null
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/QuotaGate.java
@@ -0,0 +1,29 @@
+/*
+ * Copyright 2026 The quilldyke authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.quilldyke.gateway.caller;
+
+import org.quilldyke.quota.QuotaRequest;
+
+/** Decides whether requests are within the quotas of their organisations. */
+public interface QuotaGate {
+    /**
+     * Decides on a request; its verdict is delivered on the traffic thread, at once or later.
+     *
+     * @param giveUpAt when the verdict is {@link org.quilldyke.quota.QuotaVerdict.Kind#UNAVAILABLE}
+     *     if there is no other, in milliseconds of the entry's clock
+     */
+    void decide(QuotaRequest request, long giveUpAt);
+}
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/RequestAdmission.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/RequestAdmission.java
@@ -19,10 +19,12 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpRequest;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.quilldyke.QuilldykeException;
 import org.quilldyke.ResultCode;
 import org.quilldyke.caller.ForwardRequest;
 import org.quilldyke.caller.RequestFingerprint;
+import org.quilldyke.caller.Step;
 import org.quilldyke.gateway.dialect.CallerFacts;
 import org.quilldyke.manifest.Organisation;
 import org.quilldyke.manifest.Route;
@@ -81,7 +83,16 @@
                 arrivedAt,
                 arrivedAt + timeoutMillis,
                 fingerprint(owner, head, body),
-                facts.lastEvent().orElse(-1));
+                facts.lastEvent().orElse(-1),
+                quotaUnits(owner, facts));
+    }
+
+    private static long quotaUnits(Optional<Organisation> owner, CallerFacts facts) {
+        OptionalLong tokens =
+                facts.prompt().isEmpty()
+                        ? OptionalLong.empty()
+                        : OptionalLong.of(facts.prompt().get().totalTokens());
+        return owner.flatMap(Organisation::quota).map(quota -> quota.cost(tokens)).orElse(0L);
     }
 
     /**
@@ -99,6 +110,14 @@
                 ResultCode.KEYS_UNCONFIRMED, "", UNCONFIRMED_RETRY_MILLIS);
     }
 
+    /** Returns the refusal of a request whose key can't be confirmed when it is to be sent. */
+    static Step.Refuse keyUnconfirmed(EntryContext entry) {
+        return new Step.Refuse(
+                ResultCode.KEYS_UNCONFIRMED,
+                UNCONFIRMED_RETRY_MILLIS,
+                "confirmation age in ms: " + entry.confirmationAgeMillis());
+    }
+
     private static RequestFingerprint fingerprint(
             Optional<Organisation> owner, HttpRequest head, ByteBuf body) {
         return RequestFingerprint.of(
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/ControlNode.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/ControlNode.java
@@ -93,6 +93,7 @@
     private final TargetReplication mTargets;
     private final CrashReplication mCrashes;
     private final LimitReplication mLimits;
+    private final QuotaService mQuotas;
     private final MembershipManager mMembership;
     private final WeightsController mWeights;
     private final CacheEventWatcher mCacheWatcher;
@@ -154,7 +155,10 @@
                 new CrashReplication(
                         mPeers::sendToAll, mEntries::onCrashes, clock, log, mWarmStart);
         mLimits = new LimitReplication(mPeers::sendToAll, mEntries::onLimits, clock);
-        mEntries.connect(mReadConfirmations::confirm, mTargets, mCrashes, mLimits);
+        mQuotas =
+                new QuotaService(
+                        mGroup, mPeers::send, mAddress, settings.quotaTolerance(), clock, log);
+        mEntries.connect(mReadConfirmations::confirm, mTargets, mCrashes, mLimits, mQuotas);
         mMembership =
                 new MembershipManager(mGroup, mPeers, mAddress, clock, settings.toleratedLosses());
         mWeights =
@@ -368,6 +372,8 @@
             case CRASHES -> mCrashes.onPeerReport(frame.getCrashes());
             case LIMITS -> mLimits.onPeerReport(frame.getLimits());
             case CACHES -> mEntries.onCacheUpdates(frame.getCaches().getCachesList());
+            case QUOTA_PULL -> mQuotas.onPull(frame.getAddress(), frame.getQuotaPull());
+            case QUOTA_GRANT -> mQuotas.onGrant(frame.getQuotaGrant());
             default -> {
                 // Only shows that the peer is alive.
             }
@@ -386,6 +392,7 @@
         if (leads) {
             // The full contents first, since the leader sends only changes from here on.
             mEntries.cacheContents().forEach(mCacheUpdates::add);
+            mQuotas.onElected(mGroup.node().replica().term());
         }
     }
 
@@ -476,6 +483,7 @@
         try {
             Manifest manifest = mDialect.readManifest(Compression.expand(state.document()));
             mCacheWatcher.onManifest(manifest);
+            mQuotas.onQuotas(manifest.quotas());
             mTargets.onServices(
                     manifest.services().stream().map(Service::name).collect(Collectors.toSet()));
         } catch (QuilldykeException e) {
@@ -493,6 +501,7 @@
         mTargets.tick(hasRecentLeader());
         mCrashes.tick();
         mEntries.tick();
+        mQuotas.tick(mPeers.known().size());
         publishCacheUpdates();
         List<TargetReport> targets = mTargets.reports();
         mCacheWatcher.tick(mGroup.leads(), targets);
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/EntrySessions.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/EntrySessions.java
@@ -79,6 +79,7 @@
     private TargetReplication mTargets;
     private CrashReplication mCrashes;
     private LimitReplication mLimits;
+    private QuotaService mQuotas;
     private FleetState mState = FleetState.create();
     private boolean mStatePublished;
     private long mPublishedVersion = -1;
@@ -101,16 +102,19 @@
      * @param targets stores the targets that entries know, and provides all targets
      * @param crashes stores the crashes that entries have observed
      * @param limits stores the limits that targets have advertised to entries
+     * @param quotas decides which requests are within the quotas of organisations
      */
     void connect(
             Consumer<Consumer<Boolean>> confirm,
             TargetReplication targets,
             CrashReplication crashes,
-            LimitReplication limits) {
+            LimitReplication limits,
+            QuotaService quotas) {
         mConfirm = confirm;
         mTargets = targets;
         mCrashes = crashes;
         mLimits = limits;
+        mQuotas = quotas;
     }
 
     /** Stores the state after a change; {@link #publishState} sends it to all entries. */
@@ -298,6 +302,8 @@
                 mCrashes.onEntryReport(frame.getCrashes());
             } else if (frame.getKindCase() == EntryFrame.KindCase.LIMITS) {
                 mLimits.onEntryReport(frame.getLimits());
+            } else if (frame.getKindCase() == EntryFrame.KindCase.QUOTAS) {
+                mQuotas.onInquiries(frame.getQuotas(), this::sendIfOpen);
             }
         }
 
@@ -313,6 +319,12 @@
             mOut.onNext(frame);
         }
 
+        private void sendIfOpen(ControlFrame frame) {
+            if (mSessions.contains(this)) {
+                send(frame);
+            }
+        }
+
         void sendLoads(List<TargetLoad> loads) {
             if (!mLastLoadsSent.equals(Optional.of(loads))) {
                 mLastLoadsSent = Optional.of(loads);
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/ReplicaGroup.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/ReplicaGroup.java
@@ -30,7 +30,7 @@
  * The replicas of the group by id and address. A replica that lost its disk has a new id at its old
  * address, so messages carry both.
  */
-final class ReplicaGroup {
+final class ReplicaGroup implements QuotaService.Leadership {
     private final String mSelfId;
     private final Peers mPeers;
     private final Map<String, String> mLearnedAddresses = new HashMap<>();
@@ -57,8 +57,13 @@
         return mNode.isLeader();
     }
 
-    /** Returns the leader's address, if the leader is known and is another replica. */
-    Optional<String> leaderAddress() {
+    @Override
+    public boolean holdsLease() {
+        return mNode.holdsLease();
+    }
+
+    @Override
+    public Optional<String> leaderAddress() {
         String leader = mNode.leader();
         return leader.isEmpty() || leader.equals(mSelfId) ? Optional.empty() : addressOf(leader);
     }
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/instance/ControlLinks.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/instance/ControlLinks.java
@@ -99,6 +99,20 @@
         mLinks.values().stream().filter(ControlLink::isUp).forEach(link -> link.send(frame));
     }
 
+    /**
+     * Sends a frame to one control process in reach, if there is any.
+     *
+     * @param preferMain whether that is the main one if possible, or rather another one
+     */
+    public void sendToOne(EntryFrame frame, boolean preferMain) {
+        List<ControlLink> up = mLinks.values().stream().filter(ControlLink::isUp).toList();
+        up.stream()
+                .filter(link -> (link == mMain) == preferMain)
+                .findFirst()
+                .or(() -> up.stream().findFirst())
+                .ifPresent(link -> link.send(frame));
+    }
+
     /** Closes all streams for good. */
     public void close() {
         mClosed = true;
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/platform/GatewayMetrics.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/platform/GatewayMetrics.java
@@ -33,6 +33,8 @@
     private final Histogram mFirstEventMillis = mRegistry.histogram("first-event.ms");
     private final Histogram mPredictionError = mRegistry.histogram("first-event.late-ms");
 
+    private final Histogram mQuotaMillis = mRegistry.histogram("quota.decision.ms");
+
     private GatewayMetrics() {
         for (CutCause cause : CutCause.values()) {
             // Told from the start, so that none is told from not counted.
@@ -82,6 +84,11 @@
         mRegistry.counter("refused." + code.label()).inc();
     }
 
+    /** Counts a decision on a quota, and the wait for it. */
+    public void onQuotaDecided(long millis) {
+        mQuotaMillis.update(millis);
+    }
+
     /** Counts a caller that left before its answer. */
     public void onCallerGone() {
         mCallersGone.inc();
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/settings/GatewaySettings.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/settings/GatewaySettings.java
@@ -17,6 +17,7 @@
 
 import com.fasterxml.jackson.annotation.JsonValue;
 import java.util.List;
+import org.quilldyke.quota.QuotaTolerance;
 
 /**
  * The settings of one gateway process, as JSON.
@@ -36,6 +37,7 @@
  *     sends its callers on to the seeds
  * @param toleratedLosses how many disks may be lost at once
  * @param timings times and bounds
+ * @param quotaTolerance by how much organisations may exceed their quotas
  */
 public record GatewaySettings(
         String instance,
@@ -50,7 +52,8 @@
         boolean firstStart,
         String dataFolder,
         int toleratedLosses,
-        Timings timings) {
+        Timings timings,
+        QuotaTolerance quotaTolerance) {
 
     /** What a process does. */
     public enum Role {
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/settings/GatewaySettingsReader.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/settings/GatewaySettingsReader.java
@@ -26,6 +26,7 @@
 import org.quilldyke.daemon.json.JsonTree;
 import org.quilldyke.daemon.settings.StrictJson;
 import org.quilldyke.engine.SocketAddresses;
+import org.quilldyke.quota.QuotaTolerance;
 
 /** Reads the settings of a gateway process; each refusal names the key's path and the reason. */
 public final class GatewaySettingsReader {
@@ -69,6 +70,7 @@
         require(settings.toleratedLosses() >= 0, "toleratedLosses", "is negative");
         checkRole(settings);
         checkTimings(settings.timings());
+        checkQuotaTolerance(settings.quotaTolerance());
         return settings;
     }
 
@@ -94,11 +96,19 @@
                         in.flag("firstStart"),
                         in.text("dataFolder"),
                         in.smallInteger("toleratedLosses"),
-                        timings(in.object("timings")));
+                        timings(in.object("timings")),
+                        quotaTolerance(in.object("quota")));
         in.end();
         return settings;
     }
 
+    private static QuotaTolerance quotaTolerance(SettingsObject in) throws QuilldykeException {
+        QuotaTolerance tolerance =
+                new QuotaTolerance(in.integer("window"), in.number("overrun"), in.number("slack"));
+        in.end();
+        return tolerance;
+    }
+
     private static GatewaySettings.Role role(SettingsObject in) throws QuilldykeException {
         String name = in.text("role");
         for (GatewaySettings.Role role : GatewaySettings.Role.values()) {
@@ -143,6 +153,12 @@
         require(t.retryFixed() >= 0, "timings.retryFixed", "is negative");
     }
 
+    private static void checkQuotaTolerance(QuotaTolerance tolerance) throws QuilldykeException {
+        require(tolerance.windowMillis() > 0, "quota.window", "is not positive");
+        require(tolerance.overrun() >= 0, "quota.overrun", "is negative");
+        require(tolerance.slack() >= 0, "quota.slack", "is negative");
+    }
+
     private static void checkAddress(String path, String address) throws QuilldykeException {
         if (address.isEmpty()) {
             return;
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/warmup/WarmUp.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/warmup/WarmUp.java
@@ -38,6 +38,7 @@
 import org.quilldyke.gateway.dialect.SampleCalls;
 import org.quilldyke.gateway.settings.GatewaySettings;
 import org.quilldyke.gateway.settings.GatewaySettingsReader;
+import org.quilldyke.quota.QuotaTolerance;
 
 /**
  * Plays a start with its first requests on loopback, so that the Java machine can write an archive
@@ -209,7 +210,8 @@
                 entry ? "" : mFolder.resolve("data-" + machine).toString(),
                 1,
                 new GatewaySettings.Timings(
-                        1000, 2500, 5000, GRACE_MILLIS, 3000, 10_000, 10_000, 0.2, 10));
+                        1000, 2500, 5000, GRACE_MILLIS, 3000, 10_000, 10_000, 0.2, 10),
+                new QuotaTolerance(8000, 0.1, 0));
     }
 
     private static void delete(Path folder) throws IOException {
--- a/quilldyke-gateway/src/test/java/org/quilldyke/gateway/control/ControlNodeTest.java
+++ b/quilldyke-gateway/src/test/java/org/quilldyke/gateway/control/ControlNodeTest.java
@@ -75,6 +75,7 @@
 import org.quilldyke.manifest.FleetCommand;
 import org.quilldyke.manifest.FleetState;
 import org.quilldyke.manifest.Manifest;
+import org.quilldyke.quota.QuotaTolerance;
 
 /**
  * A control process whose peers are down, with warm-start files of all kinds on its disk: their
@@ -406,7 +407,8 @@
                 false,
                 mFolder.toString(),
                 1,
-                new GatewaySettings.Timings(1000, 2500, 5000, 8000, 3000, 10_000, 10_000, 0.2, 62));
+                new GatewaySettings.Timings(1000, 2500, 5000, 8000, 3000, 10_000, 10_000, 0.2, 62),
+                new QuotaTolerance(8000, 0.1, 0));
     }
 
     private <T> T onLoop(Callable<T> task) throws Exception {
--- a/quilldyke-gateway/src/test/java/org/quilldyke/gateway/control/EntryFrameRateTest.java
+++ b/quilldyke-gateway/src/test/java/org/quilldyke/gateway/control/EntryFrameRateTest.java
@@ -27,6 +27,7 @@
 import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -46,6 +47,7 @@
 import org.quilldyke.gateway.instance.proto.Question;
 import org.quilldyke.gateway.instance.proto.TargetLoad;
 import org.quilldyke.gateway.instance.proto.TargetLoads;
+import org.quilldyke.quota.QuotaTolerance;
 
 /**
  * The frames that one control process sends to an entry in fleets of 10 to 1,000 instances, in
@@ -132,7 +134,14 @@
                 callback -> callback.accept(true),
                 targets,
                 crashes,
-                new LimitReplication(peers::sendToAll, sessions::onLimits, () -> mNow));
+                new LimitReplication(peers::sendToAll, sessions::onLimits, () -> mNow),
+                new QuotaService(
+                        new NoLeader(),
+                        peers::send,
+                        SELF,
+                        new QuotaTolerance(8000, 0.1, 0),
+                        () -> mNow,
+                        mLog));
         List<FakeEntry> entries = new ArrayList<>();
         for (int i = 0; i < Math.max(1, instances / INSTANCES_PER_CONTROL); i++) {
             entries.add(new FakeEntry("entry-" + i, sessions));
@@ -238,4 +247,16 @@
                     framesPerSecond(), mBytes * 1000 / SIMULATED_MILLIS, mFrames);
         }
     }
+
+    private static final class NoLeader implements QuotaService.Leadership {
+        @Override
+        public boolean holdsLease() {
+            return false;
+        }
+
+        @Override
+        public Optional<String> leaderAddress() {
+            return Optional.empty();
+        }
+    }
 }
--- a/quilldyke-gateway/src/test/java/org/quilldyke/gateway/control/SimulatedMachine.java
+++ b/quilldyke-gateway/src/test/java/org/quilldyke/gateway/control/SimulatedMachine.java
@@ -35,6 +35,7 @@
 import org.quilldyke.gateway.settings.GatewaySettings;
 import org.quilldyke.manifest.FleetResult;
 import org.quilldyke.manifest.FleetState;
+import org.quilldyke.quota.QuotaTolerance;
 import org.quilldyke.testkit.check.CheckReport;
 import org.quilldyke.testkit.disk.PowerLossDisk;
 import org.quilldyke.testkit.disk.PowerLostException;
@@ -321,7 +322,8 @@
                 mFirstStart,
                 "",
                 mToleratedLosses,
-                null);
+                null,
+                new QuotaTolerance(8000, 0.1, 0));
     }
 
     /** Performs the duties of {@link MembershipManager}. */
--- a/quilldyke-gateway/src/test/java/org/quilldyke/gateway/settings/GatewaySettingsReaderTest.java
+++ b/quilldyke-gateway/src/test/java/org/quilldyke/gateway/settings/GatewaySettingsReaderTest.java
@@ -32,7 +32,8 @@
              "dataFolder": "/data/x", "toleratedLosses": 1,
              "timings": {"targetReport": 1200, "apply": 2500, "revoke": 5000, "grace": 8000,
                          "orderLease": 3000, "convergence": 10000, "retryWindow": 10000,
-                         "retryRatio": 0.2, "retryFixed": 62}}
+                         "retryRatio": 0.2, "retryFixed": 62},
+             "quota": {"window": 8000, "overrun": 0.1, "slack": 110000}}
             """;
 
     @Test
