Settings of quotas are named as the records that hold them

Cause: soaks write a process's settings from GatewaySettings, so that a key must be the name of its component; 'quota.window' could not be read back (found by reading, before the soaks were run).

--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/settings/GatewaySettingsReader.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/settings/GatewaySettingsReader.java
@@ -97,14 +97,14 @@
                         in.text("dataFolder"),
                         in.smallInteger("toleratedLosses"),
                         timings(in.object("timings")),
-                        quotaTolerance(in.object("quota")));
+                        quotaTolerance(in.object("quotaTolerance")));
         in.end();
         return settings;
     }
 
     private static QuotaTolerance quotaTolerance(SettingsObject in) throws QuilldykeException {
         QuotaTolerance tolerance =
-                new QuotaTolerance(in.integer("window"), in.number("overrun"), in.number("slack"));
+                new QuotaTolerance(in.integer("windowMillis"), in.number("overrun"), in.number("slack"));
         in.end();
         return tolerance;
     }
@@ -154,9 +154,9 @@
     }
 
     private static void checkQuotaTolerance(QuotaTolerance tolerance) throws QuilldykeException {
-        require(tolerance.windowMillis() > 0, "quota.window", "is not positive");
-        require(tolerance.overrun() >= 0, "quota.overrun", "is negative");
-        require(tolerance.slack() >= 0, "quota.slack", "is negative");
+        require(tolerance.windowMillis() > 0, "quotaTolerance.windowMillis", "is not positive");
+        require(tolerance.overrun() >= 0, "quotaTolerance.overrun", "is negative");
+        require(tolerance.slack() >= 0, "quotaTolerance.slack", "is negative");
     }
 
     private static void checkAddress(String path, String address) throws QuilldykeException {
--- a/quilldyke-gateway/src/test/java/org/quilldyke/gateway/settings/GatewaySettingsReaderTest.java
+++ b/quilldyke-gateway/src/test/java/org/quilldyke/gateway/settings/GatewaySettingsReaderTest.java
@@ -33,7 +33,7 @@
              "timings": {"targetReport": 1200, "apply": 2500, "revoke": 5000, "grace": 8000,
                          "orderLease": 3000, "convergence": 10000, "retryWindow": 10000,
                          "retryRatio": 0.2, "retryFixed": 62},
-             "quota": {"window": 8000, "overrun": 0.1, "slack": 110000}}
+             "quotaTolerance": {"windowMillis": 8000, "overrun": 0.1, "slack": 110000}}
             """;
 
     @Test
@@ -68,6 +68,21 @@
                 "\"ready\": \"10.1.0.30:8783\"");
         assertRefused(ResultCode.SETTINGS_IMPOSSIBLE, "timings.apply", "2500,", "0,");
         assertRefused(ResultCode.SETTINGS_IMPOSSIBLE, "timings.revoke", "5000,", "0,");
+        assertRefused(
+                ResultCode.SETTINGS_IMPOSSIBLE,
+                "quotaTolerance.windowMillis",
+                "\"windowMillis\": 8000",
+                "\"windowMillis\": 0");
+        assertRefused(
+                ResultCode.SETTINGS_IMPOSSIBLE,
+                "quotaTolerance.overrun",
+                "\"overrun\": 0.1",
+                "\"overrun\": -0.1");
+        assertRefused(
+                ResultCode.SETTINGS_TYPE,
+                "quotaTolerance.slack",
+                "\"slack\": 110000",
+                "\"slack\": \"none\"");
         assertRefused(
                 ResultCode.SETTINGS_UNKNOWN_KEY,
                 "surplus",
