An address that a predecessor still holds is bound when it is released

Change: HttpListener and SessionServer try for 2 s (BindRetry). Measured: HttpListenerTest, an address released after 500 ms is bound; one that stays in use is refused with QR4009 after 2 s.

--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/http/HttpListener.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/http/HttpListener.java
@@ -43,7 +43,8 @@
      * @param loop the thread that serves the connections
      * @param initializer adds the handlers of a new connection
      * @return the listening channel, to be closed
-     * @throws QuilldykeException {@link ResultCode#ADDRESS_IN_USE} if the address can't be bound
+     * @throws QuilldykeException {@link ResultCode#ADDRESS_IN_USE} if the address can't be bound,
+     *     also after the time that a predecessor may need to release it
      */
     public static Channel bind(String address, EventLoop loop, Consumer<SocketChannel> initializer)
             throws QuilldykeException {
@@ -61,6 +62,11 @@
                                         initializer.accept(channel);
                                     }
                                 });
+        return BindRetry.bind(() -> tryBind(bootstrap, address));
+    }
+
+    private static Channel tryBind(ServerBootstrap bootstrap, String address)
+            throws QuilldykeException {
         ChannelFuture bound = bootstrap.bind(Addresses.parse(address)).awaitUninterruptibly();
         if (!bound.isSuccess()) {
             throw QuilldykeException.of(
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/instance/SessionServer.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/instance/SessionServer.java
@@ -25,6 +25,7 @@
 import org.quilldyke.QuilldykeException;
 import org.quilldyke.ResultCode;
 import org.quilldyke.daemon.settings.Addresses;
+import org.quilldyke.gateway.http.BindRetry;
 import org.quilldyke.gateway.instance.proto.ControlFrame;
 import org.quilldyke.gateway.instance.proto.EntryFrame;
 import org.quilldyke.gateway.instance.proto.PeerFrame;
@@ -51,6 +52,11 @@
      */
     public static SessionServer start(String address, NettyLoop loop, Handler handler)
             throws QuilldykeException {
+        return BindRetry.bind(() -> tryStart(address, loop, handler));
+    }
+
+    private static SessionServer tryStart(String address, NettyLoop loop, Handler handler)
+            throws QuilldykeException {
         try {
             Server server =
                     NettyServerBuilder.forAddress(Addresses.parse(address))
--- a/quilldyke-gateway/src/test/java/org/quilldyke/gateway/http/HttpListenerTest.java
+++ b/quilldyke-gateway/src/test/java/org/quilldyke/gateway/http/HttpListenerTest.java
@@ -18,9 +18,11 @@
 import static com.google.common.truth.Truth.assertThat;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import io.netty.channel.Channel;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import org.junit.jupiter.api.AfterEach;
@@ -49,4 +51,27 @@
             assertThat(error.code()).isEqualTo(ResultCode.ADDRESS_IN_USE);
         }
     }
+
+    @Test
+    void addressThatAPredecessorReleasesIsBound() throws Exception {
+        ServerSocket predecessor = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"));
+        String address = "127.0.0.1:" + predecessor.getLocalPort();
+        Thread release =
+                new Thread(
+                        () -> {
+                            try {
+                                Thread.sleep(BindRetry.MAX_WAIT_MILLIS / 4);
+                                predecessor.close();
+                            } catch (IOException | InterruptedException e) {
+                                throw new AssertionError(e);
+                            }
+                        });
+        release.start();
+
+        Channel bound = HttpListener.bind(address, mLoop, channel -> {});
+
+        assertThat(bound.isActive()).isTrue();
+        bound.close();
+        release.join();
+    }
 }
