--- a/quilldyke-gateway/src/test/java/org/quilldyke/gateway/FleetRatesTest.java
+++ b/quilldyke-gateway/src/test/java/org/quilldyke/gateway/FleetRatesTest.java
@@ -38,6 +38,7 @@
             List.of(
                     "org.quilldyke.gateway.control",
                     "org.quilldyke.gateway.instance",
+                    "org.quilldyke.quota",
                     "org.quilldyke.routing");
 
     @Test
