--- a/quilldyke-core/src/main/java/org/quilldyke/quota/QuotaPool.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/quota/QuotaPool.java
@@ -192,15 +192,24 @@
         long available = available(units, now);
         units.mAsked.addAll(units.mWaiting);
         units.mWaiting.clear();
-        long needed = units.mAsked.stream().mapToLong(QuotaRequest::cost).sum() - available;
-        long minNeeded =
-                units.mAsked.stream().mapToLong(QuotaRequest::cost).min().orElse(0) - available;
+        units.mAsked.sort(QuotaRequest.SERVING_ORDER);
+        long remaining = available;
+        long needed = 0;
+        long minNeeded = 0;
+        for (QuotaRequest request : units.mAsked) {
+            if (request.cost() <= remaining) {
+                remaining -= request.cost();
+            } else {
+                minNeeded = minNeeded == 0 ? request.cost() - remaining : minNeeded;
+                needed += request.cost();
+            }
+        }
         return new QuotaPull.Item(
                 organisation,
                 units.mSpent,
                 units.mReturned,
-                Math.max(0, needed),
-                Math.max(0, minNeeded),
+                needed == 0 ? 0 : needed - remaining,
+                minNeeded,
                 Math.max(0, advance(units) - available));
     }
 
--- a/quilldyke-core/src/main/java/org/quilldyke/quota/QuotaPull.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/quota/QuotaPull.java
@@ -37,7 +37,7 @@
      * @param spent all units of the account that were spent
      * @param returned all units of the account that were given back
      * @param needed the units that waiting requests lack
-     * @param minNeeded the units that the cheapest of these requests lacks
+     * @param minNeeded the units that the first of these requests to be served lacks
      * @param wanted further units for requests to come
      */
     public record Item(
--- a/quilldyke-core/src/test/java/org/quilldyke/quota/QuotaLedgerTest.java
+++ b/quilldyke-core/src/test/java/org/quilldyke/quota/QuotaLedgerTest.java
@@ -132,6 +132,20 @@
         assertThat(admitted).containsExactly("urgent", "cheap").inOrder();
     }
 
+    /** Guards against asking the leader again without end while a cheaper request is served. */
+    @Test
+    void requestThatLacksUnitsIsRefusedBesideOneThatIsServed() {
+        exchange(FULL_AT);
+        request(CAPACITY + 1, FULL_AT);
+        request(10, FULL_AT);
+
+        exchange(FULL_AT);
+
+        assertThat(mVerdicts)
+                .containsExactly(QuotaVerdict.Kind.ADMITTED, QuotaVerdict.Kind.OVER_LIMIT);
+        assertThat(mPool.nextPull(true, FULL_AT + 1).isEmpty()).isTrue();
+    }
+
     @Test
     void requestsCantBeDecidedWithoutALeader() {
         request(1, FULL_AT);
