One preferred engine for each whole shared prefix

Load: after new weights no engine has a prompt cached. Ways: by the first missing part (before); by all shared parts (kept).

--- a/quilldyke-core/src/main/java/org/quilldyke/routing/CacheKeys.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/routing/CacheKeys.java
@@ -45,25 +45,16 @@
     }
 
     /**
-     * Returns the key that selects the preferred target of prompts that lack the same part: it
-     * covers the shared parts up to and including the first one that isn't present. The version of
-     * the weights is not included, so that the preferred target of a prefix stays the same when
-     * weights change.
+     * Returns the key that selects the preferred target of prompts with the same shared parts. It
+     * covers all of them: a key of the first missing part would send all prompts that begin with it
+     * to one target while no target has it, as after a change of weights. The version of the
+     * weights is not included, so that the preferred target stays the same when weights change.
      *
      * @param cacheScope the scope in which cached prompts are shared
-     * @param presentTokens how many leading tokens of the prompt are present at the target, with or
-     *     without what it can fetch
      */
-    static long affinityKey(String cacheScope, Prompt prompt, int presentTokens) {
+    static long affinityKey(String cacheScope, Prompt prompt) {
         HashStream64 hash = Hashing.wyhashFinal4().hashStream().putString(cacheScope);
-        int tokens = 0;
-        for (Prompt.Part part : prompt.sharedParts()) {
-            hash.putLong(part.id());
-            tokens += part.tokens();
-            if (tokens > presentTokens) {
-                break;
-            }
-        }
+        prompt.sharedParts().forEach(part -> hash.putLong(part.id()));
         return hash.getAsLong();
     }
 }
--- a/quilldyke-core/src/main/java/org/quilldyke/routing/PromptCacheLocations.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/routing/PromptCacheLocations.java
@@ -20,6 +20,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.quilldyke.caller.ForwardRequest;
 import org.quilldyke.caller.Prompt;
 
@@ -41,6 +42,7 @@
     private final KvStoreView mStore;
     private final long mNow;
     private final int mSharedTokens;
+    private final long mAffinityKey;
     private final Map<Long, VersionLocations> mByVersion = new HashMap<>();
 
     /**
@@ -58,6 +60,7 @@
         mStore = store;
         mNow = now;
         mSharedTokens = mPrompt.sharedTokens();
+        mAffinityKey = CacheKeys.affinityKey(request.cacheScope(), mPrompt);
     }
 
     /** Returns how many tokens of the prompt other prompts may share. */
@@ -114,33 +117,30 @@
     }
 
     /**
-     * Returns whether all instances prefer this target for prompts that lack the same part: parts
-     * that are prefilled elsewhere are most likely prefilled twice.
-     *
-     * @param presentTokens how many leading tokens of the prompt are present at the target, with or
-     *     without what it can fetch
+     * Returns whether all instances prefer this target for prompts with the same shared parts:
+     * parts that are prefilled elsewhere are most likely prefilled twice.
      */
-    boolean isPreferredTarget(TargetState target, int presentTokens) {
-        long key = CacheKeys.affinityKey(mRequest.cacheScope(), mPrompt, presentTokens);
-        long highest =
-                locationsFor(target)
-                        .mHighestRanks
-                        .computeIfAbsent(key, k -> highestRank(target, k));
-        return Long.compareUnsigned(highest, target.rank(key)) <= 0;
+    boolean isPreferredTarget(TargetState target) {
+        VersionLocations locations = locationsFor(target);
+        if (locations.mHighestRank.isEmpty()) {
+            locations.mHighestRank = OptionalLong.of(highestRank(target));
+        }
+        long highest = locations.mHighestRank.getAsLong();
+        return Long.compareUnsigned(highest, target.rank(mAffinityKey)) <= 0;
     }
 
     /**
      * Returns the highest rank of the healthy targets with the same weights that accept the
      * request.
      */
-    private long highestRank(TargetState target, long key) {
+    private long highestRank(TargetState target) {
         long weights = target.weights(mPrompt.model());
         long highest = 0;
         for (TargetState candidate : mTargets) {
             if (candidate.acceptsRequestsFor(mRequest.service(), mNow)
                     && candidate.weights(mPrompt.model()) == weights
                     && !candidate.isUnhealthy(mNow)) {
-                long rank = candidate.rank(key);
+                long rank = candidate.rank(mAffinityKey);
                 highest = Long.compareUnsigned(rank, highest) > 0 ? rank : highest;
             }
         }
@@ -157,8 +157,8 @@
         final long[] mKeys;
         final int mStoredTokens;
 
-        /** The highest rank of a target by affinity key. */
-        final Map<Long, Long> mHighestRanks = new HashMap<>();
+        /** The highest rank of a target for the prompt's affinity key, once it is known. */
+        private OptionalLong mHighestRank = OptionalLong.empty();
 
         /** The targets with most shared tokens confirmed, by failure domain. */
         private final Map<String, List<TargetState>> mHoldersByDomain = new HashMap<>();
--- a/quilldyke-core/src/main/java/org/quilldyke/routing/TargetScorer.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/routing/TargetScorer.java
@@ -196,11 +196,7 @@
             int cachedTokens,
             int tokensAfterFetch) {
         int sharedTokens = locations.sharedTokens();
-        // If a part can't be fetched, one target is preferred for prefilling the first such part.
-        // Otherwise one is preferred for fetching the first part that this target lacks.
-        int presentTokens = tokensAfterFetch < sharedTokens ? tokensAfterFetch : cachedTokens;
-        boolean preferred =
-                cachedTokens < sharedTokens && locations.isPreferredTarget(state, presentTokens);
+        boolean preferred = cachedTokens < sharedTokens && locations.isPreferredTarget(state);
         return PlacementCost.prefill(sharedTokens, cachedTokens, tokensAfterFetch, preferred);
     }
 }
