--- a/quilldyke-core/src/main/java/org/quilldyke/quota/QuotaInquiries.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/quota/QuotaInquiries.java
@@ -29,12 +29,12 @@
  * twice.
  */
 public final class QuotaInquiries {
-    /** A control process that hasn't responded after this time is followed by another one. */
-    static final long RESPONSE_TIMEOUT_MILLIS = 120;
-
     /** {@link #takeDue} is called at this interval while requests wait. */
     public static final long CHECK_MILLIS = 20;
 
+    /** A control process that hasn't responded after this time is followed by another one. */
+    static final long RESPONSE_TIMEOUT_MILLIS = 120;
+
     /** The delay after a control process could not decide. */
     static final long RETRY_MILLIS = 30;
 
--- a/quilldyke-core/src/test/java/org/quilldyke/quota/QuotaSimulation.java
+++ b/quilldyke-core/src/test/java/org/quilldyke/quota/QuotaSimulation.java
@@ -77,26 +77,26 @@
 
     /** What was observed. */
     static final class Result {
-        int violations;
-        double worstWindowFraction;
-        long requests;
-        long admitted;
-        double owedUnits;
-        double owedAdmittedUnits;
-        double admittedUnits;
-        double limitUnits;
-        long waits;
-        long longWaits;
-        long unavailable;
-        long entryFrames;
-        long leaderPulls;
+        int mViolations;
+        double mWorstWindowFraction;
+        long mRequests;
+        long mAdmitted;
+        double mOwedUnits;
+        double mOwedAdmittedUnits;
+        double mAdmittedUnits;
+        double mLimitUnits;
+        long mWaits;
+        long mLongWaits;
+        long mUnavailable;
+        long mEntryFrames;
+        long mLeaderPulls;
 
         double owedAdmittedShare() {
-            return owedAdmittedUnits / owedUnits;
+            return mOwedAdmittedUnits / mOwedUnits;
         }
 
         double limitUsed() {
-            return admittedUnits / limitUnits;
+            return mAdmittedUnits / mLimitUnits;
         }
     }
 
@@ -130,7 +130,7 @@
             mNow = event.at();
             event.task().run();
         }
-        mQuotas.values().forEach(q -> mResult.limitUnits += q.perSecond() * mConfig.seconds());
+        mQuotas.values().forEach(q -> mResult.mLimitUnits += q.perSecond() * mConfig.seconds());
         return mResult;
     }
 
@@ -163,8 +163,8 @@
         Entry entry = mEntries.get((first + mRandom.nextInt(users)) % mEntries.size());
         boolean owed = mJudges.get(name).isOwed(cost, mNow);
         long sentAt = mNow;
-        mResult.requests++;
-        mResult.owedUnits += owed ? cost : 0;
+        mResult.mRequests++;
+        mResult.mOwedUnits += owed ? cost : 0;
         entry.send(
                 new QuotaRequest(
                         name,
@@ -174,13 +174,13 @@
     }
 
     private void onVerdict(String name, int cost, boolean owed, long sentAt, QuotaVerdict verdict) {
-        mResult.unavailable += verdict.kind() == QuotaVerdict.Kind.UNAVAILABLE ? 1 : 0;
+        mResult.mUnavailable += verdict.kind() == QuotaVerdict.Kind.UNAVAILABLE ? 1 : 0;
         if (verdict.kind() == QuotaVerdict.Kind.ADMITTED) {
-            mResult.admitted++;
-            mResult.admittedUnits += cost;
-            mResult.owedAdmittedUnits += owed ? cost : 0;
-            mResult.waits += mNow - sentAt > 12 ? 1 : 0;
-            mResult.longWaits += mNow - sentAt > 100 ? 1 : 0;
+            mResult.mAdmitted++;
+            mResult.mAdmittedUnits += cost;
+            mResult.mOwedAdmittedUnits += owed ? cost : 0;
+            mResult.mWaits += mNow - sentAt > 12 ? 1 : 0;
+            mResult.mLongWaits += mNow - sentAt > 100 ? 1 : 0;
             mJudges.get(name).onAdmitted(cost, mNow);
         }
     }
@@ -296,7 +296,7 @@
         private void onPull(Control from, QuotaPull pull) {
             boolean cut = mCutOff.contains(mIndex) && from != this;
             if (mNow < mLeaseUntil && !cut) {
-                mResult.leaderPulls++;
+                mResult.mLeaderPulls++;
                 QuotaGrant grant = mLedger.onPull("c" + from.mIndex, pull, mNow);
                 sendTo(
                         from,
@@ -327,7 +327,7 @@
                             request.cost(),
                             request.priority(),
                             verdict -> {
-                                mResult.entryFrames++;
+                                mResult.mEntryFrames++;
                                 at(mNow + delay(), () -> from.onVerdict(inquiry.number(), verdict));
                             }),
                     mNow);
@@ -354,7 +354,7 @@
         private void flush() {
             for (QuotaInquiries.Inquiry inquiry : mInquiries.takeDue(mNow)) {
                 Control control = mControls.get(inquiry.attempt() % 2 == 0 ? mMain : mOther);
-                mResult.entryFrames++;
+                mResult.mEntryFrames++;
                 at(
                         Math.max(mNow + delay(), control.mPausedUntil),
                         () -> {
@@ -409,8 +409,8 @@
                 mInWindow -= mWindow.remove()[1];
             }
             double fraction = mInWindow / TOLERANCE.bound(mQuota);
-            mResult.worstWindowFraction = Math.max(mResult.worstWindowFraction, fraction);
-            mResult.violations += fraction > 1 ? 1 : 0;
+            mResult.mWorstWindowFraction = Math.max(mResult.mWorstWindowFraction, fraction);
+            mResult.mViolations += fraction > 1 ? 1 : 0;
         }
     }
 }
--- a/quilldyke-core/src/test/java/org/quilldyke/quota/QuotaSimulationTest.java
+++ b/quilldyke-core/src/test/java/org/quilldyke/quota/QuotaSimulationTest.java
@@ -34,7 +34,7 @@
             for (double demand : new double[] {0.5, 0.95}) {
                 for (int users : new int[] {ALL, 3}) {
                     QuotaSimulation.Result result = run(entries, demand, users, 0, 1);
-                    assertThat(result.violations).isEqualTo(0);
+                    assertThat(result.mViolations).isEqualTo(0);
                     assertThat(result.owedAdmittedShare()).isAtLeast(0.995);
                 }
             }
@@ -47,7 +47,7 @@
             for (double demand : new double[] {1.5, 4}) {
                 for (int users : new int[] {ALL, 3}) {
                     QuotaSimulation.Result result = run(entries, demand, users, 0, 2);
-                    assertThat(result.violations).isEqualTo(0);
+                    assertThat(result.mViolations).isEqualTo(0);
                     assertThat(result.limitUsed()).isAtLeast(0.97);
                 }
             }
@@ -59,8 +59,8 @@
         for (long seed = 1; seed <= FAULT_SEEDS; seed++) {
             double demand = seed % 2 == 0 ? 1.2 : 3;
             QuotaSimulation.Result result = run(24, demand, seed % 3 == 0 ? 3 : ALL, 700, seed);
-            assertThat(result.violations).isEqualTo(0);
-            assertThat(result.admitted).isGreaterThan(0);
+            assertThat(result.mViolations).isEqualTo(0);
+            assertThat(result.mAdmitted).isGreaterThan(0);
         }
     }
 
@@ -80,14 +80,14 @@
                 users == ALL ? "all" : users,
                 faultMillis,
                 seed,
-                result.worstWindowFraction,
+                result.mWorstWindowFraction,
                 result.owedAdmittedShare(),
                 result.limitUsed(),
-                (double) result.waits / result.admitted,
-                (double) result.longWaits / result.admitted,
-                (double) result.unavailable / result.requests,
-                result.entryFrames / (double) SECONDS / entries,
-                result.leaderPulls / (double) SECONDS);
+                (double) result.mWaits / result.mAdmitted,
+                (double) result.mLongWaits / result.mAdmitted,
+                (double) result.mUnavailable / result.mRequests,
+                result.mEntryFrames / (double) SECONDS / entries,
+                result.mLeaderPulls / (double) SECONDS);
         return result;
     }
 }
--- a/quilldyke-core/src/test/java/org/quilldyke/routing/PlacementSimulation.java
+++ b/quilldyke-core/src/test/java/org/quilldyke/routing/PlacementSimulation.java
@@ -85,20 +85,20 @@
 
     /** What callers got. */
     static final class Result {
-        int longCount;
-        int longOnTime;
-        int shortCount;
-        int shortOnTime;
-        int refused;
-        long recomputedTokens;
-        long maxPauseMillis;
+        int mLongCount;
+        int mLongOnTime;
+        int mShortCount;
+        int mShortOnTime;
+        int mRefused;
+        long mRecomputedTokens;
+        long mMaxPauseMillis;
 
         double shortOnTimeShare() {
-            return shortOnTime / (double) shortCount;
+            return mShortOnTime / (double) mShortCount;
         }
 
         double longOnTimeShare() {
-            return longOnTime / (double) longCount;
+            return mLongOnTime / (double) mLongCount;
         }
     }
 
@@ -138,12 +138,12 @@
             ForwardRequest request = isLong ? longRequest() : shortRequest();
             Choice choice = entry.choose(request, Set.of(), mNow).orElseThrow();
             if (isLong) {
-                mResult.longCount++;
+                mResult.mLongCount++;
             } else {
-                mResult.shortCount++;
+                mResult.mShortCount++;
             }
             if (!Admission.admits(request, choice.admissionMillis())) {
-                mResult.refused++;
+                mResult.mRefused++;
                 continue;
             }
             entry.onDispatch(choice, request, mNow);
@@ -269,7 +269,7 @@
                 hit &= mCached.contains(keys[i]) || tokens <= present;
                 if (!hit) {
                     missing += parts.get(i).tokens();
-                    mResult.recomputedTokens += parts.get(i).tokens();
+                    mResult.mRecomputedTokens += parts.get(i).tokens();
                 }
             }
             run.mMissing = missing;
@@ -282,7 +282,7 @@
             double backlogMillis =
                     mWaiting.stream().mapToLong(run -> run.mMissing).sum()
                             / PREFILL_TOKENS_PER_MILLI;
-            mResult.maxPauseMillis = Math.max(mResult.maxPauseMillis, Math.round(backlogMillis));
+            mResult.mMaxPauseMillis = Math.max(mResult.mMaxPauseMillis, Math.round(backlogMillis));
             for (Run run : mDecoding) {
                 run.mLate |= backlogMillis > EVENT_GAP_MILLIS;
             }
@@ -321,9 +321,9 @@
             mDecoding.remove(run);
             run.mEntry.onFinished(run.mChoice);
             if (run.mIsLong) {
-                mResult.longOnTime += run.mLate ? 0 : 1;
+                mResult.mLongOnTime += run.mLate ? 0 : 1;
             } else {
-                mResult.shortOnTime += run.mLate ? 0 : 1;
+                mResult.mShortOnTime += run.mLate ? 0 : 1;
             }
         }
 
--- a/quilldyke-core/src/test/java/org/quilldyke/routing/PlacementSimulationTest.java
+++ b/quilldyke-core/src/test/java/org/quilldyke/routing/PlacementSimulationTest.java
@@ -29,8 +29,8 @@
         int all = 0;
         for (long seed = 1; seed <= 5; seed++) {
             PlacementSimulation.Result result = run(95, 45, 185, 331, seed);
-            onTime += result.shortOnTime + result.longOnTime;
-            all += result.shortCount + result.longCount;
+            onTime += result.mShortOnTime + result.mLongOnTime;
+            all += result.mShortCount + result.mLongCount;
         }
 
         assertThat(onTime / (double) all).isAtLeast(ON_TIME_TARGET);
@@ -50,9 +50,9 @@
                 seed,
                 result.shortOnTimeShare(),
                 result.longOnTimeShare(),
-                result.refused,
-                result.recomputedTokens,
-                result.maxPauseMillis);
+                result.mRefused,
+                result.mRecomputedTokens,
+                result.mMaxPauseMillis);
         return result;
     }
 }
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/GatewayProcess.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/GatewayProcess.java
@@ -298,6 +298,11 @@
         registerGauges();
         mCallers = CallerServer.start(mSettings.callers(), mEntry);
         ProbeServer.start(mSettings.ready(), mTraffic, this::isReady, mMetrics.registry());
+        startSubscriber();
+    }
+
+    /** Starts what connects the entry with control processes. */
+    private void startSubscriber() {
         CrashTelling crashes = new CrashTelling(mEntry, mControl::execute, mClock, mLog);
         mTraffic.execute(() -> mEntry.setCrashListener(crashes));
         QuotaClient quotas = new QuotaClient(mControl, mTraffic, mClock);
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/ControlNode.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/ControlNode.java
@@ -161,23 +161,27 @@
         mEntries.connect(mReadConfirmations::confirm, mTargets, mCrashes, mLimits, mQuotas);
         mMembership =
                 new MembershipManager(mGroup, mPeers, mAddress, clock, settings.toleratedLosses());
-        mWeights =
-                new WeightsController(
-                        new WeightsController.Dependencies(
-                                mGroup,
-                                mProposals,
-                                mTargets,
-                                engineClient,
-                                loop,
-                                clock,
-                                log,
-                                this::publishLoading,
-                                settings.timings().orderLease()));
+        mWeights = createWeightsController(engineClient, settings.timings().orderLease());
         mDialect = dialect;
         mCacheWatcher = new CacheEventWatcher(engineClient, loop, log, mCacheUpdates::add);
         onState(mStateMachine.state());
     }
 
+    private WeightsController createWeightsController(
+            EngineClient engineClient, long orderLeaseMillis) {
+        return new WeightsController(
+                new WeightsController.Dependencies(
+                        mGroup,
+                        mProposals,
+                        mTargets,
+                        engineClient,
+                        mLoop,
+                        mClock,
+                        mLog,
+                        this::publishLoading,
+                        orderLeaseMillis));
+    }
+
     private TargetReplication createTargetReplication(
             long reportMillis, RefusalLog rejectedReports) {
         return new TargetReplication(
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/settings/GatewaySettingsReader.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/settings/GatewaySettingsReader.java
@@ -104,7 +104,8 @@
 
     private static QuotaTolerance quotaTolerance(SettingsObject in) throws QuilldykeException {
         QuotaTolerance tolerance =
-                new QuotaTolerance(in.integer("windowMillis"), in.number("overrun"), in.number("slack"));
+                new QuotaTolerance(
+                        in.integer("windowMillis"), in.number("overrun"), in.number("slack"));
         in.end();
         return tolerance;
     }
