Wording of the gateway's instance, settings and process classes that quotas touched

Comments in the field's terms, private names that follow them (sendLoads, recordLoads, applyLoads, removeSuperseded, KEY_LEASE_FRACTION, OLD_WEIGHTS_FRACTION).

--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/EntrySubscriber.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/EntrySubscriber.java
@@ -49,9 +49,10 @@
 import org.quilldyke.routing.TargetState;
 
 /**
- * Takes what control processes tell, puts it in order, and hands it to the traffic thread.
+ * Handles the messages of control processes: discards outdated ones, and passes the changes to the
+ * traffic thread.
  *
- * <p>Lives on the control thread, but for the loads, which the traffic thread gives.
+ * <p>Confined to the control thread, except for the loads, which the traffic thread records.
  */
 final class EntrySubscriber implements ControlLinks.Subscriber {
     private static final long LOADS_MILLIS = 100;
@@ -87,11 +88,13 @@
         mQuotas = quotas;
     }
 
-    /** Begins to note what is open at targets; call it on the traffic thread. */
-    void noteLoads() {
+    /** Records the open requests at targets periodically; called on the traffic thread. */
+    void recordLoads() {
         mEntry.loop()
                 .schedule(
-                        this::noteLoads, LOADS_MILLIS, java.util.concurrent.TimeUnit.MILLISECONDS);
+                        this::recordLoads,
+                        LOADS_MILLIS,
+                        java.util.concurrent.TimeUnit.MILLISECONDS);
         List<TargetLoad> loads = new ArrayList<>();
         for (TargetState target : mEntry.targetSelector().targets()) {
             if (target.ownRequests() > 0) {
@@ -116,7 +119,7 @@
                         TargetFrames.encode(report, now - mRegistry.lastSeenAt(report.key())));
             }
         }
-        // A control process that has lost its memory may hear a late report of who has left.
+        // A restarted control process may receive a late report of a target that has left.
         known.addAllTargets(TargetFrames.encodeLeaves(mRegistry, now));
         return Hello.newBuilder()
                 .setEntry(mInstance)
@@ -169,15 +172,15 @@
             case QUOTAS -> mQuotas.onVerdicts(frame.getQuotas());
             case LOADS -> {
                 List<TargetLoad> loads = frame.getLoads().getTargetsList();
-                mEntry.loop().execute(() -> takeLoads(loads));
+                mEntry.loop().execute(() -> applyLoads(loads));
             }
             default -> {
-                // A frame of a newer version.
+                // A kind of frame that a newer version has added.
             }
         }
     }
 
-    private void takeLoads(List<TargetLoad> loads) {
+    private void applyLoads(List<TargetLoad> loads) {
         for (TargetState target : mEntry.targetSelector().targets()) {
             mEntry.targetSelector().onOtherInstancesLoad(target.id(), 0, 0);
         }
@@ -230,7 +233,7 @@
                         mLog.write(Event.TARGET_CHANGED, "target", id, "gone", true, "by", control);
                         onLeft(id);
                     }
-                    endEarlier();
+                    removeSuperseded();
                 }
                 case LAPSED -> {
                     if (mRegistry.onLapsed(id)) {
@@ -250,21 +253,21 @@
                                 control);
                         onSuspended(mRegistry.latestKey(id));
                     }
-                    endEarlier();
+                    removeSuperseded();
                 }
                 default -> onReport(target, now - target.getAgeMs(), control);
             }
         }
     }
 
-    /** A target that has reported itself since the word that it leaves stays. */
+    /** Removes a target unless it has reported itself since its leave notice. */
     private void onLeft(String id) {
         if (mRegistry.report(id).isEmpty()) {
             mEntry.loop().execute(() -> mEntry.onTargetRemoved(id, false));
         }
     }
 
-    /** A target that has lapsed is kept while it answers, and suspended nevertheless. */
+    /** Suspends a target, also one that has lapsed and is kept because it still responds. */
     private void onSuspended(String id) {
         Optional<TargetReport> report = mRegistry.report(id);
         mEntry.loop()
@@ -286,7 +289,7 @@
         boolean news = mRegistry.onReport(report, heardAt);
         for (String id : mRegistry.takeDisplaced()) {
             mLog.write(Event.TARGET_CHANGED, "target", id, "displaced", true);
-            // A late report may displace who lives: it stays while it answers.
+            // A late report may displace a live target, so it is kept while it responds.
             mEntry.loop().execute(() -> mEntry.onTargetRemoved(id, true));
         }
         if (news) {
@@ -317,11 +320,11 @@
                                     mEntry.targetSelector()
                                             .onReportOrigin(report.key(), control, lastHeardAt));
         }
-        // What was open at an earlier incarnation may go on at the one that has just reported.
-        endEarlier();
+        // Requests of an earlier incarnation may be retried at the one that has just reported.
+        removeSuperseded();
     }
 
-    private void endEarlier() {
+    private void removeSuperseded() {
         for (String id : mRegistry.takeSuperseded()) {
             mLog.write(Event.TARGET_CHANGED, "target", id, "ended", true);
             mEntry.loop().execute(() -> mEntry.onTargetRestarted(id));
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/GatewayProcess.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/GatewayProcess.java
@@ -56,38 +56,42 @@
 import org.quilldyke.routing.AdvertisedLimit;
 import org.quilldyke.routing.TargetSelector;
 
-/** One process of a gateway: two threads, and the parts that its role asks for. */
+/** A gateway process: a control thread, a traffic thread, and the servers of its role. */
 public final class GatewayProcess {
-    /** A key is taken for good for this part of the bound: the rest is for the way to a target. */
-    private static final double LEASE_PART = 0.7;
+    /**
+     * Duration of the key lease as a fraction of the bound; the rest is for sending to a target.
+     */
+    private static final double KEY_LEASE_FRACTION = 0.7;
 
     /**
-     * Requests go to older weights for this part of the bound: the rest is for their wait there.
+     * Fraction of the bound during which requests may be sent to older weights; the rest is for
+     * their queueing there.
      */
-    private static final double OLD_WEIGHTS_PART = 0.75;
+    private static final double OLD_WEIGHTS_FRACTION = 0.75;
 
-    /** How many entries share what is shared as long as their number isn't known. */
+    /** Assumed number of entries until a control process has sent it. */
     private static final int UNKNOWN_ENTRIES = 32;
 
     /**
-     * The platform's balancer notices within two probes, a second apart, and some time to spare.
+     * Time until the balancer has stopped new connections: two probes, a second apart, and a
+     * margin.
      */
     private static final long OUT_OF_ROTATION_MILLIS = 2600;
 
-    /** What is kept of the time to shut down for the last answers to leave. */
+    /** Margin before the end of the grace period for writing the last answers. */
     private static final long EXIT_MARGIN_MILLIS = 200;
 
     private static final long POLL_MILLIS = 50;
     private static final long SWEEP_MILLIS = 1000;
 
-    /** A traffic thread that is busy for longer than this isn't waited for. */
+    /** Longest wait for a count from the traffic thread. */
     private static final long COUNT_LIMIT_MILLIS = 100;
 
-    /** Stands for a count that the traffic thread didn't give; something may be open or cut. */
+    /** Count that the traffic thread did not return in time. */
     private static final int UNKNOWN = -1;
 
     /**
-     * An operator's call waits for a commit, and is sent again after a second without an answer.
+     * Longest wait for open calls of operators, who retry a call after a second without an answer.
      */
     private static final long LAST_CALLS_MILLIS = 1000;
 
@@ -133,8 +137,8 @@
      * Starts a process.
      *
      * @param settings the settings
-     * @param dialect how callers, targets and operators speak
-     * @param startedAt {@link #now} as early in the process as it could be asked
+     * @param dialect the wire formats of callers, targets and operators
+     * @param startedAt the value of {@link #now} when the process started
      * @throws QuilldykeException if an address can't be bound or the data folder can't be read
      */
     public static GatewayProcess start(GatewaySettings settings, Dialect dialect, long startedAt)
@@ -154,18 +158,18 @@
                 settings.failureDomain(),
                 "seeds",
                 settings.seeds());
-        process.noteArchive();
+        process.logClassArchive();
         return process;
     }
 
-    private void noteArchive() {
+    private void logClassArchive() {
         ClassArchive archive = ClassArchive.ofThisProcess();
         if (archive != ClassArchive.USED) {
             mLog.write(Event.NO_CLASS_ARCHIVE, "archive", archive);
         }
     }
 
-    /** Takes settings that have changed; of these, seeds may differ. */
+    /** Applies changed settings; only the seeds may have changed. */
     public void reload(GatewaySettings settings) {
         mLog.write(Event.RELOADED, "seeds", settings.seeds());
         mControl.execute(
@@ -185,8 +189,8 @@
     /**
      * Shuts down without interrupting a request; returns when the process may end.
      *
-     * @param start when the time to shut down began, by {@link #now}: a signal may come while the
-     *     process starts
+     * @param start when the shutdown was requested, in milliseconds of {@link #now}; this may be
+     *     before the end of the start
      */
     public void shutdown(long start) {
         mDraining.set(true);
@@ -196,7 +200,7 @@
         mLog.write(Event.STOPPED, "after", mClock.getAsLong() - start, "cut", cut);
     }
 
-    /** Returns how many calls were cut: those that take longer than calls ever should. */
+    /** Returns the number of calls that were aborted because they took too long. */
     private int endControl(long start) {
         if (mNode != null) {
             mControl.execute(mNode::transferLeadership);
@@ -212,7 +216,7 @@
         return mCalls == null ? 0 : mCalls.open();
     }
 
-    /** Returns how many requests were cut: those that outlast the time to shut down. */
+    /** Returns the number of requests that were aborted at the end of the grace period. */
     private int endEntry(long start) {
         long end = start + mSettings.timings().grace() - EXIT_MARGIN_MILLIS;
         mTraffic.execute(() -> mEntry.drain(start, end));
@@ -220,7 +224,7 @@
         pause(Math.max(0, closeAt - mClock.getAsLong()));
         mTraffic.execute(mCallers::closeListener);
         do {
-            // Not past the end: an instance that outlasts its time is killed with what it tells.
+            // Not after the end, when the process is killed and its last log lines are lost.
             pause(Math.min(POLL_MILLIS, Math.max(1, end - mClock.getAsLong())));
         } while (onTraffic(mCallers::closeIdle) != 0 && mClock.getAsLong() < end);
         int cut = onTraffic(mCallers::onShutdownDeadline);
@@ -230,7 +234,7 @@
         return cut;
     }
 
-    /** Stops at once and says nothing, as a killed process does. */
+    /** Stops immediately without notifying other processes, as a killed process does. */
     public void halt() {
         CompletableFuture<Void> stopped = new CompletableFuture<>();
         mControl.execute(
@@ -270,10 +274,10 @@
 
     private void startEntry() throws QuilldykeException {
         GatewaySettings.Timings timings = mSettings.timings();
-        TargetSelector book =
+        TargetSelector targetSelector =
                 TargetSelector.create(
                         mSettings.failureDomain(),
-                        Math.round(timings.convergence() * OLD_WEIGHTS_PART),
+                        Math.round(timings.convergence() * OLD_WEIGHTS_FRACTION),
                         new SplittableRandom(mSettings.instance().hashCode()));
         ServiceRetryBudget retries =
                 ServiceRetryBudget.create(
@@ -281,7 +285,7 @@
                         timings.retryFixed(),
                         timings.retryWindow(),
                         UNKNOWN_ENTRIES);
-        KeyLease lease = KeyLease.ofMillis(Math.round(timings.revoke() * LEASE_PART));
+        KeyLease lease = KeyLease.ofMillis(Math.round(timings.revoke() * KEY_LEASE_FRACTION));
         mEntry =
                 EntryContext.of(
                         new EntryContext.Dependencies(
@@ -289,7 +293,7 @@
                                 mClock,
                                 this::leaseNow,
                                 mDialect,
-                                book,
+                                targetSelector,
                                 retries,
                                 lease,
                                 timings.apply(),
@@ -301,7 +305,7 @@
         startSubscriber();
     }
 
-    /** Starts what connects the entry with control processes. */
+    /** Connects the entry to control processes. */
     private void startSubscriber() {
         CrashTelling crashes = new CrashTelling(mEntry, mControl::execute, mClock, mLog);
         mTraffic.execute(() -> mEntry.setCrashListener(crashes));
@@ -317,7 +321,7 @@
                         mRefused,
                         crashes,
                         quotas);
-        mTraffic.execute(subscriber::noteLoads);
+        mTraffic.execute(subscriber::recordLoads);
         mTraffic.scheduleAtFixedRate(
                 mEntry.pool()::closeIdle, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
         mControl.execute(
@@ -333,7 +337,7 @@
                                     subscriber);
                     crashes.tellTo(mLinks::sendToAll);
                     quotas.setLinks(mLinks);
-                    mTraffic.execute(() -> mEntry.setLimitConsumer(this::tellLimit));
+                    mTraffic.execute(() -> mEntry.setLimitConsumer(this::sendLimit));
                 });
     }
 
@@ -345,7 +349,7 @@
                 mClock.getAsLong());
     }
 
-    private void tellLimit(AdvertisedLimit limit) {
+    private void sendLimit(AdvertisedLimit limit) {
         mControl.execute(
                 () -> {
                     Limits limits = LimitFrames.encode(List.of(limit), mClock.getAsLong());
@@ -353,7 +357,7 @@
                 });
     }
 
-    /** What is read when metrics are asked for, on the traffic thread. */
+    /** Registers gauges, which are read on the traffic thread. */
     private void registerGauges() {
         MetricRegistry registry = mMetrics.registry();
         registry.register(
@@ -382,7 +386,7 @@
                         mRefused);
     }
 
-    /** Starts the node; a disk that can't be written just now may be writable again soon. */
+    /** Starts the node; retries while the disk can't be written. */
     private ControlNode startNode(EngineClient orders) throws QuilldykeException {
         while (true) {
             try {
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/instance/ControlLink.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/instance/ControlLink.java
@@ -25,7 +25,7 @@
 import org.quilldyke.gateway.instance.proto.SessionsGrpc;
 import org.quilldyke.gateway.instance.proto.TargetLoads;
 
-/** The stream on which an entry process hears a control process. */
+/** The stream between an entry process and one control process. */
 final class ControlLink extends StreamLink<EntryFrame, ControlFrame> {
     private static final ControlFrame NO_LOADS =
             ControlFrame.newBuilder().setLoads(TargetLoads.getDefaultInstance()).build();
@@ -51,12 +51,12 @@
         mConfirmedAt = clock.getAsLong();
     }
 
-    /** Returns when the last question was sent that the control process has answered. */
+    /** Returns when the last answered question was sent. */
     long confirmedAt() {
         return mConfirmedAt;
     }
 
-    /** Returns what other entries have open, as was told last on the present stream. */
+    /** Returns the last loads of other entries that were received on the current stream. */
     ControlFrame othersLoads() {
         return mOthersLoads;
     }
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/instance/ControlLinks.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/instance/ControlLinks.java
@@ -31,8 +31,8 @@
 import org.quilldyke.instance.ControlLinkPlanner;
 
 /**
- * Keeps an entry process in touch with two control processes, and with others when these fail, as a
- * planner decides. Lives on the control thread.
+ * Maintains the streams of an entry process to two control processes, and to others when these
+ * fail, as a {@link ControlLinkPlanner} decides. Confined to the control thread.
  */
 public final class ControlLinks {
     private static final long CHECK_MILLIS = 250;
@@ -44,7 +44,7 @@
     private final Subscriber mSubscriber;
     private final ControlLinkPlanner mPlanner;
     private final Map<String, ControlLink> mLinks = new LinkedHashMap<>();
-    private List<TargetLoad> mLoadsTold = List.of();
+    private List<TargetLoad> mLoadsSent = List.of();
     private ControlLink mMain;
     private boolean mClosed;
 
@@ -64,15 +64,15 @@
     }
 
     /**
-     * Starts to look for control processes; call it on the control thread.
+     * Starts to connect to control processes; called on the control thread.
      *
      * @param loop the control thread
      * @param clock monotonic milliseconds
-     * @param leaseClock the time by which leases end, in milliseconds
-     * @param log where gained and lost control processes go
-     * @param planner decides to which control processes there are streams
-     * @param seeds the addresses known from the settings
-     * @param subscriber hears what they tell
+     * @param leaseClock milliseconds of the clock for leases
+     * @param log receives an event when a stream opens or ends
+     * @param planner decides which streams to open and to close
+     * @param seeds the addresses of control processes in the settings
+     * @param subscriber receives the messages of control processes
      */
     public static ControlLinks start(
             NettyLoop loop,
@@ -85,24 +85,24 @@
         ControlLinks links = new ControlLinks(loop, clock, leaseClock, log, planner, subscriber);
         links.onSeeds(seeds);
         links.check();
-        links.tellLoads();
+        links.sendLoads();
         return links;
     }
 
-    /** Takes the addresses of control processes that the settings name now. */
+    /** Applies the addresses of control processes after the settings have changed. */
     public void onSeeds(List<String> addresses) {
         mPlanner.onSeeds(addresses, mClock.getAsLong());
     }
 
-    /** Sends a frame to all control processes that are in reach. */
+    /** Sends a frame on all streams that are up. */
     public void sendToAll(EntryFrame frame) {
         mLinks.values().stream().filter(ControlLink::isUp).forEach(link -> link.send(frame));
     }
 
     /**
-     * Sends a frame to one control process in reach, if there is any.
+     * Sends a frame on one stream that is up, if there is any.
      *
-     * @param preferMain whether that is the main one if possible, or rather another one
+     * @param preferMain whether the main stream is preferred, or another one
      */
     public void sendToOne(EntryFrame frame, boolean preferMain) {
         List<ControlLink> up = mLinks.values().stream().filter(ControlLink::isUp).toList();
@@ -113,14 +113,14 @@
                 .ifPresent(link -> link.send(frame));
     }
 
-    /** Closes all streams for good. */
+    /** Closes all streams permanently. */
     public void close() {
         mClosed = true;
         mLinks.values().forEach(ControlLink::close);
         mLinks.clear();
     }
 
-    /** Returns whether any control process is in reach. */
+    /** Returns whether any stream is up. */
     public boolean isUp() {
         return mLinks.values().stream().anyMatch(ControlLink::isUp);
     }
@@ -142,8 +142,8 @@
     }
 
     /**
-     * Others' loads are taken from the main process only: another one may count this entry's own
-     * among them.
+     * Handles a message other than an answer. Loads of other entries are accepted on the main
+     * stream only: those of another control process may include this entry's own.
      */
     void onNews(ControlLink link, ControlFrame frame) {
         if (!frame.hasLoads() || link == mMain) {
@@ -152,15 +152,16 @@
     }
 
     /**
-     * Returns whether a link is the one on which this entry tells what it has open, and hears of
-     * caches and of others' loads: one that is up, and rather one in the own failure domain.
+     * Returns whether a link is the main one, on which this entry sends its loads and receives
+     * cache contents and other entries' loads. It is one that is up, preferably to a control
+     * process in the own failure domain.
      */
     private boolean isMain(ControlLink link) {
         boolean replaced = mMain == null || mLinks.get(mMain.address()) != mMain || !mMain.isUp();
         if (replaced || isNear(link) && link.isUp() && !isNear(mMain)) {
             mMain = link;
-            mLoadsTold = List.of();
-            // A process that has nothing new to tell tells nothing: what it told last still holds.
+            mLoadsSent = List.of();
+            // The control process sends loads only when they change, so the last ones are current.
             mSubscriber.onNews(link.othersLoads(), link.address());
         }
         return mMain == link;
@@ -211,42 +212,44 @@
         link.open();
     }
 
-    private void tellLoads() {
+    private void sendLoads() {
         if (mClosed) {
             return;
         }
-        mLoop.schedule(TellingRates.loadsMillis(), this::tellLoads);
+        mLoop.schedule(TellingRates.loadsMillis(), this::sendLoads);
         List<TargetLoad> loads = mSubscriber.loads();
-        if (mMain != null && mMain.isUp() && !loads.equals(mLoadsTold)) {
-            mLoadsTold = loads;
+        if (mMain != null && mMain.isUp() && !loads.equals(mLoadsSent)) {
+            mLoadsSent = loads;
             TargetLoads news = TargetLoads.newBuilder().addAllTargets(loads).build();
             mMain.send(EntryFrame.newBuilder().setLoads(news).build());
         }
     }
 
     /**
-     * When a question was sent.
+     * The time at which a question was sent.
      *
-     * @param at by the steady clock
-     * @param leaseAt by the leases' clock
+     * @param at in milliseconds of the monotonic clock
+     * @param leaseAt in milliseconds of the clock for leases
      */
     record Asked(long at, long leaseAt) {}
 
-    /** Hears what control processes tell, on the control thread. */
+    /** Receives the messages of control processes, on the control thread. */
     public interface Subscriber {
-        /** Returns what opens a stream. */
+        /** Returns the first message of a stream. */
         Hello hello();
 
-        /** Returns what this entry has open at targets. */
+        /** Returns this entry's open requests and tokens at targets. */
         List<TargetLoad> loads();
 
         /**
-         * Takes the answer of the control process at an address to a question that was sent at the
-         * given time of the leases' clock.
+         * Handles an answer to a question.
+         *
+         * @param askedAt when the question was sent, in milliseconds of the clock for leases
+         * @param control the address of the control process
          */
         void onAnswer(Answer answer, long askedAt, String control);
 
-        /** Takes anything else that the control process at an address tells. */
+        /** Handles any other message of the control process at an address. */
         void onNews(ControlFrame frame, String control);
     }
 }
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/instance/SessionServer.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/instance/SessionServer.java
@@ -32,7 +32,7 @@
 import org.quilldyke.gateway.instance.proto.Ping;
 import org.quilldyke.gateway.instance.proto.SessionsGrpc;
 
-/** Takes the streams of other instances. */
+/** Accepts the streams of other instances. */
 public final class SessionServer {
     private static final int MAX_FRAME_BYTES = 64 << 20;
 
@@ -43,11 +43,11 @@
     }
 
     /**
-     * Starts to listen.
+     * Starts to accept streams.
      *
      * @param address {@code IP:port}
      * @param loop the control thread, on which the handler is called
-     * @param handler takes what is received
+     * @param handler receives the frames
      * @throws QuilldykeException {@link ResultCode#ADDRESS_IN_USE} if the address can't be bound
      */
     public static SessionServer start(String address, NettyLoop loop, Handler handler)
@@ -75,30 +75,30 @@
         }
     }
 
-    /** Ends all streams. */
+    /** Closes all streams. */
     public void close() {
         mServer.shutdownNow();
     }
 
-    /** Takes what other instances send, on the control thread. */
+    /** Receives the frames of other instances, on the control thread. */
     public interface Handler {
-        /** Takes a frame of another control process. */
+        /** Handles a frame of another control process. */
         void onPeerFrame(PeerFrame frame);
 
-        /** Takes a new entry process's stream; returns what takes its frames. */
+        /** Accepts the stream of an entry process; returns the receiver of its frames. */
         EntrySession onSubscriber(StreamObserver<ControlFrame> out);
     }
 
     /** The stream of one entry process. */
     public interface EntrySession {
-        /** Takes a frame. */
+        /** Handles a frame. */
         void onFrame(EntryFrame frame);
 
         /** The stream has ended. */
         void onEnd();
     }
 
-    /** Sending on a stream that the other side has ended does nothing, rather than throw. */
+    /** Makes sending on a stream that the peer has cancelled a no-op instead of an exception. */
     private static void ignoreCancel(StreamObserver<?> out) {
         ((ServerCallStreamObserver<?>) out).setOnCancelHandler(() -> {});
     }
@@ -129,7 +129,7 @@
 
                 @Override
                 public void onError(Throwable e) {
-                    // The peer opens another stream when it can; its own log says why.
+                    // The peer reopens the stream and logs the cause.
                 }
 
                 @Override
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/instance/StreamLink.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/instance/StreamLink.java
@@ -24,31 +24,31 @@
 import org.quilldyke.daemon.settings.Addresses;
 
 /**
- * A stream to another instance that is opened again whenever it ends or falls silent.
+ * A stream to another instance that is reopened when it ends or times out.
  *
- * <p>A peer that is cut off doesn't answer, and its connection hangs rather than ends; so each side
- * speaks often, and a stream on which nothing was heard for a while is dropped with its connection.
- * Lives on the control thread.
+ * <p>The connection to an unreachable peer hangs instead of failing, so each side sends a frame at
+ * a fixed interval, and a stream without received frames is closed with its connection. Confined to
+ * the control thread.
  *
- * @param <O> what is sent
- * @param <I> what is received
+ * @param <O> the type of sent frames
+ * @param <I> the type of received frames
  */
 abstract class StreamLink<O, I> {
-    /** How often a sign of life is sent. */
+    /** Interval of keep-alive frames. */
     static final long BEAT_MILLIS = 250;
 
-    /** A stream is dropped after this silence: several beats and a pause of the other process. */
+    /** A stream without received frames is closed after this time: several missed keep-alives. */
     static final long SILENT_MILLIS = 1200;
 
     /**
-     * The first pause before another try, doubled with each that fails: processes that were killed
-     * together come back within some 100 ms of each other.
+     * Delay before the first reconnection, doubled with each failure. Processes that were killed
+     * together are back within some 100 ms of each other.
      */
     private static final long RECONNECT_MILLIS = 40;
 
     /**
-     * The longest pause is 160 ms. Entries are up some 0.3 s before control processes, and with
-     * pauses of up to 640 ms the last of them connected 0.26 s after the first.
+     * Limits the delay to 160 ms: entries start some 0.3 s before control processes, and longer
+     * delays would make the last of them connect much later than the first.
      */
     private static final int MAX_DOUBLINGS = 2;
 
@@ -72,13 +72,13 @@
         mAddress = address;
     }
 
-    /** Opens the stream, and again whenever it ends, until {@link #close}. */
+    /** Opens the stream, and reopens it when it ends, until {@link #close}. */
     void open() {
         connect();
         beat();
     }
 
-    /** Closes the stream for good. */
+    /** Closes the stream permanently. */
     void close() {
         mClosed = true;
         drop();
@@ -89,17 +89,17 @@
         return mAddress;
     }
 
-    /** Returns whether the peer was heard on the present stream. */
+    /** Returns whether a frame was received on the current stream. */
     boolean isUp() {
         return mUp;
     }
 
-    /** Returns when the peer was heard last. */
+    /** Returns when the last frame was received. */
     long heardAt() {
         return mHeardAt;
     }
 
-    /** Sends a frame, best effort; returns whether there is a stream to send it on. */
+    /** Sends a frame without a delivery guarantee; returns whether a stream is open. */
     boolean send(O frame) {
         if (mOut == null) {
             return false;
@@ -108,26 +108,26 @@
             mOut.onNext(frame);
             return true;
         } catch (IllegalStateException e) {
-            // The stream has just ended; its end is reported by itself.
+            // The stream has just ended; its receiver is notified separately.
             return false;
         }
     }
 
-    /** Starts the call on a fresh channel. */
+    /** Starts the call on a new channel. */
     abstract StreamObserver<O> call(ManagedChannel channel, StreamObserver<I> in);
 
-    /** Speaks first on a fresh stream. */
+    /** Sends the first frames of a new stream. */
     abstract void onOpened();
 
-    /** Sends a sign of life. */
+    /** Sends a keep-alive frame. */
     abstract void onBeat();
 
     abstract void onFrame(I frame);
 
-    /** The peer was heard on a fresh stream. */
+    /** The first frame was received on a new stream. */
     abstract void onUp();
 
-    /** A stream on which the peer was heard has ended. */
+    /** A stream on which frames were received has ended. */
     abstract void onDown(String why);
 
     private void connect() {
@@ -185,7 +185,7 @@
         }
     }
 
-    /** Hears one stream; what comes after the stream was dropped is ignored. */
+    /** Receives the frames of one stream; frames after its closing are ignored. */
     private final class Receiver implements StreamObserver<I> {
         @Override
         public void onNext(I frame) {
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/platform/GatewayMetrics.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/platform/GatewayMetrics.java
@@ -22,7 +22,7 @@
 import org.quilldyke.caller.CutCause;
 import org.quilldyke.manifest.RequestKind;
 
-/** What a gateway process counts. Safe for use by several threads. */
+/** The counters and histograms of a gateway process. Thread-safe. */
 public final class GatewayMetrics {
     private final MetricRegistry mRegistry = new MetricRegistry();
     private final Counter mAttempts = mRegistry.counter("attempts");
@@ -37,7 +37,7 @@
 
     private GatewayMetrics() {
         for (CutCause cause : CutCause.values()) {
-            // Told from the start, so that none is told from not counted.
+            // Registered at the start, so that zero can be distinguished from a missing counter.
             mRegistry.counter("answers.cut." + cause.label());
         }
     }
@@ -47,7 +47,7 @@
         return new GatewayMetrics();
     }
 
-    /** Returns the registry, to be served or added to. */
+    /** Returns the registry. */
     public MetricRegistry registry() {
         return mRegistry;
     }
@@ -62,24 +62,24 @@
         mAttempts.inc();
     }
 
-    /** Counts a request that was answered whole. */
+    /** Counts a request that was answered completely. */
     public void onAnswered(long millis) {
         mAnswered.inc();
         mAnswerMillis.update(millis);
     }
 
-    /** Counts the first event of a stream; {@code predicted} is what routing expected. */
+    /** Records the time to the first event of a stream, and its difference from the prediction. */
     public void onFirstEvent(long millis, long predicted) {
         mFirstEventMillis.update(millis);
         mPredictionError.update(millis - predicted);
     }
 
-    /** Counts an answer that was cut in its middle. */
+    /** Counts a stream that was aborted after its start. */
     public void onCut(CutCause cause) {
         mRegistry.counter("answers.cut." + cause.label()).inc();
     }
 
-    /** Counts a request that was refused or given up. */
+    /** Counts a request that was refused or failed. */
     public void onRefused(ResultCode code) {
         mRegistry.counter("refused." + code.label()).inc();
     }
@@ -89,7 +89,7 @@
         mQuotaMillis.update(millis);
     }
 
-    /** Counts a caller that left before its answer. */
+    /** Counts a caller that disconnected before its answer was complete. */
     public void onCallerGone() {
         mCallersGone.inc();
     }
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/settings/GatewaySettings.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/settings/GatewaySettings.java
@@ -22,21 +22,21 @@
 /**
  * The settings of one gateway process, as JSON.
  *
- * @param instance names the process's machine
- * @param role what the process does
- * @param failureDomain where it stands
- * @param callers where it takes callers' requests, empty if it takes none
- * @param ready where it tells whether it takes requests, empty if nobody asks
- * @param control where it takes operators' calls and targets' reports, empty if it takes none
- * @param ip the address that it shares with no other machine
- * @param firstPort the first port that instances use among themselves; a control process listens
- *     there for the others
- * @param seeds where some control processes take calls; all know the same at the first start
+ * @param instance the name of the machine
+ * @param role the role of the process
+ * @param failureDomain the failure domain of the machine
+ * @param callers address for callers' requests, empty if it accepts none
+ * @param ready address for readiness probes, empty if there are none
+ * @param control address for operators' calls and targets' reports, empty if it accepts none
+ * @param ip the IP address of the machine
+ * @param firstPort the first port for connections between instances; a control process accepts them
+ *     there
+ * @param seeds control addresses of some control processes; the same for all at the first start
  * @param firstStart whether the whole system starts for the first time, with empty disks
- * @param dataFolder where a control process keeps its files; empty for one without a disk, which
- *     sends its callers on to the seeds
- * @param toleratedLosses how many disks may be lost at once
- * @param timings times and bounds
+ * @param dataFolder the folder for the files of a control process; empty for one without a disk,
+ *     which redirects calls to the seeds
+ * @param toleratedLosses the number of disks that may be lost at the same time
+ * @param timings time limits and retry bounds
  * @param quotaTolerance by how much organisations may exceed their quotas
  */
 public record GatewaySettings(
@@ -55,11 +55,11 @@
         Timings timings,
         QuotaTolerance quotaTolerance) {
 
-    /** What a process does. */
+    /** The role of a process. */
     public enum Role {
-        /** Takes callers' requests and forwards them. */
+        /** Accepts callers' requests and forwards them. */
         ENTRY("entry"),
-        /** Holds the shared state; takes operators' calls and targets' reports. */
+        /** Replicates the shared state; accepts operators' calls and targets' reports. */
         CONTROL("control");
 
         private final String mKey;
@@ -76,17 +76,17 @@
     }
 
     /**
-     * Times in milliseconds and bounds.
+     * Time limits in milliseconds, and bounds on retries.
      *
-     * @param targetReport how often targets report themselves
-     * @param apply within what time an accepted manifest must be in force everywhere
-     * @param revoke within what time a key that was taken away must be refused everywhere
-     * @param grace how long a process has to shut down
-     * @param orderLease for how long a new holder of the right to order must wait for the last one
-     * @param convergence within what time after their naming all requests run on new weights
-     * @param retryWindow the window in which second attempts are counted
-     * @param retryRatio second attempts for each request in a window
-     * @param retryFixed second attempts in a window besides, for all instances together
+     * @param targetReport the interval of targets' reports
+     * @param apply the time within which an accepted manifest must be in force everywhere
+     * @param revoke the time within which a revoked key must be refused everywhere
+     * @param grace the time within which a process must shut down
+     * @param orderLease how long a new leader waits before it sends orders to engines
+     * @param convergence the time within which all requests must run on newly named weights
+     * @param retryWindow the window in which retries are counted
+     * @param retryRatio permitted retries per request in a window
+     * @param retryFixed further permitted retries in a window, of all instances together
      */
     public record Timings(
             long targetReport,
@@ -99,12 +99,12 @@
             double retryRatio,
             double retryFixed) {}
 
-    /** Returns where control processes listen for each other and for entries, at a machine. */
+    /** Returns the address at which a machine accepts connections of other instances. */
     public String internalAddress(String ipAddress) {
         return ipAddress + ":" + firstPort;
     }
 
-    /** Returns where the seeds listen for other instances. */
+    /** Returns the addresses at which the seeds accept connections of other instances. */
     public List<String> seedAddresses() {
         return seeds.stream()
                 .map(seed -> internalAddress(seed.substring(0, seed.lastIndexOf(':'))))
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/settings/GatewaySettingsReader.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/settings/GatewaySettingsReader.java
@@ -28,7 +28,7 @@
 import org.quilldyke.engine.SocketAddresses;
 import org.quilldyke.quota.QuotaTolerance;
 
-/** Reads the settings of a gateway process; each refusal names the key's path and the reason. */
+/** Reads the settings of a gateway process; each error names the key's path and the reason. */
 public final class GatewaySettingsReader {
     private static final int MAX_PORT = 65_535;
 
@@ -38,7 +38,7 @@
      * Reads and checks the settings.
      *
      * @param file the JSON file
-     * @throws QuilldykeException with a code from 4001 to 4006 that says what is wrong and where
+     * @throws QuilldykeException with a code from 4001 to 4006
      */
     public static GatewaySettings read(Path file) throws QuilldykeException {
         byte[] text;
@@ -167,7 +167,7 @@
         require(SocketAddresses.isIpAndPort(address), path, "is not IP:port: " + address);
     }
 
-    /** One that listens twice can't start; a seed that is named twice would have two votes. */
+    /** A duplicate address can't be bound; a duplicate seed would have two votes. */
     private static void checkDistinct(GatewaySettings settings) throws QuilldykeException {
         Set<String> own = new HashSet<>();
         for (String address : List.of(settings.callers(), settings.ready(), settings.control())) {
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/settings/SettingsObject.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/settings/SettingsObject.java
@@ -26,8 +26,8 @@
 import org.quilldyke.daemon.settings.StrictJson;
 
 /**
- * An object of the settings, read key by key: each must be there, of its type and without coercion,
- * and there may be no others.
+ * A JSON object of the settings. Each key is required, must have its type without coercion, and
+ * unknown keys are errors.
  */
 final class SettingsObject {
     private final JsonNode mTree;
@@ -93,7 +93,7 @@
         return new SettingsObject(node, mPath + key + ".");
     }
 
-    /** Refuses keys that were not read. */
+    /** Throws an exception if the object has keys that were not read. */
     void end() throws QuilldykeException {
         Iterator<String> names = mTree.fieldNames();
         while (names.hasNext()) {
@@ -105,7 +105,7 @@
         }
     }
 
-    /** Returns the exception that refuses a value. */
+    /** Returns the exception for a value of the wrong type. */
     QuilldykeException wrong(String key, String wanted) {
         return StrictJson.refused(ResultCode.SETTINGS_TYPE, mPath + key, "is not " + wanted);
     }
