--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/QuotaService.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/QuotaService.java
@@ -58,7 +58,7 @@
     private long mRefusalCount;
 
     /**
-     * @param leadership tells who leads
+     * @param leadership provides the current leader
      * @param toPeer sends a frame to the control process at an address
      * @param self the address of this process
      * @param clock monotonic milliseconds
@@ -171,7 +171,7 @@
         }
     }
 
-    /** Tells which control process leads. */
+    /** Provides the current leader of the control processes. */
     interface Leadership {
         /** Returns whether this process leads and no other one can. */
         boolean holdsLease();
