--- a/quilldyke-core/src/main/java/org/quilldyke/routing/TargetSelector.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/routing/TargetSelector.java
@@ -101,6 +101,23 @@
         return state == null ? ReportOrigin.UNKNOWN : state.mReportOrigin;
     }
 
+    /** Returns how many targets of a service are alive, by their reports and by their data. */
+    public ServiceReachability reachability(String service, long now) {
+        int known = 0;
+        int reported = 0;
+        int responding = 0;
+        for (TargetState state : mTargets.values()) {
+            if (state.service().equals(service)) {
+                long reportAge = state.mReportOrigin.ageMillis(now);
+                known++;
+                reported +=
+                        reportAge >= 0 && reportAge < ServiceReachability.RECENT_MILLIS ? 1 : 0;
+                responding += state.receivedWithin(ServiceReachability.RECENT_MILLIS, now) ? 1 : 0;
+            }
+        }
+        return new ServiceReachability(known, reported, responding);
+    }
+
     /** Returns whether a target has announced that it shuts down. */
     public boolean isLeaving(String id) {
         TargetState state = mTargets.get(id);
--- a/quilldyke-daemon/src/main/java/org/quilldyke/daemon/log/Event.java
+++ b/quilldyke-daemon/src/main/java/org/quilldyke/daemon/log/Event.java
@@ -32,6 +32,7 @@
     STREAM_CONTINUED(2003, Level.INFO, "continue", "a broken stream goes on"),
     CHUNK_DROPPED(2004, Level.WARN, "drop", "a late or crossed chunk was dropped"),
     REQUEST_SUSPECTED(2005, Level.WARN, "suspect", "a request may crash targets; what follows"),
+    NO_TARGET(2006, Level.WARN, "no-target", "no target could be used; how many are alive"),
 
     TARGET_JOINED(3001, Level.INFO, "target-joined", "a target announced itself"),
     TARGET_RESTARTED(3002, Level.INFO, "target-restarted", "a target has a new incarnation"),
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Exchange.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Exchange.java
@@ -486,6 +486,10 @@
 
     private void refuse(ResultCode code, long retryAfterMillis, String reason) {
         logEnd(code, reason);
+        if (code == ResultCode.NO_TARGET) {
+            mLog.noTarget(
+                    mRequest, mEntry.targetSelector().reachability(mRequest.service(), now()));
+        }
         mEntry.metrics().onRefused(code);
         end();
         mCaller.answer(code, retryAfterMillis);
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/ExchangeLog.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/ExchangeLog.java
@@ -25,6 +25,7 @@
 import org.quilldyke.routing.CacheKeys;
 import org.quilldyke.routing.Choice;
 import org.quilldyke.routing.ReportOrigin;
+import org.quilldyke.routing.ServiceReachability;
 import org.quilldyke.routing.TargetSelector;
 
 /** Writes the log lines of one request: where it was sent and why, and its outcome. */
@@ -176,6 +177,22 @@
                 configuration.confirmedBy());
     }
 
+    /** A request was refused since no target of its service could be used. */
+    void noTarget(ForwardRequest request, ServiceReachability targets) {
+        mLog.write(
+                Event.NO_TARGET,
+                "request",
+                request.id(),
+                "service",
+                request.service(),
+                "targets",
+                targets.known(),
+                "reported",
+                targets.reported(),
+                "responding",
+                targets.responding());
+    }
+
     /**
      * An answer was cut: its connection to the caller was closed before it was complete.
      *
