Entries send requests past lost paths through other entries

Cause: an entry had no other way to a target than its own connections, and no notion of a path: a connection that failed counted against the target, for 250 ms to 2 s. Each request tried five targets for 300 ms each and was refused.

Change: - TargetPaths (core) tells paths from targets: connections that fail, or silence of all targets, make a path suspect; a probe (the health check, on a new connection) decides. Failed probes of two targets of a service without data of another one show a partition. While it lasts one path is probed each 250 ms. - A control process offers entries as relays (RelayOffer): three of the same failure domain, three of others, in rendezvous order. RelayChoice uses the one with the fewest open requests, the preferred one up to four more. - RelayServer sends on what it receives and decides nothing: attempts, budgets, quotas, limits and resumes stay with the entry that has the caller. What no relay has sent on is unsent; a connection that breaks later may have run. - Candidates within reach come first, then those through a relay, then unhealthy ones; partitioned without a relay a request is refused at once, unrun.

Weighed: a tunnel of bytes (the relay would not see what targets say of themselves to its machine, and could reuse no connection); a relay at control processes (their machines may be partitioned, too, and hold elections); a redirect or 503 of the caller (a failed first attempt). Order of offers, 84 entries of which a domain of 21 is partitioned: one fixed order puts 21 on one relay, rendezvous order at most 4 (RelayOfferTest).

--- a/quilldyke-core/src/main/java/org/quilldyke/caller/Forwarding.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/caller/Forwarding.java
@@ -118,10 +118,9 @@
         recordSending(mRun);
     }
 
-    /** Returns the step after the connection to the target has failed; no byte was sent. */
+    /** Returns the step after no byte could be sent to the target, also not by a relay. */
     public Step onUnreachable(long now) {
-        mTargets.onUnreachable(mRun.target(), now);
-        mHistory.onUnavailable(mRun.target());
+        recordUnreachable(mRun, now);
         finishRun();
         mUnreachableCount++;
         if (mUnreachableCount < MAX_UNREACHABLE) {
@@ -250,8 +249,7 @@
 
     /** Records that the connection to the successor has failed; the run continues. */
     public void onSuccessorUnreachable(long now) {
-        mTargets.onUnreachable(mHandover.successor().target(), now);
-        mHistory.onUnavailable(mHandover.successor().target());
+        recordUnreachable(mHandover.successor(), now);
         mHandover.discard();
     }
 
@@ -428,6 +426,14 @@
         run.onSending(mHistory.onRun(run.target()));
     }
 
+    private void recordUnreachable(TargetRun run, long now) {
+        if (run.isFirstOnTarget()) {
+            mHistory.onNotRun(run.target());
+        }
+        mTargets.onUnreachable(run.target(), now);
+        mHistory.onUnavailable(run.target());
+    }
+
     private void recordRefusal(TargetRun run, AnswerHead head, long now) {
         if (run.isFirstOnTarget()) {
             mHistory.onNotRun(run.target());
--- a/quilldyke-core/src/main/java/org/quilldyke/routing/TargetSelector.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/routing/TargetSelector.java
@@ -18,6 +18,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -48,7 +49,9 @@
     private final Map<String, TargetState> mTargets = new HashMap<>();
     private final KvStoreView mStore = new KvStoreView();
     private final TargetScorer mScorer;
+    private final TargetPaths mPaths = TargetPaths.create();
     private InstanceRank mInstanceRank = InstanceRank.UNKNOWN;
+    private boolean mRelayAvailable;
 
     private TargetSelector(String failureDomain, long maxOutdatedMillis, RandomGenerator random) {
         mMaxOutdatedMillis = maxOutdatedMillis;
@@ -71,6 +74,7 @@
 
     /** Applies a target's report. */
     public void onReport(TargetReport report) {
+        mPaths.onTarget(report.key(), report.service());
         TargetState state = mTargets.get(report.key());
         if (state == null) {
             mTargets.put(report.key(), new TargetState(report));
@@ -101,6 +105,33 @@
         return state == null ? ReportOrigin.UNKNOWN : state.mReportOrigin;
     }
 
+    /** Returns which targets this instance reaches over connections of its own. */
+    public TargetPaths paths() {
+        return mPaths;
+    }
+
+    /** Records whether another instance can relay requests to targets out of reach from here. */
+    public void onRelayAvailable(boolean available) {
+        mRelayAvailable = available;
+    }
+
+    /** Discards the failures of targets out of reach from here: the paths have failed. */
+    public void onPathsLost() {
+        mTargets.values().stream()
+                .filter(state -> mPaths.isLost(state.id()))
+                .forEach(TargetState::onPathLost);
+    }
+
+    /**
+     * Returns the address of a target if requests of other instances may be relayed to it, empty if
+     * it is unknown, leaving or out of reach from here.
+     */
+    public Optional<String> relayDestination(String id) {
+        return Optional.ofNullable(mTargets.get(id))
+                .filter(state -> !state.isLeaving() && !mPaths.isLost(id))
+                .map(TargetState::address);
+    }
+
     /** Returns how many targets of a service are alive, by their reports and by their data. */
     public ServiceReachability reachability(String service, long now) {
         int known = 0;
@@ -110,8 +141,7 @@
             if (state.service().equals(service)) {
                 long reportAge = state.mReportOrigin.ageMillis(now);
                 known++;
-                reported +=
-                        reportAge >= 0 && reportAge < ServiceReachability.RECENT_MILLIS ? 1 : 0;
+                reported += reportAge >= 0 && reportAge < ServiceReachability.RECENT_MILLIS ? 1 : 0;
                 responding += state.receivedWithin(ServiceReachability.RECENT_MILLIS, now) ? 1 : 0;
             }
         }
@@ -127,6 +157,7 @@
     /** Removes a target. */
     public void onRemoved(String id) {
         mTargets.remove(id);
+        mPaths.onRemoved(id);
     }
 
     /** Applies the services of the manifest, one of which may be a KV store. */
@@ -441,21 +472,39 @@
     }
 
     /**
-     * Returns the targets that may accept a request: the healthy ones or, if there are none, the
-     * unhealthy ones.
+     * Returns the targets that may accept a request: the healthy ones within reach or, if there are
+     * none, the healthy ones that a relay reaches or, if there are none either, the unhealthy ones.
      */
     private List<TargetState> candidates(ForwardRequest request, Set<String> excluded, long now) {
-        List<TargetState> healthy = new ArrayList<>();
-        List<TargetState> unhealthy = new ArrayList<>();
+        Map<Reach, List<TargetState>> byReach = new EnumMap<>(Reach.class);
         for (TargetState state : mTargets.values()) {
-            if (!state.acceptsRequestsFor(request.service(), now)
-                    || excluded.contains(state.id())
-                    || hasForbiddenWeights(state, request, now)) {
-                continue;
+            if (state.acceptsRequestsFor(request.service(), now)
+                    && !excluded.contains(state.id())
+                    && !hasForbiddenWeights(state, request, now)) {
+                byReach.computeIfAbsent(reach(state, now), r -> new ArrayList<>()).add(state);
             }
-            (state.isUnhealthy(now) ? unhealthy : healthy).add(state);
         }
-        return healthy.isEmpty() ? unhealthy : healthy;
+        byReach.remove(Reach.NONE);
+        return byReach.isEmpty() ? List.of() : byReach.values().iterator().next();
+    }
+
+    private Reach reach(TargetState state, long now) {
+        if (!mPaths.isLost(state.id())) {
+            return state.isUnhealthy(now) ? Reach.UNHEALTHY : Reach.DIRECT;
+        }
+        if (mRelayAvailable) {
+            return state.hasFailedLately(now) ? Reach.UNHEALTHY : Reach.RELAYED;
+        }
+        return mPaths.isPartitioned(state.service()) ? Reach.NONE : Reach.UNHEALTHY;
+    }
+
+    /** How a target can be reached, the preferred way first. */
+    private enum Reach {
+        DIRECT,
+        RELAYED,
+        UNHEALTHY,
+        /** No instance is known that could relay requests, and all paths from here are lost. */
+        NONE
     }
 
     private boolean hasForbiddenWeights(TargetState state, ForwardRequest request, long now) {
--- a/quilldyke-core/src/main/java/org/quilldyke/routing/TargetState.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/routing/TargetState.java
@@ -213,10 +213,20 @@
     boolean isUnhealthy(long now) {
         boolean receivedRecently = receivedWithin(UNRESPONSIVE_MILLIS, now);
         boolean unresponsive = mOwnRequests > 0 && now - mAwaitingDataSince > UNRESPONSIVE_MILLIS;
-        return now < mUnhealthyUntil
+        return hasFailedLately(now)
                 || !receivedRecently && (unresponsive || !mReachableFromControl);
     }
 
+    /** Returns whether the target has failed or was overloaded lately. */
+    boolean hasFailedLately(long now) {
+        return now < mUnhealthyUntil;
+    }
+
+    void onPathLost() {
+        mUnhealthyUntil = Long.MIN_VALUE;
+        mConsecutiveFailures = 0;
+    }
+
     /** Records whether the target answers the control process that reads its cache events. */
     void onReachableFromControl(boolean reachable) {
         mReachableFromControl = reachable;
--- a/quilldyke-daemon/src/main/java/org/quilldyke/daemon/log/Event.java
+++ b/quilldyke-daemon/src/main/java/org/quilldyke/daemon/log/Event.java
@@ -45,6 +45,8 @@
     TARGET_LEAVES(3009, Level.INFO, "target-leaves", "a target leaves, and what was made of it"),
     TARGET_CRASHED(3010, Level.WARN, "target-crashed", "a target ended amid runs"),
     TARGET_LIMITED(3011, Level.INFO, "target-limit", "a target limits what it takes, or no more"),
+    PATH_LOST(3012, Level.WARN, "path-lost", "a target is out of reach from this instance"),
+    PATH_RESTORED(3013, Level.INFO, "path-restored", "a target is within reach again"),
 
     LEADER_WON(4001, Level.INFO, "leader-won", "this replica leads"),
     LEADER_LOST(4002, Level.INFO, "leader-lost", "this replica leads no longer"),
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/EntrySubscriber.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/EntrySubscriber.java
@@ -42,6 +42,7 @@
 import org.quilldyke.gateway.instance.proto.Target;
 import org.quilldyke.gateway.instance.proto.TargetLoad;
 import org.quilldyke.gateway.instance.proto.Targets;
+import org.quilldyke.gateway.settings.GatewaySettings;
 import org.quilldyke.manifest.RouteTable;
 import org.quilldyke.routing.AdvertisedLimit;
 import org.quilldyke.routing.CacheUpdate;
@@ -57,7 +58,7 @@
 final class EntrySubscriber implements ControlLinks.Subscriber {
     private static final long LOADS_MILLIS = 100;
 
-    private final String mInstance;
+    private final GatewaySettings mSettings;
     private final EntryContext mEntry;
     private final ControlDialect mDialect;
     private final LongSupplier mClock;
@@ -70,7 +71,7 @@
     private long mHeldIndex;
 
     EntrySubscriber(
-            String instance,
+            GatewaySettings settings,
             EntryContext entry,
             ControlDialect dialect,
             LongSupplier clock,
@@ -78,7 +79,7 @@
             RefusalLog refused,
             CrashTelling crashes,
             QuotaClient quotas) {
-        mInstance = instance;
+        mSettings = settings;
         mEntry = entry;
         mDialect = dialect;
         mClock = clock;
@@ -122,7 +123,9 @@
         // A restarted control process may receive a late report of a target that has left.
         known.addAllTargets(TargetFrames.encodeLeaves(mRegistry, now));
         return Hello.newBuilder()
-                .setEntry(mInstance)
+                .setEntry(mSettings.instance())
+                .setRelayAddress(mSettings.relayAddress())
+                .setFailureDomain(mSettings.failureDomain())
                 .setHeldIndex(mHeldIndex)
                 .setTargets(known)
                 .setCrashes(mCrashes.known())
@@ -169,6 +172,10 @@
             case CACHES -> onCaches(frame.getCaches());
             case CRASHES -> mCrashes.onNews(frame.getCrashes());
             case LIMITS -> onLimits(frame.getLimits(), control);
+            case RELAYS -> {
+                List<String> relays = List.copyOf(frame.getRelays().getAddressesList());
+                mEntry.loop().execute(() -> mEntry.onRelaysOffered(control, relays));
+            }
             case QUOTAS -> mQuotas.onVerdicts(frame.getQuotas());
             case LOADS -> {
                 List<TargetLoad> loads = frame.getLoads().getTargetsList();
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/GatewayProcess.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/GatewayProcess.java
@@ -37,6 +37,7 @@
 import org.quilldyke.daemon.log.EventLog;
 import org.quilldyke.gateway.caller.CallerServer;
 import org.quilldyke.gateway.caller.EntryContext;
+import org.quilldyke.gateway.caller.PathStatus;
 import org.quilldyke.gateway.control.ControlNode;
 import org.quilldyke.gateway.dialect.Dialect;
 import org.quilldyke.gateway.engine.EngineClient;
@@ -47,10 +48,12 @@
 import org.quilldyke.gateway.instance.SessionServer;
 import org.quilldyke.gateway.instance.proto.EntryFrame;
 import org.quilldyke.gateway.instance.proto.Limits;
+import org.quilldyke.gateway.instance.proto.PathReport;
 import org.quilldyke.gateway.operator.ControlServer;
 import org.quilldyke.gateway.operator.RedirectServer;
 import org.quilldyke.gateway.platform.GatewayMetrics;
 import org.quilldyke.gateway.platform.ProbeServer;
+import org.quilldyke.gateway.relay.RelayServer;
 import org.quilldyke.gateway.settings.GatewaySettings;
 import org.quilldyke.instance.ControlLinkPlanner;
 import org.quilldyke.routing.AdvertisedLimit;
@@ -110,6 +113,7 @@
     private final EventLoop mTraffic = Loops.create("traffic");
     private EntryContext mEntry;
     private CallerServer mCallers;
+    private RelayServer mRelay;
     private ControlNode mNode;
     private ControlServer mCalls;
     private RedirectServer mRedirects;
@@ -226,7 +230,7 @@
         do {
             // Not after the end, when the process is killed and its last log lines are lost.
             pause(Math.min(POLL_MILLIS, Math.max(1, end - mClock.getAsLong())));
-        } while (onTraffic(mCallers::closeIdle) != 0 && mClock.getAsLong() < end);
+        } while (onTraffic(this::openAtEntry) != 0 && mClock.getAsLong() < end);
         int cut = onTraffic(mCallers::onShutdownDeadline);
         if (cut != 0) {
             pause(POLL_MILLIS);
@@ -272,6 +276,11 @@
         return counted.completeOnTimeout(UNKNOWN, COUNT_LIMIT_MILLIS, TimeUnit.MILLISECONDS).join();
     }
 
+    /** Returns the number of callers' connections and of requests that are relayed for others. */
+    private int openAtEntry() {
+        return mCallers.closeIdle() + mRelay.open();
+    }
+
     private void startEntry() throws QuilldykeException {
         GatewaySettings.Timings timings = mSettings.timings();
         TargetSelector targetSelector =
@@ -301,10 +310,22 @@
                                 mMetrics));
         registerGauges();
         mCallers = CallerServer.start(mSettings.callers(), mEntry);
+        mRelay = RelayServer.start(mSettings.relayAddress(), relayDependencies(targetSelector));
+        mTraffic.execute(mEntry::startPathProbes);
         ProbeServer.start(mSettings.ready(), mTraffic, this::isReady, mMetrics.registry());
         startSubscriber();
     }
 
+    private RelayServer.Dependencies relayDependencies(TargetSelector targetSelector) {
+        return new RelayServer.Dependencies(
+                mEntry.pool(),
+                targetSelector,
+                mClock,
+                mEntry::limits,
+                mEntry::isDraining,
+                mMetrics);
+    }
+
     /** Connects the entry to control processes. */
     private void startSubscriber() {
         CrashTelling crashes = new CrashTelling(mEntry, mControl::execute, mClock, mLog);
@@ -313,7 +334,7 @@
         mTraffic.execute(() -> mEntry.setQuotaGate(quotas));
         EntrySubscriber subscriber =
                 new EntrySubscriber(
-                        mSettings.instance(),
+                        mSettings,
                         mEntry,
                         mDialect.control(),
                         mClock,
@@ -323,7 +344,13 @@
                         quotas);
         mTraffic.execute(subscriber::recordLoads);
         mTraffic.scheduleAtFixedRate(
-                mEntry.pool()::closeIdle, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
+                () -> {
+                    mEntry.pool().closeIdle();
+                    mEntry.relays().closeIdle();
+                },
+                SWEEP_MILLIS,
+                SWEEP_MILLIS,
+                TimeUnit.MILLISECONDS);
         mControl.execute(
                 () -> {
                     mLinks =
@@ -338,6 +365,7 @@
                     crashes.tellTo(mLinks::sendToAll);
                     quotas.setLinks(mLinks);
                     mTraffic.execute(() -> mEntry.setLimitConsumer(this::sendLimit));
+                    mTraffic.execute(() -> mEntry.setPathStatusConsumer(this::sendPathStatus));
                 });
     }
 
@@ -357,9 +385,22 @@
                 });
     }
 
+    private void sendPathStatus(PathStatus status) {
+        mControl.execute(
+                () ->
+                        mLinks.sendToAll(
+                                EntryFrame.newBuilder()
+                                        .setPaths(
+                                                PathReport.newBuilder()
+                                                        .setLost(status == PathStatus.PARTITIONED))
+                                        .build()));
+    }
+
     /** Registers gauges, which are read on the traffic thread. */
     private void registerGauges() {
         MetricRegistry registry = mMetrics.registry();
+        registry.register(
+                "paths.lost", (Gauge<Integer>) () -> mEntry.targetSelector().paths().lostCount());
         registry.register(
                 "targets.known", (Gauge<Integer>) () -> mEntry.targetSelector().targets().size());
         registry.register("targets.connections", (Gauge<Integer>) mEntry.pool()::connections);
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/EntryContext.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/EntryContext.java
@@ -16,6 +16,7 @@
 package org.quilldyke.gateway.caller;
 
 import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.FullHttpRequest;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -36,12 +37,17 @@
 import org.quilldyke.daemon.log.EventLog;
 import org.quilldyke.engine.TargetReport;
 import org.quilldyke.gateway.dialect.Dialect;
+import org.quilldyke.gateway.engine.AttemptListener;
+import org.quilldyke.gateway.engine.MonitoredAttempt;
+import org.quilldyke.gateway.engine.OpenAttempt;
 import org.quilldyke.gateway.engine.TargetConnectionPool;
 import org.quilldyke.gateway.platform.GatewayMetrics;
+import org.quilldyke.gateway.relay.RelayClient;
 import org.quilldyke.manifest.Limits;
 import org.quilldyke.manifest.RouteTable;
 import org.quilldyke.quota.QuotaVerdict;
 import org.quilldyke.routing.AdvertisedLimit;
+import org.quilldyke.routing.Choice;
 import org.quilldyke.routing.TargetSelector;
 
 /**
@@ -80,6 +86,8 @@
     private final Set<String> mUnreported = new HashSet<>();
 
     private final CrashDetector mCrashDetector = new CrashDetector(this);
+    private final RelayClient mRelays;
+    private final PathProber mPathProber;
     private QuotaGate mQuotaGate =
             (request, giveUpAt) -> request.onVerdict().accept(QuotaVerdict.unavailable());
     private Consumer<AdvertisedLimit> mLimitConsumer = limit -> {};
@@ -120,6 +128,8 @@
                             }
                         });
         mMetrics = dependencies.metrics();
+        mRelays = RelayClient.create(mLoop, mDialect.targets(), mClock);
+        mPathProber = new PathProber(this);
     }
 
     /** Returns a context without a configuration. */
@@ -228,6 +238,50 @@
         mLimitConsumer = consumer;
     }
 
+    /** Starts to probe paths to targets; call it on the traffic thread. */
+    public void startPathProbes() {
+        mPathProber.start();
+    }
+
+    /** Sets the consumer of this instance's paths to targets; replaces the previous one. */
+    public void setPathStatusConsumer(Consumer<PathStatus> consumer) {
+        mPathProber.setStatusConsumer(consumer);
+    }
+
+    /** Applies a control process's offer of entries that relay requests, the preferred first. */
+    public void onRelaysOffered(String control, List<String> addresses) {
+        mRelays.onOffer(control, addresses);
+        mTargetSelector.onRelayAvailable(mRelays.isAvailable());
+    }
+
+    /** Returns the way to targets through other entries. */
+    public RelayClient relays() {
+        return mRelays;
+    }
+
+    /**
+     * Sends a request to a target, through another entry if there is no path from here.
+     *
+     * @param choice the target
+     * @param request the request; released when it is no longer needed
+     * @param requestId the request's id
+     * @param listener receives the outcome
+     */
+    OpenAttempt send(
+            Choice choice, FullHttpRequest request, String requestId, AttemptListener listener) {
+        String target = choice.target();
+        if (mTargetSelector.paths().isLost(target) && mRelays.isAvailable()) {
+            mMetrics.onSentToRelay();
+            return mRelays.send(target, request, requestId, listener);
+        }
+        return MonitoredAttempt.send(
+                mTargetSelector.paths(),
+                mClock,
+                target,
+                listener,
+                monitored -> mPool.send(target, choice.address(), request, requestId, monitored));
+    }
+
     /** Sets what decides on quotas; replaces the previous one. */
     public void setQuotaGate(QuotaGate gate) {
         mQuotaGate = gate;
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/TargetAnswer.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/TargetAnswer.java
@@ -28,8 +28,9 @@
 import org.quilldyke.caller.ForwardRequest;
 import org.quilldyke.gateway.dialect.AnswerFacts;
 import org.quilldyke.gateway.dialect.LimitFact;
-import org.quilldyke.gateway.engine.Attempt;
 import org.quilldyke.gateway.engine.AttemptListener;
+import org.quilldyke.gateway.engine.OpenAttempt;
+import org.quilldyke.gateway.http.HopByHopHeaders;
 import org.quilldyke.routing.AdvertisedLimit;
 import org.quilldyke.routing.Choice;
 
@@ -47,7 +48,7 @@
     private final ForwardRequest mRequest;
     private final Choice mChoice;
     private final ByteBufAllocator mAllocator;
-    private Attempt mAttempt;
+    private OpenAttempt mAttempt;
     private HttpResponse mHead;
     private AnswerFacts mFacts;
     private ByteBuf mBody;
@@ -75,8 +76,7 @@
     /** Sends the request. */
     void start(FullHttpRequest out) {
         mEntry.onAttemptOpened(mChoice.target(), mExchange);
-        mAttempt =
-                mEntry.pool().send(mChoice.target(), mChoice.address(), out, mRequest.id(), this);
+        mAttempt = mEntry.send(mChoice, out, mRequest.id(), this);
     }
 
     /** Cancels the attempt; the closed connection notifies the target. */
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/TargetRequests.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/TargetRequests.java
@@ -26,6 +26,7 @@
 import org.quilldyke.caller.Step;
 import org.quilldyke.gateway.dialect.AttemptFacts;
 import org.quilldyke.gateway.dialect.Dialect;
+import org.quilldyke.gateway.http.HopByHopHeaders;
 import org.quilldyke.manifest.Organisation;
 
 /** Creates the requests that are sent to targets. */
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/EntrySessions.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/EntrySessions.java
@@ -46,10 +46,12 @@
 import org.quilldyke.gateway.instance.proto.ModelWeights;
 import org.quilldyke.gateway.instance.proto.PeerFrame;
 import org.quilldyke.gateway.instance.proto.Question;
+import org.quilldyke.gateway.instance.proto.Relays;
 import org.quilldyke.gateway.instance.proto.Target;
 import org.quilldyke.gateway.instance.proto.TargetLoad;
 import org.quilldyke.gateway.instance.proto.TargetLoads;
 import org.quilldyke.gateway.instance.proto.Targets;
+import org.quilldyke.instance.RelayOffer;
 import org.quilldyke.manifest.FleetState;
 import org.quilldyke.routing.TargetState;
 
@@ -281,6 +283,7 @@
         private String mEntry = "";
         private long mLastFrameAt = mClock.getAsLong();
         private boolean mMain;
+        private RelayOffer.Entry mRelay = new RelayOffer.Entry("", "", "", false);
 
         /** Empty at first: what another control process sent to the entry is unknown here. */
         private Optional<List<TargetLoad>> mLastLoadsSent = Optional.empty();
@@ -304,6 +307,9 @@
                 mLimits.onEntryReport(frame.getLimits());
             } else if (frame.getKindCase() == EntryFrame.KindCase.QUOTAS) {
                 mQuotas.onInquiries(frame.getQuotas(), this::sendIfOpen);
+            } else if (frame.getKindCase() == EntryFrame.KindCase.PATHS) {
+                mRelay = mRelay.withPartitioned(frame.getPaths().getLost());
+                send(relays());
             }
         }
 
@@ -335,6 +341,9 @@
 
         private void onHello(Hello hello) {
             mEntry = hello.getEntry();
+            mRelay =
+                    new RelayOffer.Entry(
+                            mEntry, hello.getFailureDomain(), hello.getRelayAddress(), false);
             mLog.write(Event.SUBSCRIBER_GAINED, "entry", mEntry, "index", hello.getHeldIndex());
             mTargets.onTargets(hello.getTargets());
             mCrashes.onEntryReport(hello.getCrashes());
@@ -359,6 +368,13 @@
             }
         }
 
+        private ControlFrame relays() {
+            List<RelayOffer.Entry> entries = mSessions.stream().map(s -> s.mRelay).toList();
+            return ControlFrame.newBuilder()
+                    .setRelays(Relays.newBuilder().addAllAddresses(RelayOffer.of(mRelay, entries)))
+                    .build();
+        }
+
         private void onQuestion(Question question) {
             setMain(question.getMain());
             if (mMain) {
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/engine/Attempt.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/engine/Attempt.java
@@ -18,7 +18,7 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 
 /** One sending of a request to a target. */
-public final class Attempt {
+public final class Attempt implements OpenAttempt {
     private final FullHttpRequest mRequest;
     private final String mRequestId;
     private AttemptListener mListener;
@@ -31,7 +31,7 @@
         mListener = listener;
     }
 
-    /** Cancels the attempt: its listener is called no more, and its connection is closed. */
+    @Override
     public void cancel() {
         mCancelled = true;
         mListener = NoOpAttemptListener.INSTANCE;
@@ -42,12 +42,12 @@
         }
     }
 
-    /** Ignores the rest of the answer, which is short; the connection can be used again. */
+    @Override
     public void ignoreRest() {
         mListener = NoOpAttemptListener.INSTANCE;
     }
 
-    /** Pauses or resumes reading of the answer. */
+    @Override
     public void setReading(boolean reading) {
         if (mConnection != null) {
             mConnection.setReading(this, reading);
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/engine/TargetConnectionPool.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/engine/TargetConnectionPool.java
@@ -112,6 +112,16 @@
         return attempt;
     }
 
+    /** Sends a request as {@link #send} does, but always on a new connection. */
+    public Attempt sendOnNewConnection(
+            String target, String address, FullHttpRequest request, AttemptListener listener) {
+        Attempt attempt = new Attempt(request, "", listener);
+        mPoolsByTarget
+                .computeIfAbsent(target, id -> new PerTargetPool(target, address))
+                .connect(attempt);
+        return attempt;
+    }
+
     /**
      * Checks whether a target still accepts connections, unless one to it is open; a connection
      * that is made is kept for the next request.
@@ -131,6 +141,11 @@
         }
     }
 
+    /** Returns the traffic thread. */
+    public EventLoop loop() {
+        return mLoop;
+    }
+
     /** Returns the number of open connections, in use or free. */
     public int connections() {
         return mPoolsByTarget.values().stream().mapToInt(pool -> pool.mOpen.size()).sum();
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/HopByHopHeaders.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/http/HopByHopHeaders.java
@@ -13,7 +13,7 @@
  * See the License for the specific language governing permissions and
  * limitations under the License.
  */
-package org.quilldyke.gateway.caller;
+package org.quilldyke.gateway.http;
 
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -29,7 +29,7 @@
  * The headers that are never forwarded: those that apply to one connection only (RFC 9110, 7.6.1),
  * and the content length and expectation, which are handled separately for each connection.
  */
-final class HopByHopHeaders {
+public final class HopByHopHeaders {
     private static final Set<String> NAMES =
             Set.of(
                     "connection",
@@ -52,7 +52,7 @@
      * @param headers those of the received message
      * @param isExcluded selects the names of others that aren't forwarded
      */
-    static HttpHeaders endToEnd(HttpHeaders headers, Predicate<String> isExcluded) {
+    public static HttpHeaders endToEnd(HttpHeaders headers, Predicate<String> isExcluded) {
         HttpHeaders endToEnd = new DefaultHttpHeaders();
         Set<String> hopByHop = hopByHopNames(headers);
         for (Map.Entry<String, String> header : headers) {
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/platform/GatewayMetrics.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/platform/GatewayMetrics.java
@@ -35,6 +35,10 @@
 
     private final Histogram mQuotaMillis = mRegistry.histogram("quota.decision.ms");
 
+    private final Counter mSentToRelay = mRegistry.counter("relay.sent");
+    private final Counter mRelayed = mRegistry.counter("relay.accepted");
+    private final Counter mPathsProbed = mRegistry.counter("paths.probes");
+
     private GatewayMetrics() {
         for (CutCause cause : CutCause.values()) {
             // Registered at the start, so that zero can be distinguished from a missing counter.
@@ -89,6 +93,21 @@
         mQuotaMillis.update(millis);
     }
 
+    /** Counts a request that was sent to a target through another entry. */
+    public void onSentToRelay() {
+        mSentToRelay.inc();
+    }
+
+    /** Counts a request of another entry that was accepted for sending to a target. */
+    public void onRelayed() {
+        mRelayed.inc();
+    }
+
+    /** Counts a probe of the path to a target. */
+    public void onPathProbed() {
+        mPathsProbed.inc();
+    }
+
     /** Counts a caller that disconnected before its answer was complete. */
     public void onCallerGone() {
         mCallersGone.inc();
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/settings/GatewaySettings.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/settings/GatewaySettings.java
@@ -30,7 +30,7 @@
  * @param control address for operators' calls and targets' reports, empty if it accepts none
  * @param ip the IP address of the machine
  * @param firstPort the first port for connections between instances; a control process accepts them
- *     there
+ *     there, an entry at the port after it
  * @param seeds control addresses of some control processes; the same for all at the first start
  * @param firstStart whether the whole system starts for the first time, with empty disks
  * @param dataFolder the folder for the files of a control process; empty for one without a disk,
@@ -104,6 +104,11 @@
         return ipAddress + ":" + firstPort;
     }
 
+    /** Returns the address at which an entry accepts requests that it relays for other entries. */
+    public String relayAddress() {
+        return ip + ":" + (firstPort + 1);
+    }
+
     /** Returns the addresses at which the seeds accept connections of other instances. */
     public List<String> seedAddresses() {
         return seeds.stream()
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/settings/GatewaySettingsReader.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/settings/GatewaySettingsReader.java
@@ -59,7 +59,10 @@
         GatewaySettings settings = decode(text);
         require(!settings.instance().isBlank(), "instance", "is empty");
         require(SocketAddresses.isIp(settings.ip()), "ip", "is no IPv4 address");
-        require(isPort(settings.firstPort()), "firstPort", "is out of range");
+        require(
+                isPort(settings.firstPort()) && isPort(settings.firstPort() + 1),
+                "firstPort",
+                "is out of range");
         checkAddress("callers", settings.callers());
         checkAddress("ready", settings.ready());
         checkAddress("control", settings.control());
