Two failed targets are no partition while another one answers probes

TargetPaths took two failed targets of a service for a partition from all of them if nothing else was sent meanwhile: a re-probe of a target that failed long ago counted, and no third target was asked. Now a newly doubted target is compared with one that worked, only the probe by which a path was lost counts, and the outcome of probes under way is awaited unless four have failed. Also up to five probes of a service start at once: one in 100 ms needed 5.6 s for 56. TargetPathsTest.failureOfTwoTargetsIsNoPartitionWhileAnotherOneAnswersProbes failed before.

--- a/quilldyke-core/src/main/java/org/quilldyke/routing/TargetPaths.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/routing/TargetPaths.java
@@ -38,8 +38,11 @@
     /** Interval between the probes of a lost path. */
     static final long PROBE_INTERVAL_MILLIS = 500;
 
-    /** Interval between probes of different targets of a service, so that they are no burst. */
-    static final long PROBE_SPACING_MILLIS = 20;
+    /** Interval between the probes of a service of which no target is within reach. */
+    static final long PARTITION_PROBE_MILLIS = 250;
+
+    /** Probes that are started at once for a service, so that they are no burst. */
+    static final int MAX_PROBES_AT_ONCE = 5;
 
     /** After an answered probe, silence is the target's own for this long. */
     static final long TRUSTED_MILLIS = 2000;
@@ -47,11 +50,14 @@
     /** Failed probes of this many targets, or of all if there are fewer, show a partition. */
     private static final int MIN_FAILED_TARGETS = 2;
 
+    /** With this many failed ones, the outcome of further probes isn't awaited. */
+    private static final int ENOUGH_FAILED_TARGETS = 4;
+
     private static final long NEVER = Long.MIN_VALUE / 2;
 
     private final Map<String, Path> mPaths = new HashMap<>();
     private final Map<String, Long> mDataAtByService = new HashMap<>();
-    private final Map<String, Long> mNextProbeAtByService = new HashMap<>();
+    private final Map<String, Long> mProbeStartedAtByService = new HashMap<>();
     private final Set<String> mPartitionedServices = new HashSet<>();
     private long mDataAt = NEVER;
 
@@ -128,10 +134,12 @@
                         .filter(p -> now >= p.mNextProbeAt)
                         .sorted(Comparator.comparingLong((Path p) -> p.mNextProbeAt))
                         .toList();
+        Map<String, Integer> startedByService = new HashMap<>();
         List<String> targets = new ArrayList<>();
         for (Path path : due) {
-            if (now >= mNextProbeAtByService.getOrDefault(path.mService, NEVER)) {
-                mNextProbeAtByService.put(path.mService, now + spacing(path.mService));
+            if (mayProbe(path.mService, startedByService.getOrDefault(path.mService, 0), now)) {
+                startedByService.merge(path.mService, 1, Integer::sum);
+                mProbeStartedAtByService.put(path.mService, now);
                 path.mProbing = true;
                 path.mProbedAt = now;
                 targets.add(path.mTarget);
@@ -140,6 +148,13 @@
         return targets;
     }
 
+    private boolean mayProbe(String service, int started, long now) {
+        long startedAt = mProbeStartedAtByService.getOrDefault(service, NEVER);
+        return isPartitioned(service)
+                ? now - startedAt >= PARTITION_PROBE_MILLIS
+                : started < MAX_PROBES_AT_ONCE;
+    }
+
     /** Records that a target has answered a probe, with any status. */
     public void onProbeAnswered(String target, long now) {
         Path path = mPaths.get(target);
@@ -167,6 +182,8 @@
             return;
         }
         path.mProbing = false;
+        path.mFirstFailedProbeAt =
+                path.mState == State.LOST ? path.mFirstFailedProbeAt : path.mProbedAt;
         path.mState = State.LOST;
         path.mNextProbeAt = now + PROBE_INTERVAL_MILLIS;
         if (isPartitionShown(path.mService) && mPartitionedServices.add(path.mService)) {
@@ -188,6 +205,12 @@
         return mPartitionedServices.contains(service);
     }
 
+    /** Returns whether this instance reaches neither a target nor others of its service. */
+    public boolean isInPartition(String target) {
+        Path path = mPaths.get(target);
+        return path != null && isPartitioned(path.mService);
+    }
+
     /** Returns whether there is a service of which this instance reaches no target. */
     public boolean isPartitioned() {
         return !mPartitionedServices.isEmpty();
@@ -203,13 +226,13 @@
             return;
         }
         suspectAlone(path, now);
-        boolean othersProbed =
+        boolean othersSuspect =
                 pathsOf(path.mService).stream()
-                        .anyMatch(p -> p != path && p.mState != State.WORKING);
-        if (!othersProbed) {
+                        .anyMatch(p -> p != path && p.mState == State.SUSPECT);
+        if (!othersSuspect) {
             // Tells a failure of this target from one of all paths to the service.
             pathsOf(path.mService).stream()
-                    .filter(p -> p != path)
+                    .filter(p -> p.mState == State.WORKING)
                     .min(Comparator.comparingLong((Path p) -> p.mDataAt))
                     .ifPresent(other -> suspectAlone(other, now));
         }
@@ -232,15 +255,10 @@
         List<Path> paths = pathsOf(service);
         long dataAt = mDataAtByService.getOrDefault(service, NEVER);
         long failed =
-                paths.stream().filter(p -> p.mState == State.LOST && p.mProbedAt > dataAt).count();
-        return failed >= Math.min(MIN_FAILED_TARGETS, paths.size());
-    }
-
-    /** While no path works, one probe in an interval is enough to notice that they are back. */
-    private long spacing(String service) {
-        return isPartitioned(service)
-                ? PROBE_INTERVAL_MILLIS / MIN_FAILED_TARGETS
-                : PROBE_SPACING_MILLIS;
+                paths.stream().filter(p -> p.mState == State.LOST && p.mFirstFailedProbeAt > dataAt).count();
+        boolean outcomeAwaited = paths.stream().anyMatch(p -> p.mProbing);
+        return failed >= ENOUGH_FAILED_TARGETS
+                || !outcomeAwaited && failed >= Math.min(MIN_FAILED_TARGETS, paths.size());
     }
 
     private List<Path> pathsOf(String service) {
@@ -266,6 +284,10 @@
         private long mTrustedUntil = NEVER;
         private long mNextProbeAt = NEVER;
         private long mProbedAt = NEVER;
+
+        /** When the probe was started by which the path was lost. */
+        private long mFirstFailedProbeAt = NEVER;
+
         private boolean mProbing;
 
         Path(String target, String service) {
--- a/quilldyke-core/src/test/java/org/quilldyke/routing/TargetPathsTest.java
+++ b/quilldyke-core/src/test/java/org/quilldyke/routing/TargetPathsTest.java
@@ -84,6 +84,19 @@
         assertThat(mPaths.isLost("e1")).isFalse();
     }
 
+    @Test
+    void failureOfTwoTargetsIsNoPartitionWhileAnotherOneAnswersProbes() {
+        mCut.addAll(List.of("e0", "e1"));
+        mPaths.onConnectionFailed("e0", mNow);
+        advance(1000);
+        mPaths.onConnectionFailed("e1", mNow);
+
+        for (int i = 0; i < 20; i++) {
+            advance(TICK_MILLIS);
+            assertThat(mPaths.isPartitioned("engines")).isFalse();
+        }
+    }
+
     @Test
     void onlyTargetOfAServiceIsAPartitionByItself() {
         mPaths.onTarget("solo", "other");
