Requests are not blamed for crashes when an entry loses all its paths

The same class as entries without paths: an entry that was partitioned with resets saw each of its targets close runs and refuse connections, and reported that all had crashed; the requests that were open there were suspected everywhere, and refused after three such reports.

--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/EntryContext.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/EntryContext.java
@@ -124,7 +124,7 @@
 
                             @Override
                             public void onConnectionRefused(String target) {
-                                mCrashDetector.onTargetDown(target);
+                                mCrashDetector.onConnectionRefused(target);
                             }
                         });
         mMetrics = dependencies.metrics();
