--- a/quilldyke-core/src/main/java/org/quilldyke/routing/TargetPaths.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/routing/TargetPaths.java
@@ -255,7 +255,9 @@
         List<Path> paths = pathsOf(service);
         long dataAt = mDataAtByService.getOrDefault(service, NEVER);
         long failed =
-                paths.stream().filter(p -> p.mState == State.LOST && p.mFirstFailedProbeAt > dataAt).count();
+                paths.stream()
+                        .filter(p -> p.mState == State.LOST && p.mFirstFailedProbeAt > dataAt)
+                        .count();
         boolean outcomeAwaited = paths.stream().anyMatch(p -> p.mProbing);
         return failed >= ENOUGH_FAILED_TARGETS
                 || !outcomeAwaited && failed >= Math.min(MIN_FAILED_TARGETS, paths.size());
