--- a/quilldyke-daemon/src/main/java/org/quilldyke/daemon/log/Event.java
+++ b/quilldyke-daemon/src/main/java/org/quilldyke/daemon/log/Event.java
@@ -47,6 +47,8 @@
     TARGET_LIMITED(3011, Level.INFO, "target-limit", "a target limits what it takes, or no more"),
     PATH_LOST(3012, Level.WARN, "path-lost", "a target is out of reach from this instance"),
     PATH_RESTORED(3013, Level.INFO, "path-restored", "a target is within reach again"),
+    TARGET_RESTS(3014, Level.INFO, "target-rests", "a target wants no requests of this instance"),
+    TARGET_LEAVING(3015, Level.INFO, "target-leaving", "a target's answer says that it leaves"),
 
     LEADER_WON(4001, Level.INFO, "leader-won", "this replica leads"),
     LEADER_LOST(4002, Level.INFO, "leader-lost", "this replica leads no longer"),
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/EntryContext.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/EntryContext.java
@@ -48,6 +48,7 @@
 import org.quilldyke.quota.QuotaVerdict;
 import org.quilldyke.routing.AdvertisedLimit;
 import org.quilldyke.routing.Choice;
+import org.quilldyke.routing.TargetNotice;
 import org.quilldyke.routing.TargetSelector;
 
 /**
@@ -210,6 +211,19 @@
         }
     }
 
+    /**
+     * Applies what a target states about itself in an answer to a request of this instance, or to
+     * one that it has relayed.
+     */
+    public void onNotice(String target, TargetNotice notice) {
+        notice.restMillis()
+                .ifPresent(
+                        millis -> {
+                            mMetrics.onRestRequested();
+                            mLog.write(Event.TARGET_RESTS, "target", target, "ms", millis);
+                        });
+    }
+
     /** Applies a limit that another entry read from an answer and a control process relayed. */
     public void onLimitFromControl(AdvertisedLimit limit, String control) {
         applyLimit(limit, control);
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/TargetAnswer.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/TargetAnswer.java
@@ -167,6 +167,7 @@
         }
         recordWeights();
         recordLimit();
+        mEntry.onNotice(mChoice.target(), mFacts.notice());
         if (head.headers().contains(HttpHeaderNames.CONTENT_ENCODING)) {
             fail(ResultCode.ANSWER_SPOILED, "encoded content");
         } else if (answerHead().isNotRun()) {
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/dialect/AnswerFacts.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/dialect/AnswerFacts.java
@@ -17,6 +17,7 @@
 
 import java.util.OptionalLong;
 import org.quilldyke.caller.AnswerHead;
+import org.quilldyke.routing.TargetNotice;
 
 /**
  * What the head of a target's answer says.
@@ -25,6 +26,11 @@
  * @param requestId the request that it answers, empty if it doesn't say
  * @param weights the version of the weights that answered
  * @param limit how many requests a second the target takes from all instances together
+ * @param notice what else the target states about itself
  */
 public record AnswerFacts(
-        AnswerHead head, String requestId, OptionalLong weights, LimitFact limit) {}
+        AnswerHead head,
+        String requestId,
+        OptionalLong weights,
+        LimitFact limit,
+        TargetNotice notice) {}
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/platform/GatewayMetrics.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/platform/GatewayMetrics.java
@@ -37,6 +37,7 @@
 
     private final Counter mSentToRelay = mRegistry.counter("relay.sent");
     private final Counter mRelayed = mRegistry.counter("relay.accepted");
+    private final Counter mRestsRequested = mRegistry.counter("targets.rests");
     private final Counter mPathsProbed = mRegistry.counter("paths.probes");
 
     private GatewayMetrics() {
@@ -103,6 +104,11 @@
         mRelayed.inc();
     }
 
+    /** Counts a target that asked for rest. */
+    public void onRestRequested() {
+        mRestsRequested.inc();
+    }
+
     /** Counts a probe of the path to a target. */
     public void onPathProbed() {
         mPathsProbed.inc();
