A target that asks for rest gets no requests of this instance until then

Cause: a refusal meant 60 ms at one entry; Retry-After of a target was read nowhere. The class: a word of a target that is dropped where its answer is decoded.

Now the target is no candidate until its rest is over, for first attempts, retries, successors, resumes, probes of paths and what is relayed for other entries; the time runs from the arrival of the answer, which is later than the target's own. If all targets of a service rest for longer than a request may wait, it is refused at once, unrun, with a Retry-After of the shortest rest and a random part of the latency objective, which spreads the return.

Weighed: resting targets as the last resort (serves some when all rest, and is just what the target asked not to get); telling the rest to all entries (a target may refuse one machine and have room for others, so that capacity is lost; a frame for each refusal to each entry).

--- a/quilldyke-core/src/main/java/org/quilldyke/caller/Forwarding.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/caller/Forwarding.java
@@ -37,13 +37,6 @@
  * its deadline has passed, or if this instance has reached its shutdown deadline.
  */
 public final class Forwarding {
-    /**
-     * A request waits for an available target for at most the latency objective divided by this.
-     */
-    private static final int WAIT_DIVISOR = 5;
-
-    private static final long POLL_MILLIS = 20;
-
     /** Number of failed connections after which a request is refused or its stream backs off. */
     private static final int MAX_UNREACHABLE = 5;
 
@@ -562,11 +555,10 @@
             mRun = TargetRun.open(mTargets, choice.get(), mRequest, now);
             return new Step.Send(choice.get(), millisLeft, mLastRelayedEvent);
         }
-        long waitUntil =
-                mRequest.arrivedAt() + mRequest.route().latencyObjectiveMillis() / WAIT_DIVISOR;
-        if (!mAnswerStarted && now + POLL_MILLIS < Math.min(waitUntil, mRequest.deadline())) {
+        OptionalLong nextCheckAt = TargetWait.nextCheckAt(mRequest, mTargets, now);
+        if (!mAnswerStarted && nextCheckAt.isPresent()) {
             mHistory.clearUnavailable();
-            return new Step.Wait(now + POLL_MILLIS);
+            return new Step.Wait(nextCheckAt.getAsLong());
         }
         return refuseOrResume(
                 ResultCode.NO_TARGET, "no target other than " + mHistory.unavailable(), now);
--- a/quilldyke-core/src/main/java/org/quilldyke/routing/TargetPaths.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/routing/TargetPaths.java
@@ -155,6 +155,15 @@
                 : started < MAX_PROBES_AT_ONCE;
     }
 
+    /** Records that a probe was not sent, since the target wants no requests until then. */
+    public void onProbePostponed(String target, long until) {
+        Path path = mPaths.get(target);
+        if (path != null) {
+            path.mProbing = false;
+            path.mNextProbeAt = until;
+        }
+    }
+
     /** Records that a target has answered a probe, with any status. */
     public void onProbeAnswered(String target, long now) {
         Path path = mPaths.get(target);
--- a/quilldyke-core/src/main/java/org/quilldyke/routing/TargetSelector.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/routing/TargetSelector.java
@@ -124,11 +124,12 @@
 
     /**
      * Returns the address of a target if requests of other instances may be relayed to it, empty if
-     * it is unknown, leaving or out of reach from here.
+     * it is unknown, leaving, resting or out of reach from here.
      */
-    public Optional<String> relayDestination(String id) {
+    public Optional<String> relayDestination(String id, long now) {
         return Optional.ofNullable(mTargets.get(id))
-                .filter(state -> !state.isLeaving() && !mPaths.isLost(id))
+                .filter(state -> !state.isLeaving() && !state.isResting(now))
+                .filter(state -> !mPaths.isLost(id))
                 .map(TargetState::address);
     }
 
@@ -454,9 +455,46 @@
         }
     }
 
-    /** Returns after how many milliseconds a refused caller may retry. */
+    /**
+     * Applies what a target states about itself in an answer to this instance.
+     *
+     * @param now when the answer arrived
+     */
+    public void onNotice(String id, TargetNotice notice, long now) {
+        TargetState state = mTargets.get(id);
+        if (state != null) {
+            notice.restMillis().ifPresent(millis -> state.onRest(now + millis));
+        }
+    }
+
+    /** Returns until when a target wants no requests of this instance; in the past if it does. */
+    public long restingUntil(String id) {
+        TargetState state = mTargets.get(id);
+        return state == null ? Long.MIN_VALUE : state.restingUntil();
+    }
+
+    /**
+     * Returns for how long all targets of a service want no requests of this instance, 0 if there
+     * is one that does, or none at all.
+     */
+    public long restMillis(String service, long now) {
+        return mTargets.values().stream()
+                .filter(state -> state.service().equals(service) && !state.isLeaving())
+                .mapToLong(state -> Math.max(0, state.restingUntil() - now))
+                .min()
+                .orElse(0);
+    }
+
+    /**
+     * Returns after how many milliseconds a refused caller may retry: not before a target's rest
+     * ends, and spread after that.
+     */
     public long retryAfterMillis(ForwardRequest request, long now) {
-        return Admission.retryAfterMillis(request, mRandom, now);
+        long restMillis = restMillis(request.service(), now);
+        return restMillis == 0
+                ? Admission.retryAfterMillis(request, mRandom, now)
+                : restMillis
+                        + mRandom.nextLong(Math.max(1, request.route().latencyObjectiveMillis()));
     }
 
     /** Returns all targets; callers must not modify the collection. */
--- a/quilldyke-core/src/main/java/org/quilldyke/routing/TargetState.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/routing/TargetState.java
@@ -60,6 +60,7 @@
     private long mOwnTokens;
     private int mConsecutiveFailures;
     private long mUnhealthyUntil = Long.MIN_VALUE;
+    private long mRestingUntil = Long.MIN_VALUE / 2;
     private long mDataReceivedAt = Long.MIN_VALUE;
     private long mAwaitingDataSince;
     private long mLoadingUntil = Long.MIN_VALUE;
@@ -144,6 +145,7 @@
         return mReport.service().equals(service)
                 && !isLeaving()
                 && !isLoading(now)
+                && !isResting(now)
                 && (!mAdvertisedLimit.isInForce(now)
                         || mLimitShare != null && mLimitShare.hasPermit(now));
     }
@@ -217,6 +219,19 @@
                 || !receivedRecently && (unresponsive || !mReachableFromControl);
     }
 
+    /** Records until when the target wants no requests of this instance. */
+    void onRest(long until) {
+        mRestingUntil = Math.max(mRestingUntil, until);
+    }
+
+    boolean isResting(long now) {
+        return now < mRestingUntil;
+    }
+
+    long restingUntil() {
+        return mRestingUntil;
+    }
+
     /** Returns whether the target has failed or was overloaded lately. */
     boolean hasFailedLately(long now) {
         return now < mUnhealthyUntil;
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/GatewayProcess.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/GatewayProcess.java
@@ -323,6 +323,7 @@
                 mClock,
                 mEntry::limits,
                 mEntry::isDraining,
+                mEntry::onRelayedHead,
                 mMetrics);
     }
 
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/EntryContext.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/EntryContext.java
@@ -17,6 +17,7 @@
 
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -216,6 +217,7 @@
      * one that it has relayed.
      */
     public void onNotice(String target, TargetNotice notice) {
+        mTargetSelector.onNotice(target, notice, now());
         notice.restMillis()
                 .ifPresent(
                         millis -> {
@@ -224,6 +226,12 @@
                         });
     }
 
+    /** Applies the head of an answer that this instance relays for another one. */
+    public void onRelayedHead(String target, HttpResponse head) {
+        mTargetSelector.onDataReceived(target, now());
+        onNotice(target, mDialect.targets().read(head).notice());
+    }
+
     /** Applies a limit that another entry read from an answer and a control process relayed. */
     public void onLimitFromControl(AdvertisedLimit limit, String control) {
         applyLimit(limit, control);
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/PathProber.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/PathProber.java
@@ -89,6 +89,11 @@
     }
 
     private void probe(String target) {
+        long restingUntil = mEntry.targetSelector().restingUntil(target);
+        if (mEntry.now() < restingUntil) {
+            mPaths.onProbePostponed(target, restingUntil);
+            return;
+        }
         TargetState state =
                 mEntry.targetSelector().targets().stream()
                         .filter(candidate -> candidate.id().equals(target))
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/relay/RelayServer.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/relay/RelayServer.java
@@ -20,10 +20,12 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpServerCodec;
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.BiConsumer;
 import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
@@ -101,7 +103,9 @@
     Optional<String> destination(String target) {
         return mOpen.size() >= MAX_OPEN || mDependencies.isDraining().getAsBoolean()
                 ? Optional.empty()
-                : mDependencies.targetSelector().relayDestination(target);
+                : mDependencies
+                        .targetSelector()
+                        .relayDestination(target, mDependencies.clock().getAsLong());
     }
 
     MonitoredAttempt send(
@@ -123,6 +127,10 @@
         mDependencies.targetSelector().onDataReceived(target, mDependencies.clock().getAsLong());
     }
 
+    void onHead(String target, HttpResponse head) {
+        mDependencies.headListener().accept(target, head);
+    }
+
     void onOpened(RelaySession session) {
         mOpen.add(session);
         mDependencies.metrics().onRelayed();
@@ -140,6 +148,7 @@
      * @param clock monotonic milliseconds
      * @param limits the limits on callers' requests
      * @param isDraining whether this instance shuts down
+     * @param headListener receives the target and the head of each answer
      * @param metrics counts the relayed requests
      */
     public record Dependencies(
@@ -148,5 +157,6 @@
             LongSupplier clock,
             Supplier<Limits> limits,
             BooleanSupplier isDraining,
+            BiConsumer<String, HttpResponse> headListener,
             GatewayMetrics metrics) {}
 }
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/relay/RelaySession.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/relay/RelaySession.java
@@ -116,7 +116,7 @@
 
     @Override
     public void onHead(HttpResponse head) {
-        mTarget.ifPresent(mServer::onData);
+        mTarget.ifPresent(target -> mServer.onHead(target, head));
         HttpResponse out = new DefaultHttpResponse(HttpVersion.HTTP_1_1, head.status());
         out.headers().add(HopByHopHeaders.endToEnd(head.headers(), name -> false));
         String length = head.headers().get(HttpHeaderNames.CONTENT_LENGTH);
