A target that states in an answer that it leaves gets no new requests

Server-Leaving was read nowhere: requests reached such a target 2 s and more after it had said so (47 later than 3.5 s in the evidence of the issue). Now it is treated as leaving from the first answer on that says so, also in refusals, answers to probes of paths and answers that are relayed for other entries, until its incarnation ends; QD3015, metric targets.leaving-stated. Each entry goes by its own answers: telling it on is a frame to each entry for what the target's next answer says, and the target reports it to control processes itself.

--- a/quilldyke-core/src/main/java/org/quilldyke/routing/TargetSelector.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/routing/TargetSelector.java
@@ -459,12 +459,15 @@
      * Applies what a target states about itself in an answer to this instance.
      *
      * @param now when the answer arrived
+     * @return whether it states that it leaves, which wasn't known
      */
-    public void onNotice(String id, TargetNotice notice, long now) {
+    public boolean onNotice(String id, TargetNotice notice, long now) {
         TargetState state = mTargets.get(id);
-        if (state != null) {
-            notice.restMillis().ifPresent(millis -> state.onRest(now + millis));
+        if (state == null) {
+            return false;
         }
+        notice.restMillis().ifPresent(millis -> state.onRest(now + millis));
+        return notice.leaving() && state.onLeavingStated();
     }
 
     /** Returns until when a target wants no requests of this instance; in the past if it does. */
--- a/quilldyke-core/src/main/java/org/quilldyke/routing/TargetState.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/routing/TargetState.java
@@ -60,6 +60,7 @@
     private long mOwnTokens;
     private int mConsecutiveFailures;
     private long mUnhealthyUntil = Long.MIN_VALUE;
+    private boolean mStatedLeaving;
     private long mRestingUntil = Long.MIN_VALUE / 2;
     private long mDataReceivedAt = Long.MIN_VALUE;
     private long mAwaitingDataSince;
@@ -186,7 +187,7 @@
     }
 
     boolean isLeaving() {
-        return mReport.leaving();
+        return mReport.leaving() || mStatedLeaving;
     }
 
     String failureDomain() {
@@ -219,6 +220,18 @@
                 || !receivedRecently && (unresponsive || !mReachableFromControl);
     }
 
+    /**
+     * Records that the target has stated in an answer that it shuts down, which holds until its
+     * end: its next start is another incarnation.
+     *
+     * @return whether that is new
+     */
+    boolean onLeavingStated() {
+        boolean isNew = !isLeaving();
+        mStatedLeaving = true;
+        return isNew;
+    }
+
     /** Records until when the target wants no requests of this instance. */
     void onRest(long until) {
         mRestingUntil = Math.max(mRestingUntil, until);
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/EntryContext.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/EntryContext.java
@@ -217,7 +217,10 @@
      * one that it has relayed.
      */
     public void onNotice(String target, TargetNotice notice) {
-        mTargetSelector.onNotice(target, notice, now());
+        if (mTargetSelector.onNotice(target, notice, now())) {
+            mMetrics.onLeavingStated();
+            mLog.write(Event.TARGET_LEAVING, "target", target);
+        }
         notice.restMillis()
                 .ifPresent(
                         millis -> {
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/PathProber.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/PathProber.java
@@ -152,6 +152,7 @@
 
         @Override
         public void onHead(HttpResponse head) {
+            mEntry.onNotice(mTarget, mEntry.dialect().targets().read(head).notice());
             end(true);
         }
 
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/platform/GatewayMetrics.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/platform/GatewayMetrics.java
@@ -37,6 +37,7 @@
 
     private final Counter mSentToRelay = mRegistry.counter("relay.sent");
     private final Counter mRelayed = mRegistry.counter("relay.accepted");
+    private final Counter mLeavesStated = mRegistry.counter("targets.leaving-stated");
     private final Counter mRestsRequested = mRegistry.counter("targets.rests");
     private final Counter mPathsProbed = mRegistry.counter("paths.probes");
 
@@ -109,6 +110,11 @@
         mRestsRequested.inc();
     }
 
+    /** Counts a target whose answer was the first to state that it leaves. */
+    public void onLeavingStated() {
+        mLeavesStated.inc();
+    }
+
     /** Counts a probe of the path to a target. */
     public void onPathProbed() {
         mPathsProbed.inc();
