Instances share the room of brittle targets by fixed parts

Targets may state that they fail when they refuse more than N requests in a second (Server-Brittle), of all instances together. Nothing read it: in the evidence an engine refused 78 in its worst second.

Each instance now gets a part of each target's slots by its rank (the parts add up), halves it on a refusal, pauses, and regrows such that all instances cause 0.4 N refusals a second. Instances without a part send one request at a time while a quarter of the slots is in use at most. What one target states holds for all of its service, for 5 s after it was stated last. QD3016, targets.brittle.

--- a/quilldyke-core/src/main/java/org/quilldyke/routing/InstanceRank.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/routing/InstanceRank.java
@@ -37,6 +37,19 @@
         return Math.min(MAX_SHARERS, instances);
     }
 
+    /**
+     * Returns this instance's part of a target's slots; the parts of all instances add up to them.
+     * The instances that get one more than others differ from target to target.
+     */
+    int part(int slots, long targetHash) {
+        if (rank < 0) {
+            return 0;
+        }
+        long first = Math.floorMod(targetHash, (long) instances);
+        boolean oneMore = Math.floorMod(rank - first, (long) instances) < slots % instances;
+        return slots / instances + (oneMore ? 1 : 0);
+    }
+
     /**
      * Returns whether this instance may use such a target; the sharers differ from target to
      * target.
--- a/quilldyke-core/src/main/java/org/quilldyke/routing/TargetSelector.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/routing/TargetSelector.java
@@ -438,7 +438,7 @@
     public void onOverloaded(String id, long now) {
         TargetState state = mTargets.get(id);
         if (state != null) {
-            state.onOverloaded(now);
+            state.onOverloaded(mRandom.nextDouble(), now);
         }
     }
 
@@ -470,6 +470,27 @@
         return notice.leaving() && state.onLeavingStated();
     }
 
+    /**
+     * Records that the targets of a service fail if they have to refuse too many requests.
+     *
+     * @param id the target that has stated so
+     * @param maxRefusals the number of refusals in a second that each of them survives
+     * @return whether that is new
+     */
+    public boolean onBrittle(String id, int maxRefusals, long now) {
+        TargetState stating = mTargets.get(id);
+        if (stating == null) {
+            return false;
+        }
+        boolean isNew = false;
+        for (TargetState state : mTargets.values()) {
+            if (state.service().equals(stating.service())) {
+                isNew |= state.onBrittle(maxRefusals, mInstanceRank, now);
+            }
+        }
+        return isNew;
+    }
+
     /** Returns until when a target wants no requests of this instance; in the past if it does. */
     public long restingUntil(String id) {
         TargetState state = mTargets.get(id);
--- a/quilldyke-core/src/main/java/org/quilldyke/routing/TargetState.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/routing/TargetState.java
@@ -43,6 +43,9 @@
     private static final int MAX_COUNTED_FAILURES = 4;
     private static final long OVERLOAD_BACKOFF_MILLIS = 60;
 
+    /** A target states that it is brittle in all its answers; it expires after this time. */
+    private static final long BRITTLE_MILLIS = 5000;
+
     /** A target with open requests that sends nothing for this long is avoided. */
     private static final long UNRESPONSIVE_MILLIS = 900;
 
@@ -60,6 +63,13 @@
     private long mOwnTokens;
     private int mConsecutiveFailures;
     private long mUnhealthyUntil = Long.MIN_VALUE;
+    private long mBrittleUntil = Long.MIN_VALUE;
+    private int mMaxRefusals;
+    private InstanceRank mRoomShareRank = InstanceRank.UNKNOWN;
+
+    /** Null until the target was brittle. */
+    private RoomShare mRoomShare;
+
     private boolean mStatedLeaving;
     private long mRestingUntil = Long.MIN_VALUE / 2;
     private long mDataReceivedAt = Long.MIN_VALUE;
@@ -147,6 +157,8 @@
                 && !isLeaving()
                 && !isLoading(now)
                 && !isResting(now)
+                && (!isBrittle(now)
+                        || mRoomShare.admits(mOwnRequests, mOtherInstancesRequests, now))
                 && (!mAdvertisedLimit.isInForce(now)
                         || mLimitShare != null && mLimitShare.hasPermit(now));
     }
@@ -232,6 +244,28 @@
         return isNew;
     }
 
+    /**
+     * Records that the target fails if it has to refuse more than some requests in a second.
+     *
+     * @return whether that is new
+     */
+    boolean onBrittle(int maxRefusals, InstanceRank rank, long now) {
+        boolean isNew = !isBrittle(now);
+        boolean changed = isNew || maxRefusals != mMaxRefusals || !rank.equals(mRoomShareRank);
+        mBrittleUntil = now + BRITTLE_MILLIS;
+        mMaxRefusals = maxRefusals;
+        mRoomShareRank = rank;
+        if (changed) {
+            int part = rank.part(slots(), mIdHash);
+            mRoomShare = RoomShare.of(slots(), part, rank.instances(), maxRefusals, now);
+        }
+        return isNew;
+    }
+
+    boolean isBrittle(long now) {
+        return now < mBrittleUntil;
+    }
+
     /** Records until when the target wants no requests of this instance. */
     void onRest(long until) {
         mRestingUntil = Math.max(mRestingUntil, until);
@@ -337,7 +371,11 @@
         mUnhealthyUntil = now + (INITIAL_BACKOFF_MILLIS << mConsecutiveFailures - 1);
     }
 
-    void onOverloaded(long now) {
+    /** Records a refusal; {@code random} from 0 to 1 spreads the return of instances. */
+    void onOverloaded(double random, long now) {
+        if (isBrittle(now)) {
+            mRoomShare.onRefused(mOwnRequests, random, now);
+        }
         mUnhealthyUntil = Math.max(mUnhealthyUntil, now + OVERLOAD_BACKOFF_MILLIS);
     }
 
--- a/quilldyke-daemon/src/main/java/org/quilldyke/daemon/log/Event.java
+++ b/quilldyke-daemon/src/main/java/org/quilldyke/daemon/log/Event.java
@@ -49,6 +49,7 @@
     PATH_RESTORED(3013, Level.INFO, "path-restored", "a target is within reach again"),
     TARGET_RESTS(3014, Level.INFO, "target-rests", "a target wants no requests of this instance"),
     TARGET_LEAVING(3015, Level.INFO, "target-leaving", "a target's answer says that it leaves"),
+    TARGET_BRITTLE(3016, Level.INFO, "target-brittle", "targets fail if they refuse too many"),
 
     LEADER_WON(4001, Level.INFO, "leader-won", "this replica leads"),
     LEADER_LOST(4002, Level.INFO, "leader-lost", "this replica leads no longer"),
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/EntryContext.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/EntryContext.java
@@ -221,6 +221,7 @@
             mMetrics.onLeavingStated();
             mLog.write(Event.TARGET_LEAVING, "target", target);
         }
+        notice.maxRefusals().ifPresent(count -> onBrittle(target, count));
         notice.restMillis()
                 .ifPresent(
                         millis -> {
@@ -229,6 +230,13 @@
                         });
     }
 
+    private void onBrittle(String target, int maxRefusals) {
+        if (mTargetSelector.onBrittle(target, maxRefusals, now())) {
+            mMetrics.onBrittle();
+            mLog.write(Event.TARGET_BRITTLE, "target", target, "max_refusals", maxRefusals);
+        }
+    }
+
     /** Applies the head of an answer that this instance relays for another one. */
     public void onRelayedHead(String target, HttpResponse head) {
         mTargetSelector.onDataReceived(target, now());
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/platform/GatewayMetrics.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/platform/GatewayMetrics.java
@@ -38,6 +38,7 @@
     private final Counter mSentToRelay = mRegistry.counter("relay.sent");
     private final Counter mRelayed = mRegistry.counter("relay.accepted");
     private final Counter mLeavesStated = mRegistry.counter("targets.leaving-stated");
+    private final Counter mBrittle = mRegistry.counter("targets.brittle");
     private final Counter mRestsRequested = mRegistry.counter("targets.rests");
     private final Counter mPathsProbed = mRegistry.counter("paths.probes");
 
@@ -115,6 +116,11 @@
         mLeavesStated.inc();
     }
 
+    /** Counts a service whose targets fail if they have to refuse too many requests. */
+    public void onBrittle() {
+        mBrittle.inc();
+    }
+
     /** Counts a probe of the path to a target. */
     public void onPathProbed() {
         mPathsProbed.inc();
