A leader that is partitioned from all engines does not report them as unreachable

The same class as entries without paths: the leader alone reads the events of caches, and reported each engine that didn't answer it; all entries avoid such engines unless they received data from them within 0.9 s, which entries with few requests have not. So the lost paths of one process made engines unhealthy everywhere. An engine is now reported once another one has responded since (UnreachableHolders). TargetPathsTest: a sound target that is silent for a second is used again within 0.7 s.

--- a/quilldyke-core/src/test/java/org/quilldyke/routing/TargetPathsTest.java
+++ b/quilldyke-core/src/test/java/org/quilldyke/routing/TargetPathsTest.java
@@ -129,6 +129,19 @@
         assertThat(mProbes).isAtMost(2);
     }
 
+    @Test
+    void soundTargetThatIsSilentForASecondIsUsedAgainSoon() {
+        mCut.add("e0");
+        mPaths.onSent("e0", mNow);
+        advance(1000);
+        mCut.clear();
+
+        advance(700);
+
+        assertThat(mPaths.lostCount()).isEqualTo(0);
+        assertThat(mPaths.isPartitioned()).isFalse();
+    }
+
     @Test
     void requestThatEndsUnansweredIsEvidence() {
         cutService("a", 4);
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/CacheEventWatcher.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/CacheEventWatcher.java
@@ -36,9 +36,9 @@
  * form.
  *
  * <p>Only the leader polls: an engine can serve only a few readers, and one is enough. A holder
- * that does not respond is polled again and reported as unreachable to all instances, which avoid
- * it unless they reach it themselves. Its cached blocks are discarded only once it reports a
- * restart.
+ * that does not respond is polled again and, if another one responds, reported as unreachable to
+ * all instances, which avoid it unless they reach it themselves. Its cached blocks are discarded
+ * only once it reports a restart.
  */
 final class CacheEventWatcher {
     private static final long RETRY_DELAY_MILLIS = 400;
@@ -48,6 +48,7 @@
     private final EventLog mLog;
     private final Consumer<CacheNews> mPublish;
     private final Map<String, CacheEventReader> mReaders = new HashMap<>();
+    private final UnreachableHolders mUnreachable = new UnreachableHolders();
     private Map<String, Service> mServices = Map.of();
     private boolean mLeads;
 
@@ -71,6 +72,7 @@
         mLeads = leads;
         if (!leads) {
             mReaders.clear();
+            mUnreachable.clear();
             return;
         }
         Set<String> watched = new HashSet<>();
@@ -123,8 +125,14 @@
         if (!mLeads || mReaders.get(reader.holder()) != reader) {
             return;
         }
-        reader.onPollResult(events).ifPresent(mPublish);
+        Optional<CacheNews> update = reader.onPollResult(events);
+        if (events.isEmpty()) {
+            update.ifPresent(mUnreachable::onUnreachable);
+        } else {
+            update.ifPresent(mPublish);
+        }
         if (reader.lastPollSucceeded()) {
+            mUnreachable.onResponse(reader.holder()).forEach(mPublish);
             poll(reader);
         } else {
             mLoop.schedule(RETRY_DELAY_MILLIS, () -> poll(reader));
