--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/GatewayProcess.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/GatewayProcess.java
@@ -321,7 +321,6 @@
                 mEntry.pool(),
                 targetSelector,
                 mClock,
-                mEntry::limits,
                 mEntry::isDraining,
                 mEntry::onRelayedHead,
                 mMetrics);
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/relay/RelayServer.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/relay/RelayServer.java
@@ -28,13 +28,11 @@
 import java.util.function.BiConsumer;
 import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
-import java.util.function.Supplier;
 import org.quilldyke.QuilldykeException;
 import org.quilldyke.gateway.engine.MonitoredAttempt;
 import org.quilldyke.gateway.engine.TargetConnectionPool;
 import org.quilldyke.gateway.http.HttpListener;
 import org.quilldyke.gateway.platform.GatewayMetrics;
-import org.quilldyke.manifest.Limits;
 import org.quilldyke.routing.TargetSelector;
 
 /**
@@ -46,8 +44,8 @@
     /** Requests that are relayed at the same time; others are refused unsent. */
     private static final int MAX_OPEN = 256;
 
-    /** What headers of this system add to those of a caller's request. */
-    private static final int ADDED_HEADER_BYTES = 8 << 10;
+    /** The entry that has the caller applies the limits of the configuration. */
+    private static final int MAX_HEADER_BYTES = 1 << 20;
 
     private final Dependencies mDependencies;
     private final Set<RelaySession> mOpen = new HashSet<>();
@@ -84,18 +82,16 @@
     }
 
     private void initialize(SocketChannel channel) {
-        Limits limits = mDependencies.limits().get();
-        int headerBytes = limits.maxHeaderBytes() + ADDED_HEADER_BYTES;
         channel.pipeline()
                 .addLast(
                         new HttpServerCodec(
                                 new HttpDecoderConfig()
-                                        .setMaxInitialLineLength(headerBytes)
-                                        .setMaxHeaderSize(headerBytes)
+                                        .setMaxInitialLineLength(MAX_HEADER_BYTES)
+                                        .setMaxHeaderSize(MAX_HEADER_BYTES)
                                         .setAllowDuplicateContentLengths(false)
                                         .setStrictLineParsing(true)
                                         .setUseRfc9112TransferEncoding(true)),
-                        new HttpObjectAggregator(limits.maxBodyBytes()),
+                        new HttpObjectAggregator(Integer.MAX_VALUE),
                         new RelaySession(this));
     }
 
@@ -146,7 +142,6 @@
      * @param pool the connections to targets
      * @param targetSelector the targets' states
      * @param clock monotonic milliseconds
-     * @param limits the limits on callers' requests
      * @param isDraining whether this instance shuts down
      * @param headListener receives the target and the head of each answer
      * @param metrics counts the relayed requests
@@ -155,7 +150,6 @@
             TargetConnectionPool pool,
             TargetSelector targetSelector,
             LongSupplier clock,
-            Supplier<Limits> limits,
             BooleanSupplier isDraining,
             BiConsumer<String, HttpResponse> headListener,
             GatewayMetrics metrics) {}
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/relay/RelaySession.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/relay/RelaySession.java
@@ -119,6 +119,7 @@
         mTarget.ifPresent(target -> mServer.onHead(target, head));
         HttpResponse out = new DefaultHttpResponse(HttpVersion.HTTP_1_1, head.status());
         out.headers().add(HopByHopHeaders.endToEnd(head.headers(), name -> false));
+        out.headers().remove(RelayHeaders.UNSENT);
         String length = head.headers().get(HttpHeaderNames.CONTENT_LENGTH);
         if (HttpUtil.isTransferEncodingChunked(head)) {
             HttpUtil.setTransferEncodingChunked(out, true);
