A partition ends with data from any target of the service, or with its last target

A service of which all lost targets were replaced stayed partitioned for good, since nothing was probed any more: crashes of its new targets would not have been reported. Data from any of its targets ends the partition now; paths that were lost wait for their own probes. chooseSuccessor takes targets behind a relay as healthy, too. Found by reading; TargetPathsTest has both cases.

--- a/quilldyke-core/src/main/java/org/quilldyke/routing/TargetPaths.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/routing/TargetPaths.java
@@ -74,7 +74,10 @@
     }
 
     void onRemoved(String target) {
-        mPaths.remove(target);
+        Path path = mPaths.remove(target);
+        if (path != null && pathsOf(path.mService).isEmpty()) {
+            mPartitionedServices.remove(path.mService);
+        }
     }
 
     /** Records that a request was sent to a target over a connection of this instance. */
@@ -94,6 +97,7 @@
             path.mDataAt = now;
             mDataAt = now;
             mDataAtByService.put(path.mService, now);
+            mPartitionedServices.remove(path.mService);
         }
     }
 
@@ -170,11 +174,12 @@
         if (path == null) {
             return;
         }
+        boolean wasPartitioned = isPartitioned(path.mService);
         onData(target, now);
         path.mProbing = false;
         path.mState = State.WORKING;
         path.mTrustedUntil = now + TRUSTED_MILLIS;
-        if (mPartitionedServices.remove(path.mService)) {
+        if (wasPartitioned) {
             for (Path other : pathsOf(path.mService)) {
                 if (other.mState == State.LOST) {
                     other.mState = State.SUSPECT;
--- a/quilldyke-core/src/main/java/org/quilldyke/routing/TargetSelector.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/routing/TargetSelector.java
@@ -305,7 +305,7 @@
         Optional<PromptCacheLocations> locations = mScorer.cacheLocations(request, now);
         List<ScoredTarget> scored = new ArrayList<>();
         for (TargetState state : candidates(request, excluded, now)) {
-            if (!state.isUnhealthy(now)) {
+            if (reach(state, now).isHealthy()) {
                 scored.add(mScorer.score(state, request, locations, now));
             }
         }
@@ -566,7 +566,11 @@
         RELAYED,
         UNHEALTHY,
         /** No instance is known that could relay requests, and all paths from here are lost. */
-        NONE
+        NONE;
+
+        boolean isHealthy() {
+            return this == DIRECT || this == RELAYED;
+        }
     }
 
     private boolean hasForbiddenWeights(TargetState state, ForwardRequest request, long now) {
--- a/quilldyke-core/src/test/java/org/quilldyke/routing/TargetPathsTest.java
+++ b/quilldyke-core/src/test/java/org/quilldyke/routing/TargetPathsTest.java
@@ -214,6 +214,24 @@
         mPaths.onTarget("e9", "engines");
 
         assertThat(mPaths.isLost("e9")).isFalse();
+
+        mPaths.onData("e9", mNow);
+
+        assertThat(mPaths.isPartitioned("engines")).isFalse();
+        assertThat(mPaths.isLost("e0")).isTrue();
+    }
+
+    @Test
+    void serviceWithoutTargetsIsNoPartition() {
+        cutService("a", 4);
+        mPaths.onSent("a0", mNow);
+        advance(2000);
+
+        for (int i = 0; i < 4; i++) {
+            mPaths.onRemoved("a" + i);
+        }
+
+        assertThat(mPaths.isPartitioned()).isFalse();
     }
 
     private void cutService(String prefix, int targets) {
