--- a/quilldyke-gateway/src/test/java/org/quilldyke/gateway/FleetRatesTest.java
+++ b/quilldyke-gateway/src/test/java/org/quilldyke/gateway/FleetRatesTest.java
@@ -36,6 +36,7 @@
             Pattern.compile("^\\|.*\\| `(\\w+)\\.([A-Z_]+)` \\| (\\d+) \\|$");
     private static final List<String> PACKAGES =
             List.of(
+                    "org.quilldyke.gateway.caller",
                     "org.quilldyke.gateway.control",
                     "org.quilldyke.gateway.instance",
                     "org.quilldyke.quota",
