--- a/quilldyke-core/src/main/java/org/quilldyke/routing/TargetPaths.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/routing/TargetPaths.java
@@ -219,12 +219,6 @@
         return mPartitionedServices.contains(service);
     }
 
-    /** Returns whether this instance reaches neither a target nor others of its service. */
-    public boolean isInPartition(String target) {
-        Path path = mPaths.get(target);
-        return path != null && isPartitioned(path.mService);
-    }
-
     /** Returns whether there is a service of which this instance reaches no target. */
     public boolean isPartitioned() {
         return !mPartitionedServices.isEmpty();
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/CrashDetector.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/CrashDetector.java
@@ -31,9 +31,6 @@
      */
     private static final long PROBE_DELAY_MILLIS = 20;
 
-    /** Refused connections show within this time if all paths of this instance are lost. */
-    private static final long PATH_CHECK_MILLIS = 150;
-
     private final EntryContext mEntry;
     private final DisconnectedRuns mDisconnectedRuns = DisconnectedRuns.create();
     private final SuspectRequests mSuspects = SuspectRequests.create();
@@ -61,23 +58,7 @@
                         TimeUnit.MILLISECONDS);
     }
 
-    /**
-     * A target's address refuses connections. It has terminated, unless this instance reaches no
-     * other target of the service either, which the probes of paths show until then.
-     */
-    void onConnectionRefused(String target) {
-        mEntry.loop()
-                .schedule(
-                        () -> {
-                            if (!mEntry.targetSelector().paths().isInPartition(target)) {
-                                onTargetDown(target);
-                            }
-                        },
-                        PATH_CHECK_MILLIS,
-                        TimeUnit.MILLISECONDS);
-    }
-
-    /** A target is unresponsive, or has restarted or terminated. */
+    /** A target refuses connections, is unresponsive, or has restarted. */
     void onTargetDown(String target) {
         long now = mEntry.now();
         mDisconnectedRuns
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/EntryContext.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/EntryContext.java
@@ -126,7 +126,7 @@
 
                             @Override
                             public void onConnectionRefused(String target) {
-                                mCrashDetector.onConnectionRefused(target);
+                                mCrashDetector.onTargetDown(target);
                             }
                         });
         mMetrics = dependencies.metrics();
