--- a/quilldyke-core/src/main/java/org/quilldyke/routing/TargetPaths.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/routing/TargetPaths.java
@@ -238,7 +238,7 @@
                 pathsOf(path.mService).stream()
                         .anyMatch(p -> p != path && p.mState == State.SUSPECT);
         if (!othersSuspect) {
-            // Tells a failure of this target from one of all paths to the service.
+            // Distinguishes a failure of this target from a loss of all paths to the service.
             pathsOf(path.mService).stream()
                     .filter(p -> p.mState == State.WORKING)
                     .min(Comparator.comparingLong((Path p) -> p.mDataAt))
