--- a/quilldyke-core/src/test/java/org/quilldyke/caller/ServiceRetryBudgetTest.java
+++ b/quilldyke-core/src/test/java/org/quilldyke/caller/ServiceRetryBudgetTest.java
@@ -55,6 +55,20 @@
         assertThat(budget.tryAcquire("s", 12_000)).isTrue();
     }
 
+    @Test
+    void retriesAtBothEndsOfAWindowCountTogether() {
+        ServiceRetryBudget budget = ServiceRetryBudget.create(0, 10, 10_000, 1);
+        int taken = 0;
+        while (budget.tryAcquire("s", 499)) {
+            taken++;
+        }
+        while (budget.tryAcquire("s", 10_000)) {
+            taken++;
+        }
+
+        assertThat(taken).isAtMost(10);
+    }
+
     /** Checks windows at any offset, not only those aligned with the buckets. */
     @Test
     void noSlidingWindowExceedsTheBudget() {
