Shares of the retry budget are leases by the leader's count of entries

Callers' requests reached a service more often than its retry budget allows while entries or control processes were restarted. A restarted entry began with a whole share of the fixed retries, although what its former process sent still counts; the divisor was 32 until the first answer, and then the entries that the answering control process had seen since its own start; and retries were counted over 9.5 to 10 s.

The leader now counts the entries and sends the count with each confirmation of a read. An entry uses it as a lease of 3 s from its question, keeps the largest count of one window and two leases, and has no share before one window and one lease after it is first counted. Idle entries are reported to the other control processes, too. Retries are counted over 21 buckets. QD2007 and retries.sharers show the divisor in use.

fixedRetriesAreDividedAmongTheInstances sets its ten instances in the factory, since the budget no longer has a setter for them; its bounds are unchanged.

--- a/quilldyke-core/src/main/java/org/quilldyke/caller/ServiceRetryBudget.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/caller/ServiceRetryBudget.java
@@ -15,59 +15,72 @@
  */
 package org.quilldyke.caller;
 
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.LongToIntFunction;
 
 /**
- * The share of one instance in the retries that all instances together may send to a service.
+ * The retries that one instance may send to a service.
  *
- * <p>In any time window, a service may receive retries up to a fraction of its requests plus a
- * fixed number, which is divided among the instances.
+ * <p>In any time window, a service may receive retries from all instances together up to a fraction
+ * of its requests plus a fixed number. Each instance uses that fraction of its own requests, and a
+ * share of the fixed number.
  */
 public final class ServiceRetryBudget {
     private static final int BUCKETS = 20;
 
-    /**
-     * Fraction of the budget that is used, so that the total stays within it if instances count one
-     * instance less than there are.
-     */
+    /** Fraction of the budget that is used; the rest is for retries that arrive late. */
     private static final double USED_FRACTION = 0.8;
 
     private final double mRetriesPerRequest;
     private final double mFixedRetries;
     private final long mBucketMillis;
+    private final LongToIntFunction mSharers;
     private final Map<String, Window> mWindows = new HashMap<>();
-    private int mInstances;
 
     private ServiceRetryBudget(
-            double retriesPerRequest, double fixedRetries, long windowMillis, int instances) {
+            double retriesPerRequest,
+            double fixedRetries,
+            long windowMillis,
+            LongToIntFunction sharers) {
         mRetriesPerRequest = retriesPerRequest;
         mFixedRetries = fixedRetries;
         mBucketMillis = Math.max(1, windowMillis / BUCKETS);
-        mInstances = instances;
+        mSharers = sharers;
     }
 
     /**
-     * Returns an unused budget.
+     * Returns an unused budget of a constant number of instances.
      *
      * @param retriesPerRequest retries per request
      * @param fixedRetries additional retries per window, for all instances together
      * @param windowMillis the length of a window
-     * @param instances the number of instances that is assumed until it is known
+     * @param instances the number of instances
      */
     public static ServiceRetryBudget create(
             double retriesPerRequest, double fixedRetries, long windowMillis, int instances) {
-        return new ServiceRetryBudget(retriesPerRequest, fixedRetries, windowMillis, instances);
+        return new ServiceRetryBudget(
+                retriesPerRequest, fixedRetries, windowMillis, now -> instances);
     }
 
-    /** Sets the number of instances among which the fixed retries are divided. */
-    public void onInstanceCount(int instances) {
-        mInstances = Math.max(1, instances);
+    /**
+     * Returns an unused budget of a number of instances that may change.
+     *
+     * @param retriesPerRequest retries per request
+     * @param fixedRetries additional retries per window, for all instances together
+     * @param windowMillis the length of a window
+     * @param share this instance's share of the fixed retries
+     */
+    public static ServiceRetryBudget shared(
+            double retriesPerRequest, double fixedRetries, long windowMillis, RetryShare share) {
+        return new ServiceRetryBudget(
+                retriesPerRequest, fixedRetries, windowMillis, share::sharers);
     }
 
     /** Records a request for a service. */
     public void onRequest(String service, long now) {
-        window(service, now).mRequests[bucketIndex(now)]++;
+        window(service, now).mRequests.increment(now / mBucketMillis);
     }
 
     /** Takes a retry for a service; returns false, and takes nothing, if none is available. */
@@ -75,7 +88,7 @@
         if (!hasAvailable(service, 1, now)) {
             return false;
         }
-        window(service, now).mRetries[bucketIndex(now)]++;
+        window(service, now).mRetries.increment(now / mBucketMillis);
         return true;
     }
 
@@ -87,8 +100,10 @@
     /** Returns the number of retries available for a service; negative if too many were taken. */
     public double available(String service, long now) {
         Window window = window(service, now);
-        double allowed = mRetriesPerRequest * sum(window.mRequests) + mFixedRetries / mInstances;
-        return USED_FRACTION * allowed - sum(window.mRetries);
+        int sharers = mSharers.applyAsInt(now);
+        double fixed = sharers == 0 ? 0 : mFixedRetries / sharers;
+        double allowed = mRetriesPerRequest * window.mRequests.sum() + fixed;
+        return USED_FRACTION * allowed - window.mRetries.sum();
     }
 
     private Window window(String service, long now) {
@@ -97,35 +112,49 @@
         return window;
     }
 
-    private int bucketIndex(long now) {
-        return (int) Math.floorMod(now / mBucketMillis, BUCKETS);
-    }
+    private static final class Window {
+        final Buckets mRequests;
+        final Buckets mRetries;
 
-    private static int sum(int[] buckets) {
-        int sum = 0;
-        for (int count : buckets) {
-            sum += count;
+        Window(long newest) {
+            mRequests = new Buckets(BUCKETS, newest);
+            // The newest bucket is incomplete, so one more is needed to cover a whole window.
+            mRetries = new Buckets(BUCKETS + 1, newest);
+        }
+
+        void advanceTo(long bucket) {
+            mRequests.advanceTo(bucket);
+            mRetries.advanceTo(bucket);
         }
-        return sum;
     }
 
-    private static final class Window {
-        final int[] mRequests = new int[BUCKETS];
-        final int[] mRetries = new int[BUCKETS];
-        long mNewestBucket;
+    private static final class Buckets {
+        private final int[] mCounts;
+        private long mNewest;
 
-        Window(long newest) {
-            mNewestBucket = newest;
+        Buckets(int count, long newest) {
+            mCounts = new int[count];
+            mNewest = newest;
         }
 
         void advanceTo(long bucket) {
-            long firstNew = Math.max(mNewestBucket + 1, bucket - BUCKETS + 1);
+            long firstNew = Math.max(mNewest + 1, bucket - mCounts.length + 1);
             for (long b = firstNew; b <= bucket; b++) {
-                int index = (int) Math.floorMod(b, BUCKETS);
-                mRequests[index] = 0;
-                mRetries[index] = 0;
+                mCounts[index(b)] = 0;
             }
-            mNewestBucket = Math.max(mNewestBucket, bucket);
+            mNewest = Math.max(mNewest, bucket);
+        }
+
+        void increment(long bucket) {
+            mCounts[index(bucket)]++;
+        }
+
+        int sum() {
+            return Arrays.stream(mCounts).sum();
+        }
+
+        private int index(long bucket) {
+            return (int) Math.floorMod(bucket, (long) mCounts.length);
         }
     }
 }
--- a/quilldyke-core/src/test/java/org/quilldyke/caller/ServiceRetryBudgetTest.java
+++ b/quilldyke-core/src/test/java/org/quilldyke/caller/ServiceRetryBudgetTest.java
@@ -23,8 +23,7 @@
 class ServiceRetryBudgetTest {
     @Test
     void fixedRetriesAreDividedAmongTheInstances() {
-        ServiceRetryBudget budget = ServiceRetryBudget.create(0, 60, 10_000, 1);
-        budget.onInstanceCount(10);
+        ServiceRetryBudget budget = ServiceRetryBudget.create(0, 60, 10_000, 10);
 
         int taken = 0;
         while (budget.tryAcquire("s", 0)) {
--- a/quilldyke-daemon/src/main/java/org/quilldyke/daemon/log/Event.java
+++ b/quilldyke-daemon/src/main/java/org/quilldyke/daemon/log/Event.java
@@ -33,6 +33,8 @@
     CHUNK_DROPPED(2004, Level.WARN, "drop", "a late or crossed chunk was dropped"),
     REQUEST_SUSPECTED(2005, Level.WARN, "suspect", "a request may crash targets; what follows"),
     NO_TARGET(2006, Level.WARN, "no-target", "no target could be used; how many are alive"),
+    RETRY_SHARE(
+            2007, Level.INFO, "retry-share", "among how many instances the retries are divided"),
 
     TARGET_JOINED(3001, Level.INFO, "target-joined", "a target announced itself"),
     TARGET_RESTARTED(3002, Level.INFO, "target-restarted", "a target has a new incarnation"),
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/EntrySubscriber.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/EntrySubscriber.java
@@ -170,7 +170,9 @@
                         () -> {
                             boolean before = mEntry.isConfigurationConfirmed();
                             mEntry.onConfigurationConfirmed(askedAt, control);
-                            mEntry.retryBudget().onInstanceCount(answer.getEntries());
+                            if (answer.getCounted()) {
+                                mEntry.onCounted(answer.getCountedEntries(), askedAt, control);
+                            }
                             mEntry.targetSelector().onInstanceRank(rank(answer), mEntry.now());
                             if (!before && mEntry.isConfigurationConfirmed()) {
                                 mLog.write(
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/GatewayProcess.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/GatewayProcess.java
@@ -32,6 +32,7 @@
 import org.quilldyke.ResultCode;
 import org.quilldyke.caller.KeyLease;
 import org.quilldyke.caller.LeaseClock;
+import org.quilldyke.caller.RetryShare;
 import org.quilldyke.caller.ServiceRetryBudget;
 import org.quilldyke.daemon.log.Event;
 import org.quilldyke.daemon.log.EventLog;
@@ -76,9 +77,6 @@
      */
     private static final double OLD_WEIGHTS_FRACTION = 0.75;
 
-    /** Assumed number of entries until a control process has sent it. */
-    private static final int UNKNOWN_ENTRIES = 32;
-
     /**
      * Time until the balancer has stopped new connections: two probes, a second apart, and a
      * margin.
@@ -293,12 +291,13 @@
                         Math.round(timings.convergence() * OLD_WEIGHTS_FRACTION),
                         VersionRouting.create(mSettings.rollout()),
                         new SplittableRandom(mSettings.instance().hashCode()));
+        RetryShare retryShare = RetryShare.create(timings.retryWindow());
         ServiceRetryBudget retries =
-                ServiceRetryBudget.create(
+                ServiceRetryBudget.shared(
                         timings.retryRatio(),
                         timings.retryFixed(),
                         timings.retryWindow(),
-                        UNKNOWN_ENTRIES);
+                        retryShare);
         KeyLease lease = KeyLease.ofMillis(Math.round(timings.revoke() * KEY_LEASE_FRACTION));
         mEntry =
                 EntryContext.of(
@@ -308,6 +307,7 @@
                                 this::leaseNow,
                                 mDialect,
                                 targetSelector,
+                                retryShare,
                                 retries,
                                 lease,
                                 timings.apply(),
@@ -418,6 +418,7 @@
         registry.register(
                 "targets.known", (Gauge<Integer>) () -> mEntry.targetSelector().targets().size());
         registry.register("targets.connections", (Gauge<Integer>) mEntry.pool()::connections);
+        registry.register("retries.sharers", (Gauge<Integer>) mEntry::retrySharers);
         registry.register("keys.lease-age.ms", (Gauge<Long>) () -> mEntry.confirmationAgeMillis());
     }
 
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/EntryContext.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/EntryContext.java
@@ -32,6 +32,7 @@
 import org.quilldyke.caller.ForwardRequest;
 import org.quilldyke.caller.Forwarding;
 import org.quilldyke.caller.KeyLease;
+import org.quilldyke.caller.RetryShare;
 import org.quilldyke.caller.ServiceRetryBudget;
 import org.quilldyke.caller.ShutdownAdmission;
 import org.quilldyke.caller.SuspectRequests;
@@ -77,6 +78,7 @@
     private final Dialect mDialect;
     private final TargetSelector mTargetSelector;
     private final TargetConnectionPool mPool;
+    private final RetryShare mRetryShare;
     private final ServiceRetryBudget mRetryBudget;
     private final ShutdownAdmission mShutdownAdmission = ShutdownAdmission.create();
     private final KeyLease mKeyLease;
@@ -98,6 +100,7 @@
     private RouteTable mRoutes;
     private long mLogIndex = NO_VERSION;
     private String mConfirmedBy = "";
+    private int mLoggedRetrySharers;
     private OptionalLong mDrainStartedAt = OptionalLong.empty();
 
     private EntryContext(Dependencies dependencies) {
@@ -106,6 +109,7 @@
         mLeaseClock = dependencies.leaseClock();
         mDialect = dependencies.dialect();
         mTargetSelector = dependencies.targetSelector();
+        mRetryShare = dependencies.retryShare();
         mRetryBudget = dependencies.retryBudget();
         mKeyLease = dependencies.keyLease();
         mMaxApplyMillis = dependencies.maxApplyMillis();
@@ -491,6 +495,28 @@
         return mPool;
     }
 
+    /**
+     * Handles a confirmation that this instance is counted among those that share the retries.
+     *
+     * @param instances their number, 0 if it is unknown
+     * @param requestedAt when the confirmation was requested, in milliseconds of the leases' clock
+     * @param control the address of the control process
+     */
+    public void onCounted(int instances, long requestedAt, String control) {
+        long ageMillis = mLeaseClock.getAsLong() - requestedAt;
+        mRetryShare.onCounted(instances, now() - ageMillis, now());
+        int sharers = retrySharers();
+        if (sharers != mLoggedRetrySharers) {
+            mLoggedRetrySharers = sharers;
+            mLog.write(Event.RETRY_SHARE, "sharers", sharers, "by", control);
+        }
+    }
+
+    /** Returns the number of instances that share the retries; 0 if this one has no share. */
+    public int retrySharers() {
+        return mRetryShare.sharers(now());
+    }
+
     /** Returns the budget of retries. */
     public ServiceRetryBudget retryBudget() {
         return mRetryBudget;
@@ -569,6 +595,7 @@
      * @param leaseClock milliseconds of the {@link org.quilldyke.caller.LeaseClock}
      * @param dialect the wire formats of callers and targets
      * @param targetSelector the targets' states and the selection among them
+     * @param retryShare this instance's share of the retries that all instances may send
      * @param retryBudget bounds the retries
      * @param keyLease the lease within which keys may be accepted
      * @param maxApplyMillis the time within which an accepted configuration must be in force
@@ -581,6 +608,7 @@
             LongSupplier leaseClock,
             Dialect dialect,
             TargetSelector targetSelector,
+            RetryShare retryShare,
             ServiceRetryBudget retryBudget,
             KeyLease keyLease,
             long maxApplyMillis,
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/ControlNode.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/ControlNode.java
@@ -128,7 +128,14 @@
         mRequiredVoters = 2 * settings.toleratedLosses() + 1;
         Topology topology = Topology.of(settings.regions());
         mPeers = Peers.of(settings, loop, clock, log);
-        mEntries = new EntrySessions(clock, log, mPeers, settings.failureDomain(), topology);
+        mEntries =
+                new EntrySessions(
+                        clock,
+                        log,
+                        mPeers,
+                        settings.failureDomain(),
+                        topology,
+                        settings.timings().retryWindow());
         mStateMachine = new FleetStateMachine(this::onState);
         SplittableRandom random = new SplittableRandom(System.nanoTime() ^ mAddress.hashCode());
         DataFolder folder = DataFolder.open(Path.of(settings.dataFolder()));
@@ -150,7 +157,8 @@
                 replica,
                 mStateMachine,
                 this);
-        mReadConfirmations = new ReadConfirmations(mGroup, mPeers, clock);
+        EntryCount entryCount = new EntryCount(mGroup, mEntries::entryCount);
+        mReadConfirmations = new ReadConfirmations(mGroup, mPeers, entryCount, clock);
         mProposals = new Proposals(mGroup, mPeers, loop, clock);
         mBroadcasts = new AckedBroadcasts(mPeers::sendToAll, clock, settings.toleratedLosses());
         mTargets = createTargetReplication(settings.timings().targetReport(), rejectedReports);
@@ -171,7 +179,13 @@
         mRolloutOrders =
                 new RolloutOrders(mReadConfirmations, mProposals, this::publishedState, log);
         mEntries.connect(
-                mReadConfirmations::confirm, mTargets, mCrashes, mLimits, mQuotas, mRollouts);
+                mReadConfirmations::confirm,
+                entryCount::count,
+                mTargets,
+                mCrashes,
+                mLimits,
+                mQuotas,
+                mRollouts);
         mMembership =
                 new MembershipManager(mGroup, mPeers, mAddress, clock, settings.toleratedLosses());
         mWeights = createWeightsController(engineClient, settings.timings().orderLease());
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/EntryLoads.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/EntryLoads.java
@@ -18,7 +18,6 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -39,24 +38,45 @@
     /** Loads reported longer ago than this are ignored. */
     static final long STALE_MILLIS = 1500;
 
-    /** An entry not seen for this long no longer counts in retry budgets and entry ranks. */
-    static final long ENTRY_EXPIRY_MILLIS = 20_000;
+    /** Shortest time after which an entry that is not seen no longer counts. */
+    static final long MIN_ENTRY_EXPIRY_MILLIS = 20_000;
 
+    private final long mEntryExpiryMillis;
     private final Map<String, ReportedLoads> mLocal = new HashMap<>();
     private final Map<String, ReportedLoads> mRemote = new HashMap<>();
+    private final Map<String, Long> mLocalSeenAt = new HashMap<>();
     private final Map<String, Long> mEntrySeenAt = new HashMap<>();
     private Map<String, Integer> mRanks = Map.of();
 
+    private EntryLoads(long entryExpiryMillis) {
+        mEntryExpiryMillis = entryExpiryMillis;
+    }
+
+    /**
+     * Returns an instance without entries.
+     *
+     * @param retryWindowMillis the windows in which retries are limited; an entry counts until its
+     *     retries have left them
+     */
+    static EntryLoads create(long retryWindowMillis) {
+        return new EntryLoads(Math.max(MIN_ENTRY_EXPIRY_MILLIS, 2 * retryWindowMillis));
+    }
+
     /** Stores the load that an entry reports to this process. */
     void onLoad(String entry, List<TargetLoad> targets, long now) {
         mLocal.put(entry, new ReportedLoads(targets, now));
-        onEntrySeen(entry, now);
+        onLocalSeen(entry, now);
     }
 
     /** Records that an entry's last report is still accurate. */
     void onKeepAlive(String entry, long now) {
         mLocal.computeIfPresent(
                 entry, (id, reported) -> new ReportedLoads(reported.targets(), now));
+        onLocalSeen(entry, now);
+    }
+
+    private void onLocalSeen(String entry, long now) {
+        mLocalSeenAt.put(entry, now);
         onEntrySeen(entry, now);
     }
 
@@ -69,6 +89,7 @@
     /** Removes the load of an entry that reports to another process or has stopped. */
     void removeLocal(String entry) {
         mLocal.remove(entry);
+        mLocalSeenAt.remove(entry);
     }
 
     /** Stores the totals of another control process. */
@@ -84,19 +105,13 @@
 
     /** Returns the entries that recently reported to this process. */
     Set<String> localEntries(long now) {
-        Set<String> entries = new HashSet<>();
-        mLocal.forEach(
-                (entry, reported) -> {
-                    if (reported.isFresh(now)) {
-                        entries.add(entry);
-                    }
-                });
-        return entries;
+        mLocalSeenAt.values().removeIf(at -> now - at >= STALE_MILLIS);
+        return Set.copyOf(mLocalSeenAt.keySet());
     }
 
     /** Removes expired entries, and returns the number of entries at all control processes. */
     int entryCount(long now) {
-        if (mEntrySeenAt.values().removeIf(at -> now - at > ENTRY_EXPIRY_MILLIS)) {
+        if (mEntrySeenAt.values().removeIf(at -> now - at > mEntryExpiryMillis)) {
             mRanks = Map.of();
         }
         mLocal.keySet().retainAll(mEntrySeenAt.keySet());
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/EntrySessions.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/EntrySessions.java
@@ -25,6 +25,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.IntSupplier;
 import java.util.function.LongSupplier;
 import java.util.stream.Stream;
 import org.quilldyke.daemon.log.Event;
@@ -76,12 +77,13 @@
     private final Peers mPeers;
     private final String mFailureDomain;
     private final Topology mTopology;
-    private final EntryLoads mLoads = new EntryLoads();
+    private final EntryLoads mLoads;
     private final CacheInventory mCacheInventory = new CacheInventory();
     private final Set<Session> mSessions = new LinkedHashSet<>();
     private final Map<String, Long> mWeightsNamedAt = new HashMap<>();
     private final Map<String, Long> mLoadingSince = new HashMap<>();
     private Consumer<Consumer<Boolean>> mConfirm;
+    private IntSupplier mEntryCount;
     private TargetReplication mTargets;
     private CrashReplication mCrashes;
     private LimitReplication mLimits;
@@ -100,8 +102,10 @@
             EventLog log,
             Peers peers,
             String failureDomain,
-            Topology topology) {
+            Topology topology,
+            long retryWindowMillis) {
         mTopology = topology;
+        mLoads = EntryLoads.create(retryWindowMillis);
         mClock = clock;
         mLog = log;
         mPeers = peers;
@@ -112,6 +116,7 @@
      * Sets the parts that sessions use.
      *
      * @param confirm confirms that this replica has applied all that was committed before
+     * @param entryCount the number of entries as the leader counts them
      * @param targets stores the targets that entries know, and provides all targets
      * @param crashes stores the crashes that entries have observed
      * @param limits stores the limits that targets have advertised to entries
@@ -120,12 +125,14 @@
      */
     void connect(
             Consumer<Consumer<Boolean>> confirm,
+            IntSupplier entryCount,
             TargetReplication targets,
             CrashReplication crashes,
             LimitReplication limits,
             QuotaService quotas,
             RolloutController rollouts) {
         mConfirm = confirm;
+        mEntryCount = entryCount;
         mTargets = targets;
         mCrashes = crashes;
         mLimits = limits;
@@ -218,6 +225,13 @@
         mLoads.onPeerLoads(control, loads, mClock.getAsLong());
     }
 
+    /**
+     * Returns the number of entries that were seen recently, here or at other control processes.
+     */
+    int entryCount() {
+        return mLoads.entryCount(mClock.getAsLong());
+    }
+
     /** Returns the number of open requests at each target, of all entries. */
     Map<String, Integer> openRequests() {
         return mLoads.openRequests(mClock.getAsLong());
@@ -444,6 +458,8 @@
                                     .setEntries(mLoads.entryCount(mClock.getAsLong()))
                                     .setPlace(mLoads.rank(mEntry))
                                     .setFailureDomain(mFailureDomain)
+                                    .setCounted(mMain)
+                                    .setCountedEntries(mMain ? mEntryCount.getAsInt() : 0)
                                     .addAllControlAddresses(mPeers.known()))
                     .build();
         }
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/ReadConfirmations.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/ReadConfirmations.java
@@ -42,6 +42,7 @@
 
     private final ReplicaGroup mGroup;
     private final Peers mPeers;
+    private final EntryCount mEntryCount;
     private final LongSupplier mClock;
     private final List<PendingRead> mAwaitingMajority = new ArrayList<>();
     private final List<PendingRead> mUnsent = new ArrayList<>();
@@ -52,9 +53,10 @@
     /** The number of the query that awaits the leader's response, or 0. */
     private long mPendingQueryNumber;
 
-    ReadConfirmations(ReplicaGroup group, Peers peers, LongSupplier clock) {
+    ReadConfirmations(ReplicaGroup group, Peers peers, EntryCount entryCount, LongSupplier clock) {
         mGroup = group;
         mPeers = peers;
+        mEntryCount = entryCount;
         mClock = clock;
     }
 
@@ -91,6 +93,7 @@
             return;
         }
         mPendingQueryNumber = 0;
+        mEntryCount.onLeaderCount(answer.getEntries());
         for (PendingRead read : query.reads()) {
             if (answer.getLeads()) {
                 mAwaitingApply.add(new AwaitingApply(answer.getIndex(), read));
@@ -192,6 +195,7 @@
                                 Confirmed.newBuilder()
                                         .setNumber(number)
                                         .setLeads(leads)
+                                        .setEntries(leads ? mEntryCount.countAsLeader() : 0)
                                         .setIndex(mGroup.node().replica().commitIndex())));
     }
 
--- a/quilldyke-gateway/src/test/java/org/quilldyke/gateway/control/EntryFrameRateTest.java
+++ b/quilldyke-gateway/src/test/java/org/quilldyke/gateway/control/EntryFrameRateTest.java
@@ -122,7 +122,7 @@
         WarmStartData warmStart =
                 WarmStartData.open(DataFolder.open(mFolder), loop, mLog, rejectedReports, SELF);
         EntrySessions sessions =
-                new EntrySessions(() -> mNow, mLog, peers, "z", Topology.ONE_REGION);
+                new EntrySessions(() -> mNow, mLog, peers, "z", Topology.ONE_REGION, 10_000);
         TargetReplication targets =
                 new TargetReplication(
                         peers::sendToAll,
@@ -138,6 +138,7 @@
                         peers::sendToAll, sessions::onCrashes, () -> mNow, mLog, warmStart, 1000);
         sessions.connect(
                 callback -> callback.accept(true),
+                () -> EntryCount.UNKNOWN,
                 targets,
                 crashes,
                 new LimitReplication(peers::sendToAll, sessions::onLimits, () -> mNow),
--- a/quilldyke-gateway/src/test/java/org/quilldyke/gateway/control/EntryLoadsTest.java
+++ b/quilldyke-gateway/src/test/java/org/quilldyke/gateway/control/EntryLoadsTest.java
@@ -27,7 +27,7 @@
  * late.
  */
 final class EntryLoadsTest {
-    private final EntryLoads mLoads = new EntryLoads();
+    private final EntryLoads mLoads = EntryLoads.create(10_000);
 
     @Test
     void eachEntryReceivesTheLoadsOfAllOthers() {
@@ -46,6 +46,16 @@
         assertThat(mLoads.entryCount(10)).isEqualTo(3);
     }
 
+    @Test
+    void idleEntriesAreReportedToOtherControlProcessesWhileTheyAreConnected() {
+        mLoads.onKeepAlive("idle", 0);
+        mLoads.onKeepAlive("moved", 0);
+        mLoads.removeLocal("moved");
+
+        assertThat(mLoads.localEntries(10)).containsExactly("idle");
+        assertThat(mLoads.localEntries(EntryLoads.STALE_MILLIS)).isEmpty();
+    }
+
     @Test
     void entryThatReportsElsewhereIsCountedOnce() {
         mLoads.onLoad("a", List.of(load("x", 2, 100)), 0);
@@ -68,7 +78,7 @@
 
         assertThat(mLoads.rank("b")).isEqualTo(3);
         assertThat(mLoads.rank("c")).isEqualTo(0);
-        assertThat(mLoads.entryCount(EntryLoads.ENTRY_EXPIRY_MILLIS + 1)).isEqualTo(1);
+        assertThat(mLoads.entryCount(EntryLoads.MIN_ENTRY_EXPIRY_MILLIS + 1)).isEqualTo(1);
         assertThat(mLoads.rank("aa")).isEqualTo(1);
     }
 
