--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/GatewayProcess.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/GatewayProcess.java
@@ -38,6 +38,7 @@
 import org.quilldyke.daemon.log.EventLog;
 import org.quilldyke.gateway.caller.CallerServer;
 import org.quilldyke.gateway.caller.EntryContext;
+import org.quilldyke.gateway.caller.EntryDependencies;
 import org.quilldyke.gateway.caller.PathStatus;
 import org.quilldyke.gateway.control.ControlNode;
 import org.quilldyke.gateway.dialect.Dialect;
@@ -301,7 +302,7 @@
         KeyLease lease = KeyLease.ofMillis(Math.round(timings.revoke() * KEY_LEASE_FRACTION));
         mEntry =
                 EntryContext.of(
-                        new EntryContext.Dependencies(
+                        new EntryDependencies(
                                 mTraffic,
                                 mClock,
                                 this::leaseNow,
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/EntryContext.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/EntryContext.java
@@ -103,7 +103,7 @@
     private int mLoggedRetrySharers;
     private OptionalLong mDrainStartedAt = OptionalLong.empty();
 
-    private EntryContext(Dependencies dependencies) {
+    private EntryContext(EntryDependencies dependencies) {
         mLoop = dependencies.loop();
         mClock = dependencies.clock();
         mLeaseClock = dependencies.leaseClock();
@@ -147,7 +147,7 @@
     }
 
     /** Returns a context without a configuration. */
-    public static EntryContext of(Dependencies dependencies) {
+    public static EntryContext of(EntryDependencies dependencies) {
         return new EntryContext(dependencies);
     }
 
@@ -586,32 +586,4 @@
             }
         }
     }
-
-    /**
-     * The collaborators of an {@link EntryContext}.
-     *
-     * @param loop the traffic thread
-     * @param clock monotonic milliseconds
-     * @param leaseClock milliseconds of the {@link org.quilldyke.caller.LeaseClock}
-     * @param dialect the wire formats of callers and targets
-     * @param targetSelector the targets' states and the selection among them
-     * @param retryShare this instance's share of the retries that all instances may send
-     * @param retryBudget bounds the retries
-     * @param keyLease the lease within which keys may be accepted
-     * @param maxApplyMillis the time within which an accepted configuration must be in force
-     * @param log receives events
-     * @param metrics receives counts and durations
-     */
-    public record Dependencies(
-            EventLoop loop,
-            LongSupplier clock,
-            LongSupplier leaseClock,
-            Dialect dialect,
-            TargetSelector targetSelector,
-            RetryShare retryShare,
-            ServiceRetryBudget retryBudget,
-            KeyLease keyLease,
-            long maxApplyMillis,
-            EventLog log,
-            GatewayMetrics metrics) {}
 }
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/ControlNode.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/ControlNode.java
@@ -50,13 +50,11 @@
 import org.quilldyke.gateway.instance.proto.PeerFrame;
 import org.quilldyke.gateway.instance.proto.Targets;
 import org.quilldyke.gateway.settings.GatewaySettings;
-import org.quilldyke.manifest.FleetCommand;
 import org.quilldyke.manifest.FleetState;
 import org.quilldyke.manifest.Manifest;
 import org.quilldyke.manifest.Service;
 import org.quilldyke.rollout.Rollout;
 import org.quilldyke.rollout.RolloutPlanner;
-import org.quilldyke.routing.Topology;
 import org.quilldyke.weights.EngineFleet;
 
 /**
@@ -99,6 +97,7 @@
     private final QuotaService mQuotas;
     private final RolloutController mRollouts;
     private final RolloutOrders mRolloutOrders;
+    private final FleetOrders mFleetOrders;
     private final boolean mPermitsRollouts;
     private final MembershipManager mMembership;
     private final WeightsController mWeights;
@@ -126,16 +125,8 @@
         mLog = log;
         mAddress = settings.internalAddress(settings.ip());
         mRequiredVoters = 2 * settings.toleratedLosses() + 1;
-        Topology topology = Topology.of(settings.regions());
         mPeers = Peers.of(settings, loop, clock, log);
-        mEntries =
-                new EntrySessions(
-                        clock,
-                        log,
-                        mPeers,
-                        settings.failureDomain(),
-                        topology,
-                        settings.timings().retryWindow());
+        mEntries = EntrySessions.of(settings, mPeers, clock, log);
         mStateMachine = new FleetStateMachine(this::onState);
         SplittableRandom random = new SplittableRandom(System.nanoTime() ^ mAddress.hashCode());
         DataFolder folder = DataFolder.open(Path.of(settings.dataFolder()));
@@ -178,14 +169,8 @@
         mRollouts = createRolloutController(settings);
         mRolloutOrders =
                 new RolloutOrders(mReadConfirmations, mProposals, this::publishedState, log);
-        mEntries.connect(
-                mReadConfirmations::confirm,
-                entryCount::count,
-                mTargets,
-                mCrashes,
-                mLimits,
-                mQuotas,
-                mRollouts);
+        mFleetOrders = new FleetOrders(mReadConfirmations, mProposals, mStateMachine::state, log);
+        connectEntries(entryCount);
         mMembership =
                 new MembershipManager(mGroup, mPeers, mAddress, clock, settings.toleratedLosses());
         mWeights = createWeightsController(engineClient, settings.timings().orderLease());
@@ -227,6 +212,17 @@
                 mLog);
     }
 
+    private void connectEntries(EntryCount entryCount) {
+        mEntries.connect(
+                mReadConfirmations::confirm,
+                entryCount::count,
+                mTargets,
+                mCrashes,
+                mLimits,
+                mQuotas,
+                mRollouts);
+    }
+
     private TargetReplication createTargetReplication(
             long reportMillis, RefusalLog rejectedReports) {
         return new TargetReplication(
@@ -314,67 +310,19 @@
         mGroup.node().stop();
     }
 
-    /** Publishes a manifest; completes when this or a newer version is committed. */
+    /** See {@link FleetOrders#publish}. */
     public CompletableFuture<Void> publish(long version, byte[] document) {
-        if (mStateMachine.state().version() >= version) {
-            return CompletableFuture.completedFuture(null);
-        }
-        byte[] compressed = Compression.compress(document);
-        return mProposals
-                .propose(new FleetCommand.PublishManifest(version, compressed))
-                .thenAccept(
-                        result ->
-                                mLog.write(
-                                        Event.MANIFEST_ACCEPTED,
-                                        "version",
-                                        version,
-                                        "index",
-                                        result.index(),
-                                        "changed",
-                                        result.changed(),
-                                        "bytes",
-                                        compressed.length));
+        return mFleetOrders.publish(version, document);
     }
 
-    /**
-     * Sets the version of a model's weights; completes when this or a newer version is committed.
-     */
+    /** See {@link FleetOrders#nameWeights}. */
     public CompletableFuture<Void> nameWeights(String model, long version) {
-        if (mStateMachine.state().weights().getOrDefault(model, 0L) >= version) {
-            return CompletableFuture.completedFuture(null);
-        }
-        return mProposals
-                .propose(new FleetCommand.NameWeights(model, version))
-                .thenAccept(
-                        result ->
-                                mLog.write(
-                                        Event.WEIGHTS_NAMED,
-                                        "model",
-                                        model,
-                                        "version",
-                                        version,
-                                        "index",
-                                        result.index()));
-    }
-
-    /** Returns the newest manifest as the operator wrote it, after a linearizable read. */
+        return mFleetOrders.nameWeights(model, version);
+    }
+
+    /** See {@link FleetOrders#readManifest}. */
     public CompletableFuture<byte[]> readManifest() {
-        CompletableFuture<byte[]> result = new CompletableFuture<>();
-        mReadConfirmations.confirm(
-                confirmed -> {
-                    FleetState state = mStateMachine.state();
-                    if (!confirmed || !state.hasManifest()) {
-                        result.completeExceptionally(
-                                QuilldykeException.notRun(ResultCode.READ_UNCONFIRMED, ""));
-                        return;
-                    }
-                    try {
-                        result.complete(Compression.expand(state.document()));
-                    } catch (QuilldykeException e) {
-                        result.completeExceptionally(e);
-                    }
-                });
-        return result;
+        return mFleetOrders.readManifest();
     }
 
     /** Returns whether operators may order rollouts; callable on any thread. */
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/EntrySessions.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/EntrySessions.java
@@ -54,6 +54,7 @@
 import org.quilldyke.gateway.instance.proto.TargetLoad;
 import org.quilldyke.gateway.instance.proto.TargetLoads;
 import org.quilldyke.gateway.instance.proto.Targets;
+import org.quilldyke.gateway.settings.GatewaySettings;
 import org.quilldyke.instance.RelayOffer;
 import org.quilldyke.manifest.FleetState;
 import org.quilldyke.routing.TargetState;
@@ -112,6 +113,18 @@
         mFailureDomain = failureDomain;
     }
 
+    /** Returns an instance without sessions. */
+    static EntrySessions of(
+            GatewaySettings settings, Peers peers, LongSupplier clock, EventLog log) {
+        return new EntrySessions(
+                clock,
+                log,
+                peers,
+                settings.failureDomain(),
+                Topology.of(settings.regions()),
+                settings.timings().retryWindow());
+    }
+
     /**
      * Sets the parts that sessions use.
      *
