--- a/quilldyke-core/src/main/java/org/quilldyke/caller/Forwarding.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/caller/Forwarding.java
@@ -539,7 +539,9 @@
             return refuse(mSuspects.refusal(mRequest.fingerprint(), now));
         }
         boolean notRun = !mAnswerStarted && mHistory.runCount() == 0;
-        Optional<Choice> choice = mTargets.choose(mRequest, excludedTargets(), notRun, now);
+        // A canary that fails has to be sent to another version.
+        boolean mayBeCanary = notRun && mRetryBudget.hasAvailable(mRequest.service(), 1, now);
+        Optional<Choice> choice = mTargets.choose(mRequest, excludedTargets(), mayBeCanary, now);
         if (choice.isPresent()
                 && notRun
                 && !Admission.admits(mRequest, choice.get().admissionMillis())) {
--- a/quilldyke-core/src/main/java/org/quilldyke/routing/TargetCandidates.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/routing/TargetCandidates.java
@@ -63,20 +63,22 @@
      * are used only if none of the earlier lists can accept it. Without a rollout of the service
      * there is one list.
      *
-     * @param firstAttempt whether the request can't have run yet
+     * @param mayBeCanary whether the request may be sent to a version that is being rolled out;
+     *     only if it can't have run yet
      */
     List<List<TargetState>> inOrder(
-            ForwardRequest request, Set<String> excluded, boolean firstAttempt, long now) {
+            ForwardRequest request, Set<String> excluded, boolean mayBeCanary, long now) {
         if (!mVersions.isRestricted(request.service())) {
             return List.of(candidates(request, excluded, state -> true, now));
         }
-        boolean mayBeCanary = firstAttempt && excluded.isEmpty() && request.resumeAfterEvent() < 0;
+        boolean isFirstAttempt =
+                mayBeCanary && excluded.isEmpty() && request.resumeAfterEvent() < 0;
         List<Set<String>> order =
                 mVersions.preferredVersions(
                         request.id(),
                         request.service(),
                         knownVersions(request.service(), now),
-                        mayBeCanary,
+                        isFirstAttempt,
                         now);
         List<List<TargetState>> out = new ArrayList<>();
         for (Set<String> versions : order) {
--- a/quilldyke-core/src/main/java/org/quilldyke/routing/TargetSelector.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/routing/TargetSelector.java
@@ -323,13 +323,13 @@
         return choose(request, excluded, excluded.isEmpty(), now);
     }
 
-    /** Returns the best target; {@code firstAttempt} is whether the request can't have run yet. */
+    /** Returns the best target, of a version that is being rolled out only if permitted. */
     public Optional<Choice> choose(
-            ForwardRequest request, Set<String> excluded, boolean firstAttempt, long now) {
+            ForwardRequest request, Set<String> excluded, boolean mayBeCanary, long now) {
         Optional<PromptCacheLocations> locations = mScorer.cacheLocations(request, excluded, now);
         Choice choice = null;
         for (List<TargetState> candidates :
-                mCandidates.inOrder(request, excluded, firstAttempt, now)) {
+                mCandidates.inOrder(request, excluded, mayBeCanary, now)) {
             if (!candidates.isEmpty()) {
                 choice = choose(request, candidates, locations, now);
                 if (Admission.admits(request, choice.admissionMillis())) {
