Streams continue only at the software version that began them

Callers got streams with events of two software versions of a service: an entry continued a broken, moved or resumed stream at any target, did not read Resumes, and moved open streams to the new version while a service shifted.

The first event fixes the version (StreamVersion), and each later choice leaves out the targets of others. A stream that is resumed at another entry is sent to its version if this entry, a control process (OriginReplication) or the service's sole version of the last minute names it, else refused with QR2024 unrun. Entries report origins at the first event, while a service has several versions. Open streams stay at the old version during a rollout; targetsToVacate and its loop are gone.

--- a/quilldyke-core/src/main/java/org/quilldyke/ResultCode.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/ResultCode.java
@@ -62,6 +62,7 @@
     CUT_BY_SHUTDOWN(2021, 502, "this instance ended before the target's answer did"),
     CRASHES_TARGETS(2022, 503, "targets crashed while they ran this request; it waits"),
     QUOTA_UNAVAILABLE(2023, 503, "the organisation's quota cannot be checked now"),
+    STREAM_ORIGIN_UNKNOWN(2024, 503, "the version that began the stream to resume is unknown"),
 
     PLAN_CONFLICT(3001, 409, "another intent won this number"),
     PLAN_STALE(3002, 409, "what the plan read has changed"),
--- a/quilldyke-core/src/main/java/org/quilldyke/caller/Forwarding.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/caller/Forwarding.java
@@ -19,7 +19,6 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import org.quilldyke.ResultCode;
-import org.quilldyke.manifest.Route;
 import org.quilldyke.routing.Choice;
 import org.quilldyke.routing.TargetSelector;
 
@@ -64,6 +63,7 @@
     private int mUnreachableCount;
     private boolean mAnswerStarted;
     private long mLastRelayedEvent;
+    private final StreamVersion mStreamVersion = new StreamVersion();
     private final ResumeBackoff mResumeBackoff = new ResumeBackoff();
     private ResultCode mFailureCode = ResultCode.TARGET_LOST;
     private CutCause mCutCause = CutCause.TARGET;
@@ -95,6 +95,11 @@
         return new Forwarding(request, targets, retryBudget, shutdown, suspects);
     }
 
+    /** Returns the software version that may serve the stream. */
+    public StreamVersion streamVersion() {
+        return mStreamVersion;
+    }
+
     /** Returns the first step of the request. */
     public Step start(long now) {
         mRetryBudget.onRequest(mRequest.service(), now);
@@ -154,6 +159,7 @@
 
     /** Records that events up to the given event number were relayed to the caller. */
     public void onEventRelayed(long event) {
+        mStreamVersion.onEvent(mRun);
         mAnswerStarted = true;
         mResumeBackoff.onEvent();
         mLastRelayedEvent = event;
@@ -463,10 +469,9 @@
     private Step resumeStream(ResultCode code, long now) {
         mResumeBackoff.onInterrupted(now);
         mFailureCode = code;
-        Route route = mRequest.route();
         boolean mayResume =
-                route.mayRunAgain()
-                        && route.resumable()
+                mRequest.route().mayRunAgain()
+                        && mRequest.route().resumable()
                         && mHistory.mayRunAnywhere()
                         && maySend(now)
                         && hasTimeLeft(now);
@@ -517,6 +522,7 @@
 
     private Set<String> excludedTargets() {
         Set<String> excluded = mHistory.excludedTargets(mTargets.targets());
+        mStreamVersion.addExcluded(mTargets, excluded);
         if (mRun != null) {
             excluded.add(mRun.target());
         }
--- /dev/null
+++ b/quilldyke-core/src/main/java/org/quilldyke/caller/OriginVerdict.java
@@ -0,0 +1,46 @@
+/*
+ * Copyright 2026 The quilldyke authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.quilldyke.caller;
+
+/**
+ * Which software version may continue a stream that its caller resumes.
+ *
+ * @param source how the version was determined
+ * @param softwareVersion the version; empty if it is unknown
+ */
+public record OriginVerdict(Source source, String softwareVersion) {
+    /** How the version that began a stream was determined. */
+    public enum Source {
+        /** This instance relayed the first event. */
+        LOCAL,
+        /** The instance that relayed the first event has reported it. */
+        REPORTED,
+        /** Only one version has served the service while the stream can have begun. */
+        SOLE_VERSION,
+        /** None of these; the stream must not be continued. */
+        UNKNOWN
+    }
+
+    /** Returns the verdict on a stream whose version is unknown. */
+    public static OriginVerdict unknown() {
+        return new OriginVerdict(Source.UNKNOWN, "");
+    }
+
+    /** Returns whether the version is known. */
+    public boolean isKnown() {
+        return source != Source.UNKNOWN;
+    }
+}
--- a/quilldyke-core/src/main/java/org/quilldyke/caller/TargetRun.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/caller/TargetRun.java
@@ -15,6 +15,7 @@
  */
 package org.quilldyke.caller;
 
+import java.util.Optional;
 import org.quilldyke.routing.Choice;
 import org.quilldyke.routing.TargetSelector;
 
@@ -22,6 +23,7 @@
 final class TargetRun {
     private final TargetSelector mTargets;
     private final Choice mChoice;
+    private final String mSoftwareVersion;
     private boolean mSent;
     private boolean mFirstOnTarget;
     private boolean mPrefillEnded;
@@ -30,6 +32,7 @@
     private TargetRun(TargetSelector targets, Choice choice) {
         mTargets = targets;
         mChoice = choice;
+        mSoftwareVersion = targets.softwareVersion(choice.target());
     }
 
     /** Returns a run that is about to be sent, and adds it to the load of its target. */
@@ -42,6 +45,17 @@
         return mChoice.target();
     }
 
+    /**
+     * Returns the software version that runs the request; empty if the target has reported another
+     * one under the same id since the request was sent.
+     */
+    Optional<String> softwareVersion() {
+        String reported = mTargets.softwareVersion(target());
+        return reported.isEmpty() || reported.equals(mSoftwareVersion)
+                ? Optional.of(mSoftwareVersion)
+                : Optional.empty();
+    }
+
     /**
      * Records that the first byte is sent: from now on the request may run.
      *
--- a/quilldyke-core/src/main/java/org/quilldyke/routing/TargetCandidates.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/routing/TargetCandidates.java
@@ -23,8 +23,6 @@
 import java.util.Set;
 import java.util.function.Predicate;
 import org.quilldyke.caller.ForwardRequest;
-import org.quilldyke.rollout.Rollout;
-import org.quilldyke.rollout.RolloutPhase;
 import org.quilldyke.rollout.VersionRouting;
 
 /** Which targets may accept a request, by their state, their reach and their software version. */
@@ -111,38 +109,6 @@
         return List.of();
     }
 
-    /**
-     * Returns the targets whose streams should continue at targets of a version that is rolled out:
-     * those of other versions while the service shifts, and retired ones after its completion.
-     */
-    List<String> targetsToVacate(long now) {
-        List<String> out = new ArrayList<>();
-        for (Rollout rollout : mVersions.rollouts()) {
-            boolean shifts = mVersions.prefersNewVersion(rollout.service(), now);
-            boolean isComplete = rollout.phase() == RolloutPhase.COMPLETED;
-            if ((shifts || isComplete) && hasHealthyTarget(rollout, now)) {
-                for (TargetState state : mTargets.values()) {
-                    boolean isOld = !state.softwareVersion().equals(rollout.version());
-                    boolean mustMove =
-                            shifts || mVersions.isRetired(state.service(), state.softwareVersion());
-                    if (state.service().equals(rollout.service()) && isOld && mustMove) {
-                        out.add(state.id());
-                    }
-                }
-            }
-        }
-        return out;
-    }
-
-    private boolean hasHealthyTarget(Rollout rollout, long now) {
-        return mTargets.values().stream()
-                .anyMatch(
-                        state ->
-                                state.softwareVersion().equals(rollout.version())
-                                        && state.acceptsRequestsFor(rollout.service(), now)
-                                        && reach(state, now).isHealthy());
-    }
-
     /**
      * Returns the versions of a service's targets. While control processes don't confirm the
      * configuration, they don't report the end of targets either. So targets that seem to have
--- a/quilldyke-core/src/main/java/org/quilldyke/routing/TargetSelector.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/routing/TargetSelector.java
@@ -104,11 +104,6 @@
         return Optional.ofNullable(mTargets.get(id)).map(TargetState::softwareVersion).orElse("");
     }
 
-    /** Returns the targets whose streams should continue at targets of another version. */
-    public List<String> targetsToVacate(long now) {
-        return mCandidates.targetsToVacate(now);
-    }
-
     /** Applies a target's report. */
     public void onReport(TargetReport report) {
         mPaths.onTarget(report.key(), report.service());
--- a/quilldyke-core/src/main/java/org/quilldyke/routing/TargetState.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/routing/TargetState.java
@@ -228,7 +228,8 @@
         mRetired = versions.isRetired(service(), softwareVersion());
     }
 
-    String softwareVersion() {
+    /** Returns the software version that the target has reported. */
+    public String softwareVersion() {
         return mReport.softwareVersion();
     }
 
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/EntrySubscriber.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/EntrySubscriber.java
@@ -72,6 +72,7 @@
     private final RefusalLog mRefused;
     private final CrashTelling mCrashes;
     private final QuotaClient mQuotas;
+    private final OriginClient mOrigins;
     private final TargetRegistry mRegistry = TargetRegistry.createFollower();
     private volatile List<TargetLoad> mLoads = List.of();
 
@@ -89,7 +90,8 @@
             EventLog log,
             RefusalLog refused,
             CrashTelling crashes,
-            QuotaClient quotas) {
+            QuotaClient quotas,
+            OriginClient origins) {
         mSettings = settings;
         mEntry = entry;
         mDialect = dialect;
@@ -98,6 +100,7 @@
         mRefused = refused;
         mCrashes = crashes;
         mQuotas = quotas;
+        mOrigins = origins;
     }
 
     /** Records the open requests at targets periodically; called on the traffic thread. */
@@ -155,6 +158,7 @@
                 .setHeldIndex(mHeldIndex)
                 .setTargets(known)
                 .setCrashes(mCrashes.known())
+                .setStreamOrigins(mOrigins.published())
                 .build();
     }
 
@@ -209,6 +213,7 @@
                 mEntry.loop().execute(() -> told.forEach(mEntry.rollouts()::onCanaryFraction));
             }
             case QUOTAS -> mQuotas.onVerdicts(frame.getQuotas());
+            case ORIGIN_VERDICT -> mOrigins.onVerdict(frame.getOriginVerdict());
             case LOADS -> {
                 List<TargetLoad> loads = frame.getLoads().getTargetsList();
                 mEntry.loop().execute(() -> applyLoads(loads));
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/GatewayProcess.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/GatewayProcess.java
@@ -338,6 +338,8 @@
         mTraffic.execute(() -> mEntry.setCrashListener(crashes));
         QuotaClient quotas = new QuotaClient(mControl, mTraffic, mClock);
         mTraffic.execute(() -> mEntry.setQuotaGate(quotas));
+        OriginClient origins = new OriginClient(mControl, mTraffic, mClock);
+        mTraffic.execute(() -> mEntry.streams().start(origins));
         EntrySubscriber subscriber =
                 new EntrySubscriber(
                         mSettings,
@@ -347,7 +349,8 @@
                         mLog,
                         mRefused,
                         crashes,
-                        quotas);
+                        quotas,
+                        origins);
         mTraffic.execute(subscriber::recordLoads);
         mTraffic.execute(subscriber::recordRollouts);
         mTraffic.scheduleAtFixedRate(
@@ -374,6 +377,7 @@
                                     subscriber);
                     crashes.tellTo(mLinks::sendToAll);
                     quotas.setLinks(mLinks);
+                    origins.setLinks(mLinks);
                     mTraffic.execute(() -> mEntry.setLimitConsumer(this::sendLimit));
                     mTraffic.execute(() -> mEntry.setPathStatusConsumer(this::sendPathStatus));
                 });
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/EntryContext.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/EntryContext.java
@@ -94,6 +94,7 @@
     private final RelayClient mRelays;
     private final PathProber mPathProber;
     private final EntryRollouts mRollouts;
+    private final EntryStreams mStreams = new EntryStreams(this);
     private QuotaGate mQuotaGate =
             (request, giveUpAt) -> request.onVerdict().accept(QuotaVerdict.unavailable());
     private Consumer<AdvertisedLimit> mLimitConsumer = limit -> {};
@@ -215,6 +216,7 @@
     public void onReport(TargetReport report) {
         mUnreported.remove(report.key());
         mRollouts.onReport(report);
+        mStreams.onReport(report);
         mTargetSelector.onReport(report);
     }
 
@@ -490,6 +492,11 @@
         return mRollouts;
     }
 
+    /** Returns the software versions that began the streams of this instance. */
+    public EntryStreams streams() {
+        return mStreams;
+    }
+
     /** Returns the pool of connections to targets. */
     public TargetConnectionPool pool() {
         return mPool;
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/EntryRollouts.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/EntryRollouts.java
@@ -18,7 +18,6 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
 import org.quilldyke.caller.ForwardRequest;
 import org.quilldyke.daemon.log.Event;
 import org.quilldyke.engine.TargetReport;
@@ -32,16 +31,9 @@
 
 /** The rollouts that an entry follows, and its evidence. Used on the traffic thread only. */
 public final class EntryRollouts {
-    /**
-     * Interval of the checks whether streams can move to the new version. {@code SHIFTING} lasts
-     * 400 ms or more.
-     */
-    private static final long MOVE_CHECK_MILLIS = 100;
-
     private final EntryContext mEntry;
     private final VersionRouting mVersions;
     private final EvidenceCollector mEvidence;
-    private boolean mChecksMoves;
 
     /**
      * Returns the rollouts of an entry that knows none.
@@ -61,10 +53,6 @@
         }
         mEvidence.onRollout(versions.rollout());
         mEntry.targetSelector().onVersionsChanged();
-        if (!mChecksMoves) {
-            mChecksMoves = true;
-            checkMoves();
-        }
     }
 
     /** Applies a canary fraction that the leader has sent. */
@@ -99,11 +87,13 @@
                 request.deadline());
     }
 
-    /** Returns the software version of a target if its service has a rollout. */
+    /**
+     * Returns the software version of a target if its service has a rollout or several versions.
+     */
     Optional<String> loggedVersion(String service, String target) {
-        return mVersions
-                .rollout(service)
-                .map(rollout -> mEntry.targetSelector().softwareVersion(target));
+        return mVersions.rollout(service).isPresent() || mEntry.streams().isMixed(service)
+                ? Optional.of(mEntry.targetSelector().softwareVersion(target))
+                : Optional.empty();
     }
 
     private void onResponse(String service, String target, boolean canary, boolean bad, long now) {
@@ -120,14 +110,4 @@
                             target);
         }
     }
-
-    /** Moves streams to the new version, but not during a shutdown, which moves them itself. */
-    private void checkMoves() {
-        if (!mEntry.isDraining()) {
-            mEntry.targetSelector()
-                    .targetsToVacate(mEntry.now())
-                    .forEach(target -> mEntry.moveStreams(target, "its version is replaced"));
-        }
-        mEntry.loop().schedule(this::checkMoves, MOVE_CHECK_MILLIS, TimeUnit.MILLISECONDS);
-    }
 }
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Exchange.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Exchange.java
@@ -45,7 +45,9 @@
     private final UnresponsiveTargetDetector mUnresponsiveDetector;
     private final StartUpCheck mStartUpCheck;
     private final QuotaCheck mQuotaCheck;
+    private final StreamOriginCheck mOriginCheck;
     private ForwardRequest mRequest;
+
     private Optional<RequestEvidence> mEvidence = Optional.empty();
     private Forwarding mForwarding;
 
@@ -81,6 +83,7 @@
         mStream = new CallerStream(caller);
         mUnresponsiveDetector = new UnresponsiveTargetDetector(entry, this::onUnresponsive);
         mQuotaCheck = new QuotaCheck(entry);
+        mOriginCheck = new StreamOriginCheck(entry, mLog);
         mArrivedAt = entry.now();
         mStartUpCheck = new StartUpCheck(entry, head, mArrivedAt);
     }
@@ -95,13 +98,22 @@
             mRequest = RequestAdmission.admit(mEntry, mHead, mBody, mArrivedAt);
             mVersionAtStart = mEntry.configurationVersion();
             mCaller.checkReadInTime();
+            mOriginCheck.start(mRequest, mHead, this::onOriginChecked);
         } catch (QuilldykeException e) {
             refuse(e.code(), e.retryAfterMillis(), e.getMessage());
+        }
+    }
+
+    /** Sends the request, unless it is refused. */
+    private void onOriginChecked(Optional<Step.Refuse> refusal) {
+        if (mEnded || refusal.isPresent()) {
+            refusal.filter(step -> !mEnded).ifPresent(this::perform);
             return;
         }
         mDeadlineTimer = schedule(this::onDeadline, Math.max(0, mRequest.deadline() - now()));
         mEvidence = mEntry.rollouts().evidence(mRequest);
         mForwarding = mEntry.forwarding(mRequest);
+        mOriginCheck.restrict(mForwarding.streamVersion());
         mEntry.metrics().onRequest(mRequest.route().kind());
         perform(mForwarding.start(now()));
     }
@@ -451,6 +463,7 @@
         }
         beginStream();
         mForwarding.onEventRelayed(numbered ? event.number() : mForwarding.lastRelayedEvent());
+        mOriginCheck.onEventRelayed(mRequest, mForwarding.streamVersion());
         mStream.write(event, now());
     }
 
@@ -564,15 +577,7 @@
                 mRequest,
                 cut,
                 mAbandoned,
-                new ExchangeLog.CutState(
-                        now(),
-                        mForwarding.lastRelayedEvent(),
-                        mForwarding.runCount(),
-                        mEntry.retryBudget().available(mRequest.service(), now()),
-                        mEntry.confirmationAgeMillis(),
-                        mVersionAtStart,
-                        mEntry.configurationVersion(),
-                        mEntry.drainMillis()));
+                ExchangeLog.CutState.of(mEntry, mForwarding, mRequest, mVersionAtStart));
     }
 
     private void logEnd(ResultCode code, String reason) {
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/ExchangeLog.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/ExchangeLog.java
@@ -20,6 +20,8 @@
 import java.util.OptionalLong;
 import org.quilldyke.ResultCode;
 import org.quilldyke.caller.ForwardRequest;
+import org.quilldyke.caller.Forwarding;
+import org.quilldyke.caller.OriginVerdict;
 import org.quilldyke.caller.Prompt;
 import org.quilldyke.caller.Step;
 import org.quilldyke.daemon.log.Event;
@@ -119,6 +121,22 @@
         return all;
     }
 
+    /** A caller resumes a stream; logs which software version may continue it, and why. */
+    void resumed(ForwardRequest request, String stream, OriginVerdict verdict) {
+        mLog.write(
+                Event.STREAM_RESUMED,
+                "request",
+                request.id(),
+                "stream",
+                stream,
+                "after",
+                request.resumeAfterEvent(),
+                "software",
+                verdict.softwareVersion(),
+                "source",
+                verdict.source());
+    }
+
     void attemptFailed(String request, Choice choice, String outcome, String reason) {
         mLog.write(
                 Event.ATTEMPT_FAILED,
@@ -293,5 +311,21 @@
             long confirmationAgeMillis,
             long versionAtStart,
             long version,
-            OptionalLong drainMillis) {}
+            OptionalLong drainMillis) {
+        static CutState of(
+                EntryContext entry,
+                Forwarding forwarding,
+                ForwardRequest request,
+                long versionAtStart) {
+            return new CutState(
+                    entry.now(),
+                    forwarding.lastRelayedEvent(),
+                    forwarding.runCount(),
+                    entry.retryBudget().available(request.service(), entry.now()),
+                    entry.confirmationAgeMillis(),
+                    versionAtStart,
+                    entry.configurationVersion(),
+                    entry.drainMillis());
+        }
+    }
 }
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/RequestAdmission.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/RequestAdmission.java
@@ -70,12 +70,15 @@
         if (!anonymousAllowed && owner.isEmpty()) {
             throw denied(entry, ResultCode.UNKNOWN_TOKEN, "");
         }
+        // A resumed stream stays at the service that was drawn for the attempt that began it.
+        String routingId =
+                facts.lastEvent().isPresent() ? facts.resumes().orElse(facts.id()) : facts.id();
         long timeoutMillis =
                 Math.min(route.timeoutMillis(), facts.millisLeft().orElse(Long.MAX_VALUE));
         return new ForwardRequest(
                 facts.id(),
                 route,
-                route.serviceFor(facts.id().hashCode()),
+                route.serviceFor(routingId.hashCode()),
                 owner,
                 routes.sharedCacheScope(),
                 route.carriesPrompts() ? facts.prompt() : Optional.empty(),
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/ControlNode.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/ControlNode.java
@@ -98,6 +98,7 @@
     private final RolloutController mRollouts;
     private final RolloutOrders mRolloutOrders;
     private final FleetOrders mFleetOrders;
+    private final OriginReplication mOrigins;
     private final boolean mPermitsRollouts;
     private final MembershipManager mMembership;
     private final WeightsController mWeights;
@@ -170,7 +171,7 @@
         mRolloutOrders =
                 new RolloutOrders(mReadConfirmations, mProposals, this::publishedState, log);
         mFleetOrders = new FleetOrders(mReadConfirmations, mProposals, mStateMachine::state, log);
-        connectEntries(entryCount);
+        mOrigins = connectEntries(entryCount);
         mMembership =
                 new MembershipManager(mGroup, mPeers, mAddress, clock, settings.toleratedLosses());
         mWeights = createWeightsController(engineClient, settings.timings().orderLease());
@@ -212,7 +213,9 @@
                 mLog);
     }
 
-    private void connectEntries(EntryCount entryCount) {
+    private OriginReplication connectEntries(EntryCount entryCount) {
+        OriginReplication origins =
+                new OriginReplication(mPeers::sendToAll, this::hasRecentLeader, mClock);
         mEntries.connect(
                 mReadConfirmations::confirm,
                 entryCount::count,
@@ -220,7 +223,9 @@
                 mCrashes,
                 mLimits,
                 mQuotas,
-                mRollouts);
+                mRollouts,
+                origins);
+        return origins;
     }
 
     private TargetReplication createTargetReplication(
@@ -397,6 +402,7 @@
             case LOADS -> mEntries.onLoads(frame.getAddress(), frame.getLoads());
             case CRASHES -> mCrashes.onPeerReport(frame.getCrashes());
             case LIMITS -> mLimits.onPeerReport(frame.getLimits());
+            case STREAM_ORIGINS -> mOrigins.onPeerReport(frame.getStreamOrigins());
             case CACHES -> mEntries.onCacheUpdates(frame.getCaches().getCachesList());
             case QUOTA_PULL -> mQuotas.onPull(frame.getAddress(), frame.getQuotaPull());
             case QUOTA_GRANT -> mQuotas.onGrant(frame.getQuotaGrant());
@@ -476,6 +482,7 @@
     private void onPeerConnected(String address) {
         mPeers.send(address, PeerFrame.newBuilder().setTargets(mTargets.snapshotForPeers()));
         mPeers.send(address, PeerFrame.newBuilder().setLimits(mLimits.snapshot()));
+        mPeers.send(address, PeerFrame.newBuilder().setStreamOrigins(mOrigins.snapshot()));
         mCrashes.snapshotForPeers()
                 .ifPresent(
                         crashes ->
@@ -546,6 +553,7 @@
         mRollouts.tick();
         publishCacheUpdates();
         List<TargetReport> targets = mTargets.reports();
+        mOrigins.tick(targets);
         mCacheWatcher.tick(mGroup.leads(), targets);
         if (mClock.getAsLong() - mCachesSavedAt >= CACHE_SAVE_INTERVAL_MILLIS) {
             mCachesSavedAt = mClock.getAsLong();
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/EntrySessions.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/EntrySessions.java
@@ -28,8 +28,10 @@
 import java.util.function.IntSupplier;
 import java.util.function.LongSupplier;
 import java.util.stream.Stream;
+import org.quilldyke.caller.OriginVerdict;
 import org.quilldyke.daemon.log.Event;
 import org.quilldyke.daemon.log.EventLog;
+import org.quilldyke.gateway.instance.OriginFrames;
 import org.quilldyke.gateway.instance.Peers;
 import org.quilldyke.gateway.instance.RolloutFrames;
 import org.quilldyke.gateway.instance.SessionServer;
@@ -47,6 +49,7 @@
 import org.quilldyke.gateway.instance.proto.Loading;
 import org.quilldyke.gateway.instance.proto.Loads;
 import org.quilldyke.gateway.instance.proto.ModelWeights;
+import org.quilldyke.gateway.instance.proto.OriginInquiry;
 import org.quilldyke.gateway.instance.proto.PeerFrame;
 import org.quilldyke.gateway.instance.proto.Question;
 import org.quilldyke.gateway.instance.proto.Relays;
@@ -90,6 +93,7 @@
     private LimitReplication mLimits;
     private QuotaService mQuotas;
     private RolloutController mRollouts;
+    private OriginReplication mOrigins;
     private FleetState mState = FleetState.create();
     private boolean mStatePublished;
     private long mPublishedVersion = -1;
@@ -135,6 +139,7 @@
      * @param limits stores the limits that targets have advertised to entries
      * @param quotas decides which requests are within the quotas of organisations
      * @param rollouts collects what entries observe of rollouts
+     * @param origins stores which software versions began streams
      */
     void connect(
             Consumer<Consumer<Boolean>> confirm,
@@ -143,7 +148,8 @@
             CrashReplication crashes,
             LimitReplication limits,
             QuotaService quotas,
-            RolloutController rollouts) {
+            RolloutController rollouts,
+            OriginReplication origins) {
         mConfirm = confirm;
         mEntryCount = entryCount;
         mTargets = targets;
@@ -151,6 +157,7 @@
         mLimits = limits;
         mQuotas = quotas;
         mRollouts = rollouts;
+        mOrigins = origins;
     }
 
     /** Stores the state after a change; {@link #publishState} sends it to all entries. */
@@ -363,6 +370,10 @@
                 mQuotas.onInquiries(frame.getQuotas(), this::sendIfOpen);
             } else if (frame.getKindCase() == EntryFrame.KindCase.ROLLOUT_REPORT) {
                 mRollouts.onEntryReport(mEntry, frame.getRolloutReport());
+            } else if (frame.getKindCase() == EntryFrame.KindCase.STREAM_ORIGINS) {
+                mOrigins.onEntryReport(frame.getStreamOrigins());
+            } else if (frame.getKindCase() == EntryFrame.KindCase.ORIGIN_INQUIRY) {
+                onOriginInquiry(frame.getOriginInquiry());
             } else if (frame.getKindCase() == EntryFrame.KindCase.PATHS) {
                 mRelay = mRelay.withPartitioned(frame.getPaths().getLost());
                 send(relays());
@@ -403,6 +414,7 @@
             mLog.write(Event.SUBSCRIBER_GAINED, "entry", mEntry, "index", hello.getHeldIndex());
             mTargets.onTargets(hello.getTargets());
             mCrashes.onEntryReport(hello.getCrashes());
+            mOrigins.onEntryReport(hello.getStreamOrigins());
             mSessions.add(this);
             if (mState.hasManifest()) {
                 send(configuration(true));
@@ -424,6 +436,14 @@
             }
         }
 
+        private void onOriginInquiry(OriginInquiry inquiry) {
+            OriginVerdict verdict = mOrigins.verdict(inquiry);
+            send(
+                    ControlFrame.newBuilder()
+                            .setOriginVerdict(OriginFrames.encode(inquiry.getNumber(), verdict))
+                            .build());
+        }
+
         private ControlFrame relays() {
             List<RelayOffer.Entry> entries = mSessions.stream().map(s -> s.mRelay).toList();
             return ControlFrame.newBuilder()
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/dialect/CallerFacts.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/dialect/CallerFacts.java
@@ -27,10 +27,12 @@
  * @param key the key that it shows
  * @param prompt its prompt, if it has one
  * @param lastEvent the event after which a stream shall go on
+ * @param resumes the id of the caller's attempt that began the stream; empty if it names none
  */
 public record CallerFacts(
         String id,
         OptionalLong millisLeft,
         Optional<String> key,
         Optional<Prompt> prompt,
-        OptionalLong lastEvent) {}
+        OptionalLong lastEvent,
+        Optional<String> resumes) {}
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/platform/GatewayMetrics.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/platform/GatewayMetrics.java
@@ -18,8 +18,10 @@
 import com.codahale.metrics.Counter;
 import com.codahale.metrics.Histogram;
 import com.codahale.metrics.MetricRegistry;
+import java.util.Locale;
 import org.quilldyke.ResultCode;
 import org.quilldyke.caller.CutCause;
+import org.quilldyke.caller.OriginVerdict;
 import org.quilldyke.manifest.RequestKind;
 import org.quilldyke.routing.Distance;
 
@@ -54,6 +56,9 @@
             // Registered at the start, so that zero can be distinguished from a missing counter.
             mRegistry.counter("answers.cut." + cause.label());
         }
+        for (OriginVerdict.Source source : OriginVerdict.Source.values()) {
+            mRegistry.counter(resumedCounter(source));
+        }
         for (Distance distance : Distance.values()) {
             mRegistry.counter("attempts." + distance.label());
             mRegistry.counter("attempts.body-bytes." + distance.label());
@@ -108,6 +113,15 @@
         mRegistry.counter("answers.cut." + cause.label()).inc();
     }
 
+    /** Counts a stream that its caller resumes, by how the version that began it was found. */
+    public void onStreamResumed(OriginVerdict.Source source) {
+        mRegistry.counter(resumedCounter(source)).inc();
+    }
+
+    private static String resumedCounter(OriginVerdict.Source source) {
+        return "streams.resumed." + source.name().toLowerCase(Locale.ROOT).replace('_', '-');
+    }
+
     /** Counts a request that was refused or failed. */
     public void onRefused(ResultCode code) {
         mRegistry.counter("refused." + code.label()).inc();
