Known origins of streams are not sent to peers again

An entry sends its origins again whenever it connects to a control process, which passed all of them on to its peers. Only new ones are passed on now.

--- a/quilldyke-core/src/main/java/org/quilldyke/caller/StreamOrigins.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/caller/StreamOrigins.java
@@ -35,12 +35,15 @@
         return new StreamOrigins();
     }
 
-    /** Adds the origin of a stream, unless the attempt is known: its first event came only once. */
-    public void add(StreamOrigin origin, long now) {
+    /**
+     * Adds the origin of a stream, unless the attempt is known: its first event came only once.
+     *
+     * @return whether the origin was added
+     */
+    public boolean add(StreamOrigin origin, long now) {
         removeExpired(now);
-        if (origin.isRetained(now)) {
-            mByKey.putIfAbsent(new Key(origin.organisation(), origin.attempt()), origin);
-        }
+        Key key = new Key(origin.organisation(), origin.attempt());
+        return origin.isRetained(now) && mByKey.putIfAbsent(key, origin) == null;
     }
 
     /** Returns the origin of a stream of an organisation, if it is known. */
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/OriginReplication.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/control/OriginReplication.java
@@ -69,8 +69,9 @@
     void onEntryReport(org.quilldyke.gateway.instance.proto.StreamOrigins report) {
         long now = mClock.getAsLong();
         for (StreamOrigin origin : OriginFrames.decode(report, now)) {
-            mOrigins.add(origin, now);
-            mUnsent.add(origin);
+            if (mOrigins.add(origin, now)) {
+                mUnsent.add(origin);
+            }
         }
     }
 
