--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/ExchangeLog.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/ExchangeLog.java
@@ -16,6 +16,7 @@
 package org.quilldyke.gateway.caller;
 
 import java.util.Arrays;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.quilldyke.ResultCode;
@@ -35,6 +36,8 @@
 
 /** Writes the log lines of one request: where it was sent and why, and its outcome. */
 final class ExchangeLog {
+    private static final int MAX_LOGGED_PARTS = 16;
+
     private final EventLog mLog;
 
     ExchangeLog(EventLog log) {
@@ -52,6 +55,13 @@
                 Event.ROUTED, version.map(name -> with(fields, "software", name)).orElse(fields));
     }
 
+    private static List<String> partLabels(Prompt prompt) {
+        return prompt.sharedParts().stream()
+                .limit(MAX_LOGGED_PARTS)
+                .map(part -> Long.toHexString(part.id()))
+                .toList();
+    }
+
     /** Returns the names and values of a routing decision; the region only if there are several. */
     static Object[] routedFields(
             ForwardRequest request,
@@ -78,6 +88,8 @@
             request.prompt()
                     .map(prompt -> Long.toHexString(CacheKeys.sharedPrefixKey(prompt)))
                     .orElse(""),
+            "parts",
+            request.prompt().map(ExchangeLog::partLabels).orElse(List.of()),
             "shared",
             request.prompt().map(Prompt::sharedTokens).orElse(0),
             "cached",
