Prompt parts that crash targets are refused

Cause: requests were related only if caller, method, host, path and body were the same. Requests with a common part differ in their bodies, so each was at one or two crashes and none was refused. The class of fault: the cause of a crash was sought in only one of the things that a target runs.

Now each part that a prompt may share is a suspect beside the request. A crash is attributed to the suspect that was at the most crashes; at a tie a request goes before a part, and one that never completed before one that has. So a single request is not taken for its parts, a part explains the requests that ran beside it, and parts of sound prompts are cleared by their completions. A part is refused for all callers after four crashes. Evidence, replication, storage and expiry are those of requests; the wire has the kind of a fingerprint. An unframed answer that may be complete counts as a completion if its target is connected 200 ms later.

The bound on suspects was exceeded by one if an evaluation that refused a request displaced an older one; it depended on the order of a hash set (manyPoisonRequestsAreRefusedWithinBounds failed once for it).

--- a/quilldyke-core/src/main/java/org/quilldyke/caller/DisconnectedRuns.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/caller/DisconnectedRuns.java
@@ -45,10 +45,26 @@
         return new DisconnectedRuns();
     }
 
-    /** Records that a target closed the connection of a run. */
-    public void onDisconnected(String target, RequestFingerprint request, long now) {
+    /**
+     * Records that a target closed the connection of a run.
+     *
+     * @param request the fingerprints of the request that it ran
+     */
+    public void onDisconnected(String target, Set<RequestFingerprint> request, long now) {
         expire(now);
-        mDisconnectedAtByTarget.computeIfAbsent(target, id -> new HashMap<>()).put(request, now);
+        Map<RequestFingerprint, Long> disconnectedAt =
+                mDisconnectedAtByTarget.computeIfAbsent(target, id -> new HashMap<>());
+        request.forEach(fingerprint -> disconnectedAt.put(fingerprint, now));
+    }
+
+    /**
+     * Returns whether a target has neither ended nor left since it closed the connection of a run;
+     * to be called within {@link #RETENTION_MILLIS} of it.
+     */
+    public boolean hasSurvived(String target, RequestFingerprint request, long disconnectedAt) {
+        Long lastDisconnectedAt =
+                mDisconnectedAtByTarget.getOrDefault(target, Map.of()).get(request);
+        return lastDisconnectedAt != null && lastDisconnectedAt >= disconnectedAt;
     }
 
     /**
--- a/quilldyke-core/src/main/java/org/quilldyke/caller/ForwardRequest.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/caller/ForwardRequest.java
@@ -15,7 +15,10 @@
  */
 package org.quilldyke.caller;
 
+import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import org.quilldyke.manifest.Organisation;
 import org.quilldyke.manifest.Route;
 
@@ -50,6 +53,23 @@
         RequestFingerprint fingerprint,
         long resumeAfterEvent,
         long quotaUnits) {
+    /** Further parts of a prompt are not examined as causes of crashes. */
+    private static final int MAX_SUSPECT_PARTS = 128;
+
+    /**
+     * Returns what may be found to crash targets: the request, and the parts of its prompt that
+     * other requests may share.
+     */
+    public Set<RequestFingerprint> suspectFingerprints() {
+        Set<RequestFingerprint> fingerprints = new LinkedHashSet<>();
+        fingerprints.add(fingerprint);
+        prompt.map(Prompt::sharedParts).orElse(List.of()).stream()
+                .limit(MAX_SUSPECT_PARTS)
+                .map(part -> RequestFingerprint.ofPromptPart(part.id()))
+                .forEach(fingerprints::add);
+        return fingerprints;
+    }
+
     /** Returns the priority of the request; 0 is the highest. */
     public int priority() {
         return organisation
--- a/quilldyke-core/src/main/java/org/quilldyke/caller/Forwarding.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/caller/Forwarding.java
@@ -508,7 +508,7 @@
 
     /** Returns whether the request may be sent to a first or to one more target. */
     private boolean maySend(long now) {
-        return mSuspects.maySend(mRequest.fingerprint(), mHistory.runCount(), now);
+        return mSuspects.maySend(mRequest, mHistory.runCount(), now);
     }
 
     private boolean hasTimeLeft(long now) {
@@ -542,7 +542,7 @@
             return refuseOrResume(ResultCode.DEADLINE_PASSED, "no target in time", now);
         }
         if (!maySend(now)) {
-            return refuse(mSuspects.refusal(mRequest.fingerprint(), now));
+            return refuse(mSuspects.refusal(mRequest, now));
         }
         boolean notRun = !mAnswerStarted && mHistory.runCount() == 0;
         // A canary that fails has to be sent to another version.
--- a/quilldyke-core/src/main/java/org/quilldyke/caller/PoisonRequestDetector.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/caller/PoisonRequestDetector.java
@@ -16,23 +16,29 @@
 package org.quilldyke.caller;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.BinaryOperator;
 
 /**
- * Detects requests that crash the targets that run them, from the evidence of all instances.
+ * Detects requests, and parts of prompts, that crash the targets that run them, from the evidence
+ * of all instances.
  *
- * <p>A crash interrupts all requests that a target works on, so each of them is a suspect. A crash
- * is attributed to the suspect that was present at the most crashes and does not count for the
- * others. A request that completed shortly before a crash, or after it, did not cause it. A request
- * to which {@link #MIN_CRASHES_TO_REFUSE} crashes are attributed is refused everywhere for a
+ * <p>A crash interrupts all requests that a target works on, so each of them is a suspect, and so
+ * is each part that its prompt may share with others. A crash is attributed to the suspect that was
+ * present at the most crashes and does not count for the others; if several were at as many, a
+ * request goes before a part, and a suspect that has never completed before one that has. A suspect
+ * that completed shortly before a crash, or after it, did not cause it. A suspect to which {@link
+ * #MIN_CRASHES_TO_REFUSE} crashes are attributed, a part one more, is refused everywhere for a
  * limited time, unless others turn out to explain all of them. After that time a single crash is
  * sufficient, and each refusal lasts longer than the previous one.
  *
@@ -55,7 +61,7 @@
 
     static final int MAX_CRASHES = 256;
     static final int MAX_REQUESTS = 1024;
-    static final int MAX_REQUESTS_PER_CRASH = 512;
+    static final int MAX_REQUESTS_PER_CRASH = 1024;
 
     private static final int REFUSAL_GROWTH_FACTOR = 6;
 
@@ -165,7 +171,7 @@
     public List<Suspect> evaluate(long now) {
         Evidence evidence = collectEvidence();
         List<Suspect> refusedBefore = List.copyOf(mRefused.values());
-        Set<RequestFingerprint> requests = new HashSet<>(mRefused.keySet());
+        Set<RequestFingerprint> requests = new LinkedHashSet<>(mRefused.keySet());
         evidence.crashesByRequest()
                 .forEach(
                         (request, crashes) -> {
@@ -178,6 +184,8 @@
             evaluateRequest(request, evidence, now)
                     .ifPresent(suspect -> suspects.put(request, suspect));
         }
+        // Refusals of this evaluation may have exceeded the bound and displaced older ones.
+        suspects.values().removeIf(s -> s.refusals() > 0 && !mRefused.containsKey(s.request()));
         List<Suspect> changes = new ArrayList<>();
         for (Suspect suspect : refusedBefore) {
             // Received since the last evaluation, and unfounded: its sender refuses the request.
@@ -243,7 +251,7 @@
                 refused != null
                         && refused.targets().stream()
                                 .noneMatch(target -> isDisproved(target, refused));
-        if (!isRefusalFounded && attributed.size() < MIN_CRASHES_TO_REFUSE
+        if (!isRefusalFounded && attributed.size() < request.kind().minCrashesToRefuse()
                 || attributed.isEmpty()) {
             mRefused.remove(request);
             return watchedSuspect(request, evidence, now);
@@ -359,7 +367,8 @@
         Set<String> crashes = evidence.candidateCrashes(request);
         Set<String> attributed = new HashSet<>();
         for (String target : crashes) {
-            if (evidence.maxCrashesByTarget().get(target) <= crashes.size()) {
+            if (evidence.strongestByTarget().get(target).compareTo(evidence.strength(request))
+                    <= 0) {
                 attributed.add(target);
             }
         }
@@ -375,7 +384,7 @@
     }
 
     private Evidence collectEvidence() {
-        Map<RequestFingerprint, Set<String>> crashesByRequest = new HashMap<>();
+        Map<RequestFingerprint, Set<String>> crashesByRequest = new LinkedHashMap<>();
         for (String target : mCrashes.keySet()) {
             long crashedAt = crashedAt(target);
             for (RequestFingerprint request : credibleReports(target).keySet()) {
@@ -385,11 +394,22 @@
                 }
             }
         }
-        Map<String, Integer> maxCrashesByTarget = new HashMap<>();
-        for (Set<String> crashes : crashesByRequest.values()) {
-            crashes.forEach(target -> maxCrashesByTarget.merge(target, crashes.size(), Math::max));
-        }
-        return new Evidence(crashesByRequest, maxCrashesByTarget);
+        Map<RequestFingerprint, Strength> strengths = new HashMap<>();
+        Map<String, Strength> strongestByTarget = new HashMap<>();
+        crashesByRequest.forEach(
+                (request, crashes) -> {
+                    Strength strength =
+                            new Strength(
+                                    crashes.size(),
+                                    request.kind(),
+                                    mCompletedAt.containsKey(request));
+                    strengths.put(request, strength);
+                    for (String target : crashes) {
+                        strongestByTarget.merge(
+                                target, strength, BinaryOperator.maxBy(Strength::compareTo));
+                    }
+                });
+        return new Evidence(crashesByRequest, strengths, strongestByTarget);
     }
 
     private static <K, V> void dropOldest(Map<K, V> entries, int maxSize) {
@@ -402,13 +422,39 @@
      * Evidence against requests.
      *
      * @param crashesByRequest the targets whose crashes each request may have caused
-     * @param maxCrashesByTarget by target, the largest number of crashes of any of its suspects
+     * @param strengths how well each request explains its crashes
+     * @param strongestByTarget by target, the strongest of its suspects
      */
     private record Evidence(
             Map<RequestFingerprint, Set<String>> crashesByRequest,
-            Map<String, Integer> maxCrashesByTarget) {
+            Map<RequestFingerprint, Strength> strengths,
+            Map<String, Strength> strongestByTarget) {
         Set<String> candidateCrashes(RequestFingerprint request) {
             return crashesByRequest.getOrDefault(request, Set.of());
         }
+
+        Strength strength(RequestFingerprint request) {
+            return strengths.get(request);
+        }
+    }
+
+    /**
+     * How well a suspect explains crashes; the best explanation is the largest.
+     *
+     * @param crashes the number of crashes at which it was present
+     * @param kind a request explains as many crashes better than a part of its prompt
+     * @param hasCompleted whether it is known to have completed, however long ago
+     */
+    private record Strength(int crashes, RequestFingerprint.Kind kind, boolean hasCompleted)
+            implements Comparable<Strength> {
+        private static final Comparator<Strength> ORDER =
+                Comparator.comparingInt(Strength::crashes)
+                        .thenComparing(Strength::kind, Comparator.reverseOrder())
+                        .thenComparing(Strength::hasCompleted, Comparator.reverseOrder());
+
+        @Override
+        public int compareTo(Strength other) {
+            return ORDER.compare(this, other);
+        }
     }
 }
--- a/quilldyke-core/src/main/java/org/quilldyke/caller/RequestFingerprint.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/caller/RequestFingerprint.java
@@ -22,16 +22,56 @@
 import java.util.HexFormat;
 
 /**
- * Identifies a request by its content: the first 128 bits of a SHA-256 digest over its caller,
- * method, host, path and body. Attempts at the same request have different ids and the same
- * fingerprint.
+ * Identifies what several requests have in common: their whole content, or one part of their
+ * prompts. Attempts at the same request have different ids and the same fingerprint.
  *
- * @param high the first 64 bits
- * @param low the next 64 bits
+ * @param kind what they have in common
+ * @param high the first 64 bits of a SHA-256 digest over caller, method, host, path and body, or
+ *     the id of the part
+ * @param low the next 64 bits of the digest, or 0
  */
-public record RequestFingerprint(long high, long low) {
+public record RequestFingerprint(Kind kind, long high, long low) {
     private static final String ALGORITHM = "SHA-256";
 
+    /** What requests have in common. */
+    public enum Kind {
+        /** Everything. */
+        REQUEST {
+            @Override
+            int minCrashesToRefuse() {
+                return PoisonRequestDetector.MIN_CRASHES_TO_REFUSE;
+            }
+
+            @Override
+            String label(long high) {
+                return HexFormat.of().toHexDigits(high);
+            }
+        },
+        /** A part of the prompt, whoever sends it. */
+        PROMPT_PART {
+            /** One more than for a request: a single request can be at several crashes. */
+            @Override
+            int minCrashesToRefuse() {
+                return PoisonRequestDetector.MIN_CRASHES_TO_REFUSE + 1;
+            }
+
+            @Override
+            String label(long high) {
+                return "part-" + Long.toHexString(high);
+            }
+        };
+
+        /** Returns the number of crashes from which on requests are refused. */
+        abstract int minCrashesToRefuse();
+
+        abstract String label(long high);
+    }
+
+    /** Creates the fingerprint of a request from the two halves of its digest. */
+    public RequestFingerprint(long high, long low) {
+        this(Kind.REQUEST, high, low);
+    }
+
     /**
      * Returns the fingerprint of a request.
      *
@@ -55,9 +95,17 @@
         return new RequestFingerprint(hash.getLong(), hash.getLong());
     }
 
-    /** Returns the first half in hexadecimal, as used in logs. */
+    /**
+     * Returns the fingerprint of a part of prompts. It is the same for all callers: a part that
+     * crashes targets does so whoever sends it.
+     */
+    public static RequestFingerprint ofPromptPart(long id) {
+        return new RequestFingerprint(Kind.PROMPT_PART, id, 0);
+    }
+
+    /** Returns the form used in logs. */
     public String label() {
-        return HexFormat.of().toHexDigits(high);
+        return kind.label(high);
     }
 
     private static MessageDigest newDigest() {
--- a/quilldyke-core/src/main/java/org/quilldyke/caller/Suspect.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/caller/Suspect.java
@@ -18,7 +18,7 @@
 import java.util.Set;
 
 /**
- * A request that targets were running when they crashed.
+ * A request that targets were running when they crashed, or a part of its prompt.
  *
  * @param request its fingerprint
  * @param standing how the request is treated
--- a/quilldyke-core/src/main/java/org/quilldyke/caller/SuspectRequests.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/caller/SuspectRequests.java
@@ -15,6 +15,8 @@
  */
 package org.quilldyke.caller;
 
+import java.util.Comparator;
+import java.util.EnumMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -22,17 +24,24 @@
 import org.quilldyke.ResultCode;
 
 /**
- * The requests that one instance treats as suspected of crashing targets, and the recent
- * completions of requests, which may clear suspects. Not thread-safe.
+ * The requests and parts of prompts that one instance treats as suspected of crashing targets, and
+ * their recent completions, which may clear suspects. Not thread-safe.
  */
 public final class SuspectRequests {
     static final int MAX_SUSPECTS = 4096;
-    private static final int MAX_COMPLETIONS = 4096;
+
+    /** Of each kind of fingerprint. */
+    static final int MAX_COMPLETIONS = 4096;
 
     private final Map<RequestFingerprint, Suspect> mSuspects = new LinkedHashMap<>();
-    private final Map<RequestFingerprint, Long> mCompletedAt = new LinkedHashMap<>();
+    private final Map<RequestFingerprint.Kind, Map<RequestFingerprint, Long>> mCompletedAtByKind =
+            new EnumMap<>(RequestFingerprint.Kind.class);
 
-    private SuspectRequests() {}
+    private SuspectRequests() {
+        for (RequestFingerprint.Kind kind : RequestFingerprint.Kind.values()) {
+            mCompletedAtByKind.put(kind, new LinkedHashMap<>());
+        }
+    }
 
     /** Returns an object without suspects. */
     public static SuspectRequests create() {
@@ -52,7 +61,7 @@
         }
         mSuspects.put(suspect.request(), suspect);
         dropOldest(mSuspects, MAX_SUSPECTS);
-        Long completedAt = mCompletedAt.get(suspect.request());
+        Long completedAt = completedAt(suspect.request());
         return completedAt == null ? OptionalLong.empty() : OptionalLong.of(completedAt);
     }
 
@@ -62,20 +71,34 @@
     }
 
     /**
-     * Returns whether a request may be sent to one more target. After a refusal has expired, the
-     * request is tried on one target only.
+     * Returns whether a request may be sent to one more target. After a refusal of it, or of a part
+     * of its prompt, has expired, the request is tried on one target only.
      *
      * @param runCount the number of targets that may have run it for this attempt of its caller
      */
-    public boolean maySend(RequestFingerprint request, int runCount, long now) {
+    public boolean maySend(ForwardRequest request, int runCount, long now) {
+        return mSuspects.isEmpty()
+                || request.suspectFingerprints().stream()
+                        .allMatch(fingerprint -> maySend(fingerprint, runCount, now));
+    }
+
+    /** Returns the refusal of a request that is not forwarded: the one that expires last. */
+    public Step.Refuse refusal(ForwardRequest request, long now) {
+        return request.suspectFingerprints().stream()
+                .filter(fingerprint -> mSuspects.containsKey(fingerprint))
+                .max(Comparator.comparingLong(suspect -> mSuspects.get(suspect).refusedUntil()))
+                .map(fingerprint -> refusal(fingerprint, now))
+                .orElseThrow();
+    }
+
+    boolean maySend(RequestFingerprint request, int runCount, long now) {
         Suspect suspect = mSuspects.get(request);
         return suspect == null
                 || suspect.standing() != Suspect.Standing.REFUSED
                 || now >= suspect.refusedUntil() && runCount == 0;
     }
 
-    /** Returns the refusal of a request that is not forwarded. */
-    public Step.Refuse refusal(RequestFingerprint request, long now) {
+    Step.Refuse refusal(RequestFingerprint request, long now) {
         Suspect suspect = mSuspects.get(request);
         return new Step.Refuse(
                 ResultCode.CRASHES_TARGETS,
@@ -84,14 +107,15 @@
     }
 
     /**
-     * Records that a request completed.
+     * Records that a request, or one with a part of a prompt, completed.
      *
      * @return whether it is a suspect, so that its completion has to be reported
      */
     public boolean onCompleted(RequestFingerprint request, long now) {
-        mCompletedAt.remove(request);
-        mCompletedAt.put(request, now);
-        dropOldest(mCompletedAt, MAX_COMPLETIONS);
+        Map<RequestFingerprint, Long> completedAt = mCompletedAtByKind.get(request.kind());
+        completedAt.remove(request);
+        completedAt.put(request, now);
+        dropOldest(completedAt, MAX_COMPLETIONS);
         return mSuspects.containsKey(request);
     }
 
@@ -99,11 +123,15 @@
      * Returns whether a request completed here so recently that it cannot be the cause of a crash.
      */
     public boolean hasCompletedRecently(RequestFingerprint request, long now) {
-        Long completedAt = mCompletedAt.get(request);
+        Long completedAt = completedAt(request);
         return completedAt != null
                 && now - completedAt <= PoisonRequestDetector.RECENT_COMPLETION_MILLIS;
     }
 
+    private Long completedAt(RequestFingerprint request) {
+        return mCompletedAtByKind.get(request.kind()).get(request);
+    }
+
     private static <V> void dropOldest(Map<RequestFingerprint, V> entries, int maxSize) {
         if (entries.size() > maxSize) {
             entries.remove(entries.keySet().iterator().next());
--- a/quilldyke-core/src/main/java/org/quilldyke/caller/TargetCrash.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/caller/TargetCrash.java
@@ -21,7 +21,8 @@
  * The crash of a target that was working on requests, one of which may have caused it.
  *
  * @param target the incarnation that ended
- * @param requests the requests that it was running or had queued, as far as known
+ * @param requests the requests that it was running or had queued, and the parts of their prompts,
+ *     as far as known
  * @param crashedAt when it ended, in milliseconds of this process's clock
  */
 public record TargetCrash(String target, Set<RequestFingerprint> requests, long crashedAt) {}
--- a/quilldyke-core/src/test/java/org/quilldyke/caller/DisconnectedRunsTest.java
+++ b/quilldyke-core/src/test/java/org/quilldyke/caller/DisconnectedRunsTest.java
@@ -17,6 +17,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 
 /** Distinguishes a crash of a target from a closed connection. */
@@ -28,9 +29,9 @@
 
     @Test
     void targetThatEndsRightAfterClosingConnectionsHasCrashed() {
-        mRuns.onDisconnected("a", ONE, 100);
-        mRuns.onDisconnected("a", TWO, 104);
-        mRuns.onDisconnected("b", TWO, 104);
+        mRuns.onDisconnected("a", Set.of(ONE), 100);
+        mRuns.onDisconnected("a", Set.of(TWO), 104);
+        mRuns.onDisconnected("b", Set.of(TWO), 104);
 
         TargetCrash crash = mRuns.onTargetEnded("a", 130).orElseThrow();
 
@@ -40,14 +41,14 @@
 
     @Test
     void targetThatEndsMuchLaterHasNotCrashed() {
-        mRuns.onDisconnected("a", ONE, 100);
+        mRuns.onDisconnected("a", Set.of(ONE), 100);
 
         assertThat(mRuns.onTargetEnded("a", 101 + DisconnectedRuns.RETENTION_MILLIS)).isEmpty();
     }
 
     @Test
     void targetThatClosedNoConnectionOrShutsDownHasNotCrashed() {
-        mRuns.onDisconnected("a", ONE, 100);
+        mRuns.onDisconnected("a", Set.of(ONE), 100);
         mRuns.onTargetLeft("a");
 
         assertThat(mRuns.onTargetEnded("a", 110)).isEmpty();
--- a/quilldyke-core/src/test/java/org/quilldyke/caller/PoisonRequestDetectorTest.java
+++ b/quilldyke-core/src/test/java/org/quilldyke/caller/PoisonRequestDetectorTest.java
@@ -32,6 +32,8 @@
 class PoisonRequestDetectorTest {
     private static final RequestFingerprint POISON = new RequestFingerprint(1, 1);
     private static final RequestFingerprint HARMLESS = new RequestFingerprint(2, 2);
+    private static final RequestFingerprint PART = RequestFingerprint.ofPromptPart(7);
+    private static final RequestFingerprint SOUND_PART = RequestFingerprint.ofPromptPart(8);
     private static final long REPORT_MILLIS = 1000;
 
     /** Reports received from this time on were sent after a crash at time 0. */
@@ -253,6 +255,68 @@
         assertThat(isRefused(new RequestFingerprint(300, 0))).isTrue();
     }
 
+    @Test
+    void partOfDifferentRequestsIsRefusedAfterFourCrashes() {
+        crash("a", 0, new RequestFingerprint(10, 0), PART);
+        crash("b", 0, new RequestFingerprint(10, 0), PART);
+        crash("c", 100, new RequestFingerprint(11, 0), PART);
+        assertThat(isRefused(PART)).isFalse();
+
+        crash("d", 100, new RequestFingerprint(12, 0), PART);
+
+        assertThat(refused(mDetector)).containsExactly(PART);
+    }
+
+    /** Guards against a refusal of all requests that share a part with one that crashes targets. */
+    @Test
+    void partOfASingleRequestIsNotRefused() {
+        for (int i = 0; i < 10; i++) {
+            crash("t" + i, i, POISON, PART);
+        }
+
+        assertThat(isRefused(POISON)).isTrue();
+        assertThat(isRefused(PART)).isFalse();
+    }
+
+    /** Guards against a refusal of a part that sound requests share with those that crash. */
+    @Test
+    void partThatHasCompletedLongAgoIsNotRefusedBesideOneThatNeverHas() {
+        mDetector.onCompleted(SOUND_PART, 0);
+        long now = 10 * PoisonRequestDetector.RECENT_COMPLETION_MILLIS;
+        for (int i = 0; i < 5; i++) {
+            crash("t" + i, now + i, new RequestFingerprint(20, i), PART, SOUND_PART);
+        }
+
+        assertThat(isRefused(PART)).isTrue();
+        assertThat(isRefused(SOUND_PART)).isFalse();
+    }
+
+    /** Guards against harmless requests that stay refused since they ran beside a crashing part. */
+    @Test
+    void requestRefusedBeforeThePartIsClearedByIt() {
+        for (int i = 0; i < 3; i++) {
+            crash("t" + i, i, HARMLESS, new RequestFingerprint(30, i), PART);
+        }
+        assertThat(isRefused(HARMLESS)).isTrue();
+
+        crash("t3", 3, new RequestFingerprint(30, 3), PART);
+
+        assertThat(isRefused(HARMLESS)).isFalse();
+        assertThat(isRefused(PART)).isTrue();
+    }
+
+    @Test
+    void crashingRequestAndCrashingPartAreBothRefused() {
+        for (int i = 0; i < 5; i++) {
+            crash("t" + i, i, new RequestFingerprint(40, i), PART);
+            crash("u" + i, i, POISON);
+        }
+
+        assertThat(isRefused(PART)).isTrue();
+        assertThat(isRefused(POISON)).isTrue();
+        assertThat(mDetector.suspects()).hasSize(2);
+    }
+
     /** Guards against refusals due to an instance that lost its paths to running targets. */
     @Test
     void refusalIsWithdrawnOnceTargetsReportAgain() {
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/CrashDetector.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/CrashDetector.java
@@ -31,6 +31,12 @@
      */
     private static final long PROBE_DELAY_MILLIS = 20;
 
+    /**
+     * Time after the end of an unframed answer at which a connection to its target shows that the
+     * target still runs. The probe has made one by then, and a terminated target has closed all.
+     */
+    private static final long CONFIRM_COMPLETION_MILLIS = 200;
+
     private final EntryContext mEntry;
     private final DisconnectedRuns mDisconnectedRuns = DisconnectedRuns.create();
     private final SuspectRequests mSuspects = SuspectRequests.create();
@@ -48,8 +54,12 @@
         return mSuspects;
     }
 
-    /** Handles a run whose target closed the connection; a probe shows if the target terminated. */
-    void onRunDisconnected(String target, RequestFingerprint request) {
+    /**
+     * Handles a run whose target closed the connection; a probe shows if the target terminated.
+     *
+     * @param request the fingerprints of the request
+     */
+    void onRunDisconnected(String target, Set<RequestFingerprint> request) {
         mDisconnectedRuns.onDisconnected(target, request, mEntry.now());
         mEntry.loop()
                 .schedule(
@@ -58,6 +68,31 @@
                         TimeUnit.MILLISECONDS);
     }
 
+    /**
+     * Handles a run whose answer ended with its connection and may be complete: it is, if its
+     * target continues to run.
+     */
+    void onUnframedRunEnded(String target, Set<RequestFingerprint> request) {
+        long endedAt = mEntry.now();
+        onRunDisconnected(target, request);
+        mEntry.loop()
+                .schedule(
+                        () -> confirmCompletion(target, request, endedAt),
+                        CONFIRM_COMPLETION_MILLIS,
+                        TimeUnit.MILLISECONDS);
+    }
+
+    private void confirmCompletion(String target, Set<RequestFingerprint> request, long endedAt) {
+        if (!mEntry.pool().isConnected(target)) {
+            return;
+        }
+        Set<RequestFingerprint> completed =
+                request.stream()
+                        .filter(r -> mDisconnectedRuns.hasSurvived(target, r, endedAt))
+                        .collect(Collectors.toSet());
+        recordCompletion(completed, endedAt);
+    }
+
     /** A target refuses connections, is unresponsive, or has restarted. */
     void onTargetDown(String target) {
         long now = mEntry.now();
@@ -72,10 +107,15 @@
         mDisconnectedRuns.onTargetLeft(target);
     }
 
-    void onRunCompleted(RequestFingerprint request) {
-        long now = mEntry.now();
-        if (mSuspects.onCompleted(request, now)) {
-            mListener.onSuspectCompleted(request, now);
+    void onRunCompleted(Set<RequestFingerprint> request) {
+        recordCompletion(request, mEntry.now());
+    }
+
+    private void recordCompletion(Set<RequestFingerprint> request, long completedAt) {
+        for (RequestFingerprint fingerprint : request) {
+            if (mSuspects.onCompleted(fingerprint, completedAt)) {
+                mListener.onSuspectCompleted(fingerprint, completedAt);
+            }
         }
     }
 
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/TargetAnswer.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/TargetAnswer.java
@@ -206,12 +206,7 @@
 
     @Override
     public void onComplete() {
-        if (!isFramed()) {
-            // Without framing, a complete answer looks like one truncated by a crash of the target.
-            onRunDisconnected();
-        } else if (answerHead().isSuccess() && answerHead().isGenuine()) {
-            mEntry.crashDetector().onRunCompleted(mRequest.fingerprint());
-        }
+        recordEndOfRun();
         closeAttempt();
         if (mEventSplitter == null) {
             mEvidence.onComplete(answerHead());
@@ -243,8 +238,24 @@
         mExchange.onFailed(this, code, reason);
     }
 
+    private void recordEndOfRun() {
+        boolean isComplete =
+                answerHead().isSuccess()
+                        && answerHead().isGenuine()
+                        && (mEventSplitter == null || mEventSplitter.incompleteBytes() == 0);
+        CrashDetector crashDetector = mEntry.crashDetector();
+        if (isFramed() && isComplete) {
+            crashDetector.onRunCompleted(mRequest.suspectFingerprints());
+        } else if (!isFramed() && isComplete) {
+            // A complete answer looks like one that was truncated by a crash of the target.
+            crashDetector.onUnframedRunEnded(mChoice.target(), mRequest.suspectFingerprints());
+        } else if (!isFramed()) {
+            onRunDisconnected();
+        }
+    }
+
     private void onRunDisconnected() {
-        mEntry.crashDetector().onRunDisconnected(mChoice.target(), mRequest.fingerprint());
+        mEntry.crashDetector().onRunDisconnected(mChoice.target(), mRequest.suspectFingerprints());
     }
 
     private boolean isFramed() {
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/engine/TargetConnectionPool.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/engine/TargetConnectionPool.java
@@ -146,6 +146,12 @@
         return mLoop;
     }
 
+    /** Returns whether a connection to a target is open. */
+    public boolean isConnected(String target) {
+        PerTargetPool pool = mPoolsByTarget.get(target);
+        return pool != null && !pool.mOpen.isEmpty();
+    }
+
     /** Returns the number of open connections, in use or free. */
     public int connections() {
         return mPoolsByTarget.values().stream().mapToInt(pool -> pool.mOpen.size()).sum();
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/instance/CrashFrames.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/instance/CrashFrames.java
@@ -82,7 +82,11 @@
 
     /** Returns the request that was told. */
     public static RequestFingerprint decode(Fingerprint request) {
-        return new RequestFingerprint(request.getHigh(), request.getLow());
+        RequestFingerprint.Kind kind =
+                request.getKind() == Fingerprint.Kind.PROMPT_PART
+                        ? RequestFingerprint.Kind.PROMPT_PART
+                        : RequestFingerprint.Kind.REQUEST;
+        return new RequestFingerprint(kind, request.getHigh(), request.getLow());
     }
 
     /** Returns the suspect that was told; of an unknown standing, one that is watched. */
@@ -102,7 +106,11 @@
     }
 
     private static Fingerprint encode(RequestFingerprint request) {
-        return Fingerprint.newBuilder().setHigh(request.high()).setLow(request.low()).build();
+        return Fingerprint.newBuilder()
+                .setKind(Fingerprint.Kind.valueOf(request.kind().name()))
+                .setHigh(request.high())
+                .setLow(request.low())
+                .build();
     }
 
     private static SuspectRequest encode(Suspect suspect, long now) {
