Parts that completed within two minutes are not taken for the cause of crashes

A part that many requests share could have been refused for five minutes if all targets crashed twice with over ten seconds between completions, as in an outage: the refusal of the part would have outlasted it. Found by reading. A part is now cleared by a completion within two minutes before a crash; requests by one within ten seconds, as before. The price: a part that crashes targets only since new weights are loaded is refused two minutes after its last completion.

Test: partIsNotRefusedAfterCrashesOfAllTargetsDuringAnOutage (24 crashes in 115 s); the test of the tie uses the new period.

--- a/quilldyke-core/src/main/java/org/quilldyke/caller/PoisonRequestDetector.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/caller/PoisonRequestDetector.java
@@ -389,7 +389,11 @@
             long crashedAt = crashedAt(target);
             for (RequestFingerprint request : credibleReports(target).keySet()) {
                 Long completedAt = mCompletedAt.get(request);
-                if (completedAt == null || completedAt < crashedAt - RECENT_COMPLETION_MILLIS) {
+                boolean isCleared =
+                        completedAt != null
+                                && completedAt
+                                        >= crashedAt - request.kind().recentCompletionMillis();
+                if (!isCleared) {
                     crashesByRequest.computeIfAbsent(request, r -> new HashSet<>()).add(target);
                 }
             }
--- a/quilldyke-core/src/main/java/org/quilldyke/caller/RequestFingerprint.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/caller/RequestFingerprint.java
@@ -42,6 +42,11 @@
                 return PoisonRequestDetector.MIN_CRASHES_TO_REFUSE;
             }
 
+            @Override
+            long recentCompletionMillis() {
+                return PoisonRequestDetector.RECENT_COMPLETION_MILLIS;
+            }
+
             @Override
             String label(long high) {
                 return HexFormat.of().toHexDigits(high);
@@ -55,6 +60,15 @@
                 return PoisonRequestDetector.MIN_CRASHES_TO_REFUSE + 1;
             }
 
+            /**
+             * Longer than an outage of all targets: a refusal of a part that many requests share
+             * would prolong it.
+             */
+            @Override
+            long recentCompletionMillis() {
+                return 2 * 60_000;
+            }
+
             @Override
             String label(long high) {
                 return "part-" + Long.toHexString(high);
@@ -64,6 +78,9 @@
         /** Returns the number of crashes from which on requests are refused. */
         abstract int minCrashesToRefuse();
 
+        /** Returns for how long after a completion crashes are attributed to others. */
+        abstract long recentCompletionMillis();
+
         abstract String label(long high);
     }
 
--- a/quilldyke-core/src/main/java/org/quilldyke/caller/SuspectRequests.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/caller/SuspectRequests.java
@@ -124,8 +124,7 @@
      */
     public boolean hasCompletedRecently(RequestFingerprint request, long now) {
         Long completedAt = completedAt(request);
-        return completedAt != null
-                && now - completedAt <= PoisonRequestDetector.RECENT_COMPLETION_MILLIS;
+        return completedAt != null && now - completedAt <= request.kind().recentCompletionMillis();
     }
 
     private Long completedAt(RequestFingerprint request) {
