Requests beyond an entry's share of a limit are sent on the shares of others

Cause: a target's limit is divided evenly among the entries, whoever receives the requests. The class of fault: a sum that is divided by the number of those that share it, and not by need.

An entry without a permit now sends the request through a relay, which uses a permit of its own or refuses it unsent (PermitBorrowing). Only the holder of a share uses its permits, so the limit holds if either instance freezes or dies, and the herd may move at any moment. Relays are those offered to partitioned entries; they are requested while permits are lacking. Own permits go first. Weighed: shares that follow demand need leases, and the time that these take to move; closing connections unread leaves the second attempt to the caller.

--- a/quilldyke-core/src/main/java/org/quilldyke/caller/Forwarding.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/caller/Forwarding.java
@@ -119,8 +119,8 @@
     /** Returns the step after no byte could be sent to the target, also not by a relay. */
     public Step onUnreachable(long now) {
         recordUnreachable(mRun, now);
+        mUnreachableCount += mRun.borrowsPermit() ? 0 : 1;
         finishRun();
-        mUnreachableCount++;
         if (mUnreachableCount < MAX_UNREACHABLE) {
             return chooseTarget(now);
         }
@@ -429,7 +429,7 @@
         if (run.isFirstOnTarget()) {
             mHistory.onNotRun(run.target());
         }
-        mTargets.onUnreachable(run.target(), now);
+        run.onUnreachable(now);
         mHistory.onUnavailable(run.target());
     }
 
--- a/quilldyke-core/src/main/java/org/quilldyke/caller/TargetRun.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/caller/TargetRun.java
@@ -74,6 +74,20 @@
         return mFirstOnTarget;
     }
 
+    /** Returns whether another instance has to send the request on its share of a limit. */
+    boolean borrowsPermit() {
+        return mChoice.borrowsPermit();
+    }
+
+    /** Records that no byte could be sent: the target is out of reach, or no permit was lent. */
+    void onUnreachable(long now) {
+        if (borrowsPermit()) {
+            mTargets.borrowing().onDenied(target(), now);
+        } else {
+            mTargets.onUnreachable(target(), now);
+        }
+    }
+
     /** Returns whether a byte may have reached the target. */
     boolean isSent() {
         return mSent;
--- a/quilldyke-core/src/main/java/org/quilldyke/routing/Choice.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/routing/Choice.java
@@ -35,6 +35,8 @@
  *     choice instead, in tenths of the load of a target with all slots in use
  * @param runnerUp the id of the next best target, empty if there was none
  * @param runnerUpMillis what {@code expectedMillis} would be there, 0 if there was none
+ * @param borrowsPermit whether the target limits its requests and this instance's share is used up,
+ *     so that another instance has to send the request on its share
  */
 public record Choice(
         String target,
@@ -49,7 +51,8 @@
         long admissionMillis,
         long expectedMillis,
         String runnerUp,
-        long runnerUpMillis) {
+        long runnerUpMillis,
+        boolean borrowsPermit) {
     /** The weights of a target without a model. */
     public static final long NO_WEIGHTS = -1;
 }
--- a/quilldyke-core/src/main/java/org/quilldyke/routing/TargetCandidates.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/routing/TargetCandidates.java
@@ -32,6 +32,7 @@
     private final VersionRouting mVersions;
     private final TargetScorer mScorer;
     private final long mMaxOutdatedMillis;
+    private final PermitBorrowing mBorrowing = PermitBorrowing.create();
     private boolean mRelayAvailable;
 
     /**
@@ -56,6 +57,25 @@
         mRelayAvailable = available;
     }
 
+    PermitBorrowing borrowing() {
+        return mBorrowing;
+    }
+
+    ServiceReachability reachability(String service, long now) {
+        int known = 0;
+        int reported = 0;
+        int responding = 0;
+        for (TargetState state : mTargets.values()) {
+            if (state.service().equals(service)) {
+                long reportAge = state.mReportOrigin.ageMillis(now);
+                known++;
+                reported += reportAge >= 0 && reportAge < ServiceReachability.RECENT_MILLIS ? 1 : 0;
+                responding += state.receivedWithin(ServiceReachability.RECENT_MILLIS, now) ? 1 : 0;
+            }
+        }
+        return new ServiceReachability(known, reported, responding);
+    }
+
     /**
      * Returns the targets that may accept a request, in order of preference: those of a later list
      * are used only if none of the earlier lists can accept it. Without a rollout of the service
@@ -128,7 +148,8 @@
 
     /**
      * Returns the targets that may accept a request: the healthy ones within reach or, if there are
-     * none, the healthy ones that a relay reaches or, if there are none either, the unhealthy ones.
+     * none, the healthy ones that a relay reaches, then those that need the permit of another
+     * instance and, if there are none either, the unhealthy ones.
      */
     private List<TargetState> candidates(
             ForwardRequest request,
@@ -136,19 +157,34 @@
             Predicate<TargetState> isAllowed,
             long now) {
         Map<Reach, List<TargetState>> byReach = new EnumMap<>(Reach.class);
+        boolean lacksPermits = false;
         for (TargetState state : mTargets.values()) {
-            if (state.acceptsRequestsFor(request.service(), now)
+            if (state.isAvailableFor(request.service(), now)
                     && !excluded.contains(state.id())
                     && !hasForbiddenWeights(state, request, now)
                     && isAllowed.test(state)) {
                 byReach.computeIfAbsent(reach(state, now), r -> new ArrayList<>()).add(state);
+                lacksPermits |= !state.hasPermit(now);
             }
         }
+        if (lacksPermits && byReach.keySet().stream().noneMatch(Reach::isHealthy)) {
+            mBorrowing.onPermitLacking(now);
+        }
         byReach.remove(Reach.NONE);
         return byReach.isEmpty() ? List.of() : byReach.values().iterator().next();
     }
 
     private Reach reach(TargetState state, long now) {
+        Reach reach = reachWithinLimit(state, now);
+        if (state.hasPermit(now)) {
+            return reach;
+        }
+        boolean mayBorrow =
+                reach == Reach.DIRECT && mRelayAvailable && mBorrowing.mayTry(state.id(), now);
+        return mayBorrow ? Reach.BORROWED : Reach.NONE;
+    }
+
+    private Reach reachWithinLimit(TargetState state, long now) {
         if (!mPaths.isLost(state.id())) {
             return state.isUnhealthy(now) ? Reach.UNHEALTHY : Reach.DIRECT;
         }
@@ -168,8 +204,13 @@
     private enum Reach {
         DIRECT,
         RELAYED,
+        /** Through an instance whose share of the target's limit isn't used up. */
+        BORROWED,
         UNHEALTHY,
-        /** No instance is known that could relay requests, and all paths from here are lost. */
+        /**
+         * Not at present: the limit leaves no request, or all paths from here are lost, and no
+         * instance is known that could relay requests.
+         */
         NONE;
 
         boolean isHealthy() {
--- a/quilldyke-core/src/main/java/org/quilldyke/routing/TargetSelector.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/routing/TargetSelector.java
@@ -169,18 +169,17 @@
 
     /** Returns how many targets of a service are alive, by their reports and by their data. */
     public ServiceReachability reachability(String service, long now) {
-        int known = 0;
-        int reported = 0;
-        int responding = 0;
-        for (TargetState state : mTargets.values()) {
-            if (state.service().equals(service)) {
-                long reportAge = state.mReportOrigin.ageMillis(now);
-                known++;
-                reported += reportAge >= 0 && reportAge < ServiceReachability.RECENT_MILLIS ? 1 : 0;
-                responding += state.receivedWithin(ServiceReachability.RECENT_MILLIS, now) ? 1 : 0;
-            }
-        }
-        return new ServiceReachability(known, reported, responding);
+        return mCandidates.reachability(service, now);
+    }
+
+    /** Returns what is known of permits that other instances may lend to this one. */
+    public PermitBorrowing borrowing() {
+        return mCandidates.borrowing();
+    }
+
+    /** Uses this instance's permit for a request of another one; returns whether it had one. */
+    public boolean lendPermit(String id, long now) {
+        return mTargets.containsKey(id) && mTargets.get(id).lendPermit(now);
     }
 
     /** Returns whether a target has announced that it shuts down. */
@@ -405,7 +404,8 @@
                 Math.round(best.admissionMillis()),
                 Math.round(best.expectedMillis()),
                 runnerUp == null ? "" : runnerUp.state().id(),
-                runnerUp == null ? 0 : Math.round(runnerUp.expectedMillis()));
+                runnerUp == null ? 0 : Math.round(runnerUp.expectedMillis()),
+                !best.state().hasPermit(now));
     }
 
     /** Returns whether a target that isn't excluded can accept a request. */
--- a/quilldyke-core/src/main/java/org/quilldyke/routing/TargetState.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/routing/TargetState.java
@@ -170,14 +170,32 @@
     }
 
     boolean acceptsRequestsFor(String service, long now) {
+        return isAvailableFor(service, now) && hasPermit(now);
+    }
+
+    /** Returns whether the target accepts requests within its limit, if it has one. */
+    boolean isAvailableFor(String service, long now) {
         return mReport.service().equals(service)
                 && !isLeaving()
                 && !isLoading(now)
                 && !isResting(now)
                 && (!isBrittle(now)
-                        || mRoomShare.admits(mOwnRequests, mOtherInstancesRequests, now))
-                && (!mAdvertisedLimit.isInForce(now)
-                        || mLimitShare != null && mLimitShare.hasPermit(now));
+                        || mRoomShare.admits(mOwnRequests, mOtherInstancesRequests, now));
+    }
+
+    /** Returns whether a request of this instance is within the target's limit, if it has one. */
+    boolean hasPermit(long now) {
+        return !mAdvertisedLimit.isInForce(now)
+                || mLimitShare != null && mLimitShare.hasPermit(now);
+    }
+
+    /** Uses a permit for a request of another instance; returns whether there was one. */
+    boolean lendPermit(long now) {
+        boolean lends = mLimitShare != null && mLimitShare.hasPermit(now);
+        if (lends) {
+            mLimitShare.consumePermit(now);
+        }
+        return lends;
     }
 
     /**
@@ -412,7 +430,7 @@
         mAwaitingDataSince = mOwnRequests == 0 ? now : mAwaitingDataSince;
         mOwnRequests++;
         mOwnTokens += choice.missingTokens();
-        if (mLimitShare != null) {
+        if (mLimitShare != null && !choice.borrowsPermit()) {
             mLimitShare.consumePermit(now);
         }
         mUnusedSinceLimit &= mAdvertisedLimit.isInForce(now);
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/EntryContext.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/EntryContext.java
@@ -316,7 +316,7 @@
     }
 
     /**
-     * Sends a request to a target, through another entry if there is no path from here.
+     * Sends a request to a target, through another entry if there is no path or permit here.
      *
      * @param choice the target
      * @param request the request; released when it is no longer needed
@@ -326,9 +326,10 @@
     OpenAttempt send(
             Choice choice, FullHttpRequest request, String requestId, AttemptListener listener) {
         String target = choice.target();
-        if (mTargetSelector.paths().isLost(target) && mRelays.isAvailable()) {
+        boolean borrows = choice.borrowsPermit();
+        if (borrows || mTargetSelector.paths().isLost(target) && mRelays.isAvailable()) {
             mMetrics.onSentToRelay();
-            return mRelays.send(target, request, requestId, listener);
+            return mRelays.send(target, borrows, request, requestId, listener);
         }
         return MonitoredAttempt.send(
                 mTargetSelector.paths(),
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/ExchangeLog.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/ExchangeLog.java
@@ -46,9 +46,11 @@
 
     /** A target was chosen; logs the data that the choice is based on. */
     void routed(ForwardRequest request, Step.Send send, EntryContext entry, long now) {
-        Object[] fields =
+        Object[] decision =
                 routedFields(
                         request, send, entry.targetSelector(), entry.configurationStatus(), now);
+        Object[] fields =
+                send.choice().borrowsPermit() ? with(decision, "permit", "borrowed") : decision;
         Optional<String> version =
                 entry.rollouts().loggedVersion(request.service(), send.choice().target());
         mLog.write(
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/PathProber.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/PathProber.java
@@ -41,7 +41,7 @@
     /** A target whose path works accepts a connection and answers within a few milliseconds. */
     private static final long PROBE_TIMEOUT_MILLIS = 400;
 
-    /** While paths are lost, relays are requested at this interval, as they may fail, too. */
+    /** While relays are of use, they are requested at this interval, as they may fail, too. */
     private static final long REPORT_MILLIS = 1000;
 
     private final EntryContext mEntry;
@@ -73,7 +73,10 @@
 
     private void report() {
         PathStatus status = status();
-        boolean repeat = status != PathStatus.INTACT && mEntry.now() - mReportedAt >= REPORT_MILLIS;
+        boolean wantsRelays =
+                status != PathStatus.INTACT
+                        || mEntry.targetSelector().borrowing().isWanted(mEntry.now());
+        boolean repeat = wantsRelays && mEntry.now() - mReportedAt >= REPORT_MILLIS;
         if (status != mReported || repeat) {
             mReported = status;
             mReportedAt = mEntry.now();
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/platform/GatewayMetrics.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/platform/GatewayMetrics.java
@@ -40,6 +40,8 @@
 
     private final Counter mSentToRelay = mRegistry.counter("relay.sent");
     private final Counter mRelayed = mRegistry.counter("relay.accepted");
+    private final Counter mPermitsLent = mRegistry.counter("permits.lent");
+    private final Counter mPermitsDenied = mRegistry.counter("permits.denied");
     private final Counter mLeavesStated = mRegistry.counter("targets.leaving-stated");
     private final Counter mBrittle = mRegistry.counter("targets.brittle");
     private final Counter mRestsRequested = mRegistry.counter("targets.rests");
@@ -142,6 +144,11 @@
         mRelayed.inc();
     }
 
+    /** Counts a request of another entry for a permit of this one's share of a target's limit. */
+    public void onPermitRequested(boolean isLent) {
+        (isLent ? mPermitsLent : mPermitsDenied).inc();
+    }
+
     /** Counts a target that asked for rest. */
     public void onRestRequested() {
         mRestsRequested.inc();
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/relay/RelayClient.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/relay/RelayClient.java
@@ -63,14 +63,22 @@
      * Sends a request.
      *
      * @param target the target's id
+     * @param borrowsPermit whether the relay has to use a permit of its own
      * @param request the request; released when it is no longer needed
      * @param requestId the request's id, empty if none
      * @param listener receives the outcome; a request that no relay has sent on is unsent, also
      *     after {@link AttemptListener#onSending}
      */
     public OpenAttempt send(
-            String target, FullHttpRequest request, String requestId, AttemptListener listener) {
+            String target,
+            boolean borrowsPermit,
+            FullHttpRequest request,
+            String requestId,
+            AttemptListener listener) {
         request.headers().set(RelayHeaders.TARGET, target);
+        if (borrowsPermit) {
+            request.headers().set(RelayHeaders.PERMIT, "1");
+        }
         request.headers().set(RelayHeaders.REQUEST_ID, requestId);
         RelayedAttempt attempt = new RelayedAttempt(this, request, requestId, listener);
         attempt.start();
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/relay/RelayHeaders.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/relay/RelayHeaders.java
@@ -25,6 +25,9 @@
     /** The request's id, by which late answers to other requests are recognised. */
     static final AsciiString REQUEST_ID = AsciiString.cached("Quilldyke-Relay-Request");
 
+    /** Set if the request may only be sent on a permit of the relay. */
+    static final AsciiString PERMIT = AsciiString.cached("Quilldyke-Relay-Permit");
+
     /** States that the request was not sent on, and whose fault that is: a value below. */
     static final AsciiString UNSENT = AsciiString.cached("Quilldyke-Relay-Unsent");
 
@@ -34,5 +37,8 @@
     /** The target refuses connections. */
     static final String UNSENT_TARGET = "target";
 
+    /** The relay has no permit left for the target; another one may. */
+    static final String UNSENT_PERMIT = "permit";
+
     private RelayHeaders() {}
 }
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/relay/RelayServer.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/relay/RelayServer.java
@@ -36,9 +36,9 @@
 import org.quilldyke.routing.TargetSelector;
 
 /**
- * Accepts requests of entry processes that are partitioned from targets, and sends each to the
- * target that it names. It decides nothing else, so that at most one instance decides on a request;
- * what it received is never relayed again.
+ * Accepts requests of entry processes that are partitioned from targets, or have used up their
+ * shares of the targets' limits, and sends each to the target that it names. It decides nothing
+ * else, so that at most one instance decides on a request; what it received is never relayed again.
  */
 public final class RelayServer {
     /** Requests that are relayed at the same time; others are refused unsent. */
@@ -104,6 +104,14 @@
                         .relayDestination(target, mDependencies.clock().getAsLong());
     }
 
+    /** Uses a permit of this instance for a limited target; returns whether there was one. */
+    boolean lendPermit(String target) {
+        long now = mDependencies.clock().getAsLong();
+        boolean isLent = mDependencies.targetSelector().lendPermit(target, now);
+        mDependencies.metrics().onPermitRequested(isLent);
+        return isLent;
+    }
+
     MonitoredAttempt send(
             String target,
             String address,
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/relay/RelaySession.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/relay/RelaySession.java
@@ -75,7 +75,15 @@
             answerUnsent(RelayHeaders.UNSENT_RELAY);
             return;
         }
-        request.headers().remove(RelayHeaders.TARGET).remove(RelayHeaders.REQUEST_ID);
+        boolean usesPermit = request.headers().contains(RelayHeaders.PERMIT);
+        if (usesPermit && !mServer.lendPermit(target)) {
+            answerUnsent(RelayHeaders.UNSENT_PERMIT);
+            return;
+        }
+        request.headers()
+                .remove(RelayHeaders.TARGET)
+                .remove(RelayHeaders.REQUEST_ID)
+                .remove(RelayHeaders.PERMIT);
         mTarget = Optional.of(target);
         mServer.onOpened(this);
         mAttempt = mServer.send(target, address.get(), request.retain(), requestId, this);
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/relay/RelayedAttempt.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/relay/RelayedAttempt.java
@@ -131,6 +131,9 @@
         mAttempt.ignoreRest();
         if (unsent.equals(RelayHeaders.UNSENT_RELAY)) {
             tryNextRelay();
+        } else if (unsent.equals(RelayHeaders.UNSENT_PERMIT)) {
+            closeRelay();
+            start();
         } else {
             endUnsent("the relay " + mRelay + " can't reach the target");
         }
