A relayed run may fail after the entry has disconnected

A relay logged QD5007 (ChannelException: Socket is closed) if the target and the entry closed their connections at the same time: it set an option of a closed socket. Seen once in CrashingPartTest while targets crashed; what callers received did not change, since the entry had disconnected. The option is now set on open connections only. RelaySessionTest failed before.

--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/relay/RelaySession.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/relay/RelaySession.java
@@ -156,8 +156,10 @@
     @Override
     public void onFailed(ResultCode code, String reason) {
         end();
-        // A reset: an answer without a length would look complete after an orderly close.
-        mContext.channel().config().setOption(ChannelOption.SO_LINGER, 0);
+        if (mContext.channel().isActive()) {
+            // A reset: an answer without a length would look complete after an orderly close.
+            mContext.channel().config().setOption(ChannelOption.SO_LINGER, 0);
+        }
         mContext.close();
     }
 
