--- a/quilldyke-gateway/src/test/java/org/quilldyke/gateway/control/CrashReplicationTest.java
+++ b/quilldyke-gateway/src/test/java/org/quilldyke/gateway/control/CrashReplicationTest.java
@@ -23,6 +23,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -47,6 +48,7 @@
 /** Evaluation and replication of the crashes that entries report. */
 class CrashReplicationTest {
     private static final RequestFingerprint CRASHING = new RequestFingerprint(1, 1);
+    private static final int PARTS_PER_REQUEST = 10;
     private static final int REQUESTS_PER_CRASH = 32;
     private static final long REPORT_MILLIS = 1000;
 
@@ -230,6 +232,25 @@
         assertThat(snapshot.getSurvivalsCount()).isEqualTo(1);
     }
 
+    @Test
+    void frameOfCrashWithPromptPartsStaysSmall() {
+        Set<RequestFingerprint> suspects = new HashSet<>();
+        for (int i = 0; i < REQUESTS_PER_CRASH; i++) {
+            suspects.add(new RequestFingerprint(-i - 1, i + 1));
+            for (int j = 0; j < PARTS_PER_REQUEST; j++) {
+                suspects.add(RequestFingerprint.ofPromptPart(0x5c1e07a2L + 100 * i + j));
+            }
+        }
+        TargetCrash crash = new TargetCrash("i-0123456789#1796278568028", suspects, 0);
+        CrashNews report = CrashNews.newBuilder().addCrashes(CrashFrames.encode(crash, 20)).build();
+        int bytes = PeerFrame.newBuilder().setCrashes(report).build().getSerializedSize();
+
+        System.out.printf(
+                "crash of %d requests with %d parts each: %d bytes%n",
+                REQUESTS_PER_CRASH, PARTS_PER_REQUEST, bytes);
+        assertThat(bytes).isLessThan(8000);
+    }
+
     @Test
     void crashAndRefusalFramesStaySmall() {
         Set<RequestFingerprint> requests =
