Borrowing permits pauses after five denials

Under an overload of a service with many targets each request would have asked relays for each target in turn (by reading: 3 messages a target). After five denials within 100 ms nothing is borrowed until they expire.

--- a/quilldyke-core/src/main/java/org/quilldyke/routing/PermitBorrowing.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/routing/PermitBorrowing.java
@@ -30,6 +30,12 @@
     /** A target for which no instance had a permit left isn't tried again for this long. */
     static final long DENIED_MILLIS = 100;
 
+    /**
+     * Denials within {@link #DENIED_MILLIS} after which no target is tried: the limits themselves
+     * are reached, and each further try costs messages to several relays.
+     */
+    static final int MAX_DENIALS = 5;
+
     /** Relays are requested for this long after permits were last lacking. */
     static final long WANTED_MILLIS = 5000;
 
@@ -51,7 +57,7 @@
 
     /** Records that none of the instances that were asked had a permit for a target. */
     public void onDenied(String target, long now) {
-        mDeniedAt.values().removeIf(at -> now - at >= DENIED_MILLIS);
+        expireDenials(now);
         mDeniedAt.put(target, now);
     }
 
@@ -61,7 +67,11 @@
     }
 
     boolean mayTry(String target, long now) {
-        Long deniedAt = mDeniedAt.get(target);
-        return deniedAt == null || now - deniedAt >= DENIED_MILLIS;
+        expireDenials(now);
+        return !mDeniedAt.containsKey(target) && mDeniedAt.size() < MAX_DENIALS;
+    }
+
+    private void expireDenials(long now) {
+        mDeniedAt.values().removeIf(at -> now - at >= DENIED_MILLIS);
     }
 }
--- a/quilldyke-core/src/test/java/org/quilldyke/routing/PermitBorrowingTest.java
+++ b/quilldyke-core/src/test/java/org/quilldyke/routing/PermitBorrowingTest.java
@@ -84,6 +84,20 @@
         assertThat(choose(START + PermitBorrowing.DENIED_MILLIS)).isPresent();
     }
 
+    /** Guards against messages to relays for each target of a large service that is overloaded. */
+    @Test
+    void nothingIsBorrowedAfterManyDenials() {
+        mSelector.onRelayAvailable(true);
+        useOwnPermits();
+        for (int i = 0; i < PermitBorrowing.MAX_DENIALS; i++) {
+            assertThat(choose(START)).isPresent();
+            mSelector.borrowing().onDenied("other-" + i, START);
+        }
+
+        assertThat(choose(START)).isEmpty();
+        assertThat(choose(START + PermitBorrowing.DENIED_MILLIS)).isPresent();
+    }
+
     @Test
     void lentPermitIsUsedUp() {
         assertThat(mSelector.lendPermit("a", START)).isTrue();
