Relays: a caller's header of the same name is removed, and denied permits are named

A caller that sent Quilldyke-Relay-Permit itself would have had relayed requests treated as borrowing. An attempt that no relay lent a permit for is logged as such (QD2002 why="no permit left at ..."), not as a lack of relays. Found on reading the change.

--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/relay/RelayClient.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/relay/RelayClient.java
@@ -76,6 +76,8 @@
             String requestId,
             AttemptListener listener) {
         request.headers().set(RelayHeaders.TARGET, target);
+        // The caller may have sent a header of this name.
+        request.headers().remove(RelayHeaders.PERMIT);
         if (borrowsPermit) {
             request.headers().set(RelayHeaders.PERMIT, "1");
         }
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/relay/RelayedAttempt.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/relay/RelayedAttempt.java
@@ -46,6 +46,7 @@
     private long mSentAt;
     private boolean mSendingReported;
     private boolean mDataReceived;
+    private boolean mPermitDenied;
     private boolean mEnded;
 
     RelayedAttempt(
@@ -66,7 +67,8 @@
                         : Optional.empty();
         if (relay.isEmpty()) {
             // Deferred: the listener must not be called before send() has returned the attempt.
-            mClient.loop().execute(() -> endUnsent("no relay other than " + mTried));
+            String reason = mPermitDenied ? "no permit left at " : "no relay other than ";
+            mClient.loop().execute(() -> endUnsent(reason + mTried));
             return;
         }
         mRelay = relay.get();
@@ -132,6 +134,7 @@
         if (unsent.equals(RelayHeaders.UNSENT_RELAY)) {
             tryNextRelay();
         } else if (unsent.equals(RelayHeaders.UNSENT_PERMIT)) {
+            mPermitDenied = true;
             closeRelay();
             start();
         } else {
