A request is sent once at most on a connection

Cause: an answer was matched by the request's id alone. A request that all targets had refused waits and is sent to them again, on the same connections. A late second copy of the first refusal then counts as the answer to the second sending, which the target runs: the request counts as not run and goes to the next target.

Change: a connection carries a request once at most. A later copy then has another id than that of the awaited answer, and is skipped.

--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/engine/TargetConnection.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/engine/TargetConnection.java
@@ -27,6 +27,8 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
+import java.util.HashSet;
+import java.util.Set;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import org.quilldyke.ResultCode;
@@ -39,7 +41,8 @@
  * <p>Strict, since targets may interrupt answers, send more than one, or send a late one in place
  * of the next: an answer with the id of another request is skipped, an answer without framing is
  * complete only if the connection closes without an error, and the connection isn't used again
- * after either. Unsolicited bytes close the connection.
+ * after either. A request is sent once at most on a connection, since a late copy of the answer to
+ * an earlier sending would have the same id. Unsolicited bytes close the connection.
  */
 final class TargetConnection extends ChannelInboundHandlerAdapter {
     /**
@@ -54,10 +57,17 @@
      */
     private static final long IDLE_MARGIN_MILLIS = 700;
 
+    /** Bounds the memory for the ids of requests; the connection isn't used for more. */
+    private static final int MAX_REQUESTS = 1000;
+
     private static final Pattern KEEP_ALIVE_TIMEOUT = Pattern.compile("timeout\\s*=\\s*(\\d{1,6})");
 
     private final TargetConnectionPool.PerTargetPool mPool;
     private final TargetDialect mDialect;
+
+    /** Hash codes of the ids of the requests sent; a collision costs no more than a connection. */
+    private final Set<Integer> mSentRequests = new HashSet<>();
+
     private ChannelHandlerContext mContext;
     private Attempt mAttempt;
     private ChannelFuture mWriteFuture;
@@ -77,6 +87,10 @@
     void send(Attempt attempt) {
         mAttempt = attempt;
         mReadState = ReadState.AWAITING_HEAD;
+        if (!attempt.requestId().isEmpty()) {
+            mSentRequests.add(attempt.requestId().hashCode());
+            mNotReusable |= mSentRequests.size() == MAX_REQUESTS;
+        }
         attempt.onConnection(this);
         attempt.listener().onSending();
         mWriteFuture = mContext.writeAndFlush(attempt.request());
@@ -96,6 +110,11 @@
                 && now < mUsableUntil;
     }
 
+    /** Returns whether a request with this id was sent on this connection. */
+    boolean hasSent(String requestId) {
+        return mSentRequests.contains(requestId.hashCode());
+    }
+
     void cancel(Attempt attempt) {
         if (mAttempt == attempt) {
             close();
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/engine/TargetConnectionPool.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/engine/TargetConnectionPool.java
@@ -32,6 +32,7 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.function.LongSupplier;
@@ -103,7 +104,7 @@
         Attempt attempt = new Attempt(request, requestId, listener);
         PerTargetPool pool =
                 mPoolsByTarget.computeIfAbsent(target, id -> new PerTargetPool(target, address));
-        TargetConnection free = pool.takeFree();
+        TargetConnection free = pool.takeFree(requestId);
         if (free != null) {
             free.send(attempt);
         } else {
@@ -188,15 +189,25 @@
             mListener.onInternalError(fault);
         }
 
-        /** Returns the free connection that was used most recently, or null. */
-        TargetConnection takeFree() {
-            TargetConnection connection = mFree.pollFirst();
-            while (connection != null && !connection.isUsable(now())) {
-                connection.close();
-                connection = mFree.pollFirst();
+        /**
+         * Returns the free connection that was used most recently, of those on which the request
+         * wasn't sent before; null if there is none.
+         */
+        TargetConnection takeFree(String requestId) {
+            TargetConnection taken = null;
+            Iterator<TargetConnection> connections = mFree.iterator();
+            while (taken == null && connections.hasNext()) {
+                TargetConnection connection = connections.next();
+                if (!connection.isUsable(now())) {
+                    connections.remove();
+                    connection.close();
+                } else if (!connection.hasSent(requestId)) {
+                    connections.remove();
+                    taken = connection;
+                }
             }
             notifyFreeCount();
-            return connection;
+            return taken;
         }
 
         void connect(Attempt attempt) {
