Answers without an id don't count for later requests

Seen in tests only: a refusal without an id, sent twice, counts as the answer to the next request on its connection, whatever its id; the request runs and is sent on. A report that arrives twice makes an order to an engine count as carried out.

An answer without an id is taken as that of the request that is open, so a late copy of one fits any request. Probes of paths and the calls to engines have no ids.

Change: after an answer without an id a connection carries no request that has one. A probe closes its connection, orders are sent on a new one each.

--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/PathProber.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/PathProber.java
@@ -156,17 +156,20 @@
         @Override
         public void onHead(HttpResponse head) {
             mEntry.onNotice(mTarget, mEntry.dialect().targets().read(head).notice());
+            // Any answer shows that the path works. The connection can't carry requests after it,
+            // as the answer has no id.
+            mAttempt.cancel();
             end(true);
         }
 
         @Override
         public void onBody(ByteBuf bytes) {
-            // Any answer shows that the path works.
+            // Cancelled at the head.
         }
 
         @Override
         public void onComplete() {
-            // The connection is kept for the next request.
+            // Cancelled at the head.
         }
 
         @Override
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/engine/EngineClient.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/engine/EngineClient.java
@@ -86,6 +86,7 @@
                 address,
                 mDialect.statusRequest(address),
                 TIMEOUT_MILLIS,
+                Reuse.ALLOWED,
                 (status, body) ->
                         callback.accept(
                                 status == 200 ? readStatus(address, body) : Optional.empty()));
@@ -97,6 +98,7 @@
                 address,
                 mDialect.orderRequest(address, order),
                 TIMEOUT_MILLIS,
+                Reuse.DENIED,
                 (status, body) -> callback.accept(outcome(order.target(), status, body)));
     }
 
@@ -116,6 +118,7 @@
                 address,
                 mDialect.cacheEventsRequest(address, since),
                 CACHE_TIMEOUT_MILLIS,
+                Reuse.ALLOWED,
                 (status, body) -> {
                     onBytes.accept(body.length);
                     callback.accept(status == 200 ? readEvents(address, body) : Optional.empty());
@@ -167,8 +170,42 @@
             String address,
             FullHttpRequest request,
             long timeoutMillis,
+            Reuse reuse,
             BiConsumer<Integer, byte[]> callback) {
-        mLoop.execute(() -> new Call(address, request, timeoutMillis, callback));
+        mLoop.execute(() -> new Call(address, request, timeoutMillis, reuse, callback));
+    }
+
+    /**
+     * Whether a call may use a connection that has carried another one. Calls have no ids, so a
+     * late copy of an earlier answer counts as the next one there.
+     */
+    private enum Reuse {
+        ALLOWED {
+            @Override
+            Attempt send(
+                    TargetConnectionPool pool,
+                    String address,
+                    FullHttpRequest request,
+                    AttemptListener listener) {
+                return pool.send(address, address, request, "", listener);
+            }
+        },
+        DENIED {
+            @Override
+            Attempt send(
+                    TargetConnectionPool pool,
+                    String address,
+                    FullHttpRequest request,
+                    AttemptListener listener) {
+                return pool.sendOnNewConnection(address, address, request, listener);
+            }
+        };
+
+        abstract Attempt send(
+                TargetConnectionPool pool,
+                String address,
+                FullHttpRequest request,
+                AttemptListener listener);
     }
 
     /** One call; its callback is called once, with status 0 if there was no answer. */
@@ -184,10 +221,11 @@
                 String address,
                 FullHttpRequest request,
                 long timeoutMillis,
+                Reuse reuse,
                 BiConsumer<Integer, byte[]> callback) {
             mCallback = callback;
             mTimer = mLoop.schedule(this::onTimeout, timeoutMillis, TimeUnit.MILLISECONDS);
-            mAttempt = mPool.send(address, address, request, "", this);
+            mAttempt = reuse.send(mPool, address, request, this);
         }
 
         @Override
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/engine/TargetConnection.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/engine/TargetConnection.java
@@ -42,7 +42,8 @@
  * of the next: an answer with the id of another request is skipped, an answer without framing is
  * complete only if the connection closes without an error, and the connection isn't used again
  * after either. A request is sent once at most on a connection, since a late copy of the answer to
- * an earlier sending would have the same id. Unsolicited bytes close the connection.
+ * an earlier sending would have the same id; and none is sent after an answer without an id, since
+ * a late copy of that would fit any request. Unsolicited bytes close the connection.
  */
 final class TargetConnection extends ChannelInboundHandlerAdapter {
     /**
@@ -75,6 +76,7 @@
     private boolean mConnectionFailed;
     private boolean mListenerFailed;
     private boolean mNotReusable;
+    private boolean mAnsweredWithoutId;
     private long mUsableUntil;
     private long mIdleMillis = DEFAULT_IDLE_MILLIS;
 
@@ -110,9 +112,10 @@
                 && now < mUsableUntil;
     }
 
-    /** Returns whether a request with this id was sent on this connection. */
-    boolean hasSent(String requestId) {
-        return mSentRequests.contains(requestId.hashCode());
+    /** Returns whether the answer to a request can be told apart from late copies of others. */
+    boolean canIdentifyAnswer(String requestId) {
+        boolean isAmbiguous = mAnsweredWithoutId || mSentRequests.contains(requestId.hashCode());
+        return requestId.isEmpty() || !isAmbiguous;
     }
 
     void cancel(Attempt attempt) {
@@ -205,6 +208,8 @@
             return;
         }
         mReadState = ReadState.READING_BODY;
+        mAnsweredWithoutId |= id.isEmpty();
+        mNotReusable |= id.isEmpty() && !mAttempt.requestId().isEmpty();
         mNotReusable |= !HttpUtil.isKeepAlive(head) || !HttpFraming.isFramed(head);
         applyKeepAliveTimeout(head);
         mAttempt.listener().onHead(head);
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/engine/TargetConnectionPool.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/engine/TargetConnectionPool.java
@@ -190,8 +190,8 @@
         }
 
         /**
-         * Returns the free connection that was used most recently, of those on which the request
-         * wasn't sent before; null if there is none.
+         * Returns the free connection that was used most recently, of those that can identify the
+         * answer; null if there is none.
          */
         TargetConnection takeFree(String requestId) {
             TargetConnection taken = null;
@@ -201,7 +201,7 @@
                 if (!connection.isUsable(now())) {
                     connections.remove();
                     connection.close();
-                } else if (!connection.hasSent(requestId)) {
+                } else if (connection.canIdentifyAnswer(requestId)) {
                     connections.remove();
                     taken = connection;
                 }
