Answers without framing are complete only after an orderly end

Cause: an answer with neither a length nor chunks was complete whenever its connection ended, unless a read had failed. While a part of the request is still to be written, the write meets the reset of a target that crashed, and nothing asked it.

Evidence: ResetAnswerTest fails before the change in 4 of 7 cases: a reset met by the write, a close with unread data, a reset after an orderly end, and a connection that this instance closes. A reset met by the read was recognised. All 7 pass with the change.

Change: connections to targets may be half closed, so that the end of the target's side is an event apart from the close, whoever closes and why. Such an answer is complete after that event, once the request is written: a target that lives accepts the rest, that of a crashed one is reset.

--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/engine/TargetConnection.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/engine/TargetConnection.java
@@ -18,8 +18,12 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelPipeline;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
+import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
@@ -40,10 +44,11 @@
  *
  * <p>Strict, since targets may interrupt answers, send more than one, or send a late one in place
  * of the next: an answer with the id of another request is skipped, an answer without framing is
- * complete only if the connection closes without an error, and the connection isn't used again
- * after either. A request is sent once at most on a connection, since a late copy of the answer to
- * an earlier sending would have the same id; and none is sent after an answer without an id, since
- * a late copy of that would fit any request. Unsolicited bytes close the connection.
+ * complete only if the target has ended the connection in order and could read the whole request,
+ * and the connection isn't used again after either. A request is sent once at most on a connection,
+ * since a late copy of the answer to an earlier sending would have the same id; and none is sent
+ * after an answer without an id, since a late copy of that would fit any request. Unsolicited bytes
+ * close the connection.
  */
 final class TargetConnection extends ChannelInboundHandlerAdapter {
     /**
@@ -65,6 +70,7 @@
 
     private final TargetConnectionPool.PerTargetPool mPool;
     private final TargetDialect mDialect;
+    private final OrderlyEndDetector mEndDetector = OrderlyEndDetector.create();
 
     /** Hash codes of the ids of the requests sent; a collision costs no more than a connection. */
     private final Set<Integer> mSentRequests = new HashSet<>();
@@ -73,6 +79,7 @@
     private Attempt mAttempt;
     private ChannelFuture mWriteFuture;
     private ReadState mReadState = ReadState.AWAITING_HEAD;
+    private boolean mFramed;
     private boolean mConnectionFailed;
     private boolean mListenerFailed;
     private boolean mNotReusable;
@@ -85,6 +92,11 @@
         mDialect = dialect;
     }
 
+    /** Adds the handlers of a new connection. */
+    void addHandlers(ChannelPipeline pipeline, HttpClientCodec codec) {
+        pipeline.addLast(mEndDetector, codec, this);
+    }
+
     /** Sends a request; the connection must be free. */
     void send(Attempt attempt) {
         mAttempt = attempt;
@@ -151,6 +163,14 @@
         }
     }
 
+    @Override
+    public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
+        if (event == ChannelInputShutdownEvent.INSTANCE && mReadState != ReadState.AWAITING_WRITE) {
+            close();
+        }
+        ctx.fireUserEventTriggered(event);
+    }
+
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
         if (!(cause instanceof IOException)) {
@@ -168,13 +188,18 @@
         mAttempt = null;
         mPool.onClosed(this);
         if (attempt != null) {
-            String error =
-                    mListenerFailed ? "an internal error of this instance" : "connection reset";
-            attempt.listener()
-                    .onFailed(
-                            ResultCode.TARGET_LOST,
-                            mConnectionFailed ? error : "connection closed");
+            attempt.listener().onFailed(ResultCode.TARGET_LOST, reasonOfEnd());
+        }
+    }
+
+    private String reasonOfEnd() {
+        if (mListenerFailed) {
+            return "an internal error of this instance";
+        }
+        if (mReadState == ReadState.AWAITING_WRITE) {
+            return "connection closed before the request was read";
         }
+        return mConnectionFailed ? "connection reset" : "connection closed";
     }
 
     private void onObject(HttpObject object) {
@@ -210,7 +235,8 @@
         mReadState = ReadState.READING_BODY;
         mAnsweredWithoutId |= id.isEmpty();
         mNotReusable |= id.isEmpty() && !mAttempt.requestId().isEmpty();
-        mNotReusable |= !HttpUtil.isKeepAlive(head) || !HttpFraming.isFramed(head);
+        mFramed = isFramed(head);
+        mNotReusable |= !HttpUtil.isKeepAlive(head) || !mFramed;
         applyKeepAliveTimeout(head);
         mAttempt.listener().onHead(head);
     }
@@ -231,7 +257,26 @@
             // The answer ended only because the connection did.
             return;
         }
-        finish();
+        if (mFramed) {
+            finish();
+        } else if (mEndDetector.hasEnded()) {
+            finishWhenWritten();
+        }
+    }
+
+    /**
+     * Completes an answer without framing once the target has accepted the whole request. If the
+     * target crashed, its system resets the connection at further data.
+     */
+    private void finishWhenWritten() {
+        Attempt attempt = mAttempt;
+        mReadState = ReadState.AWAITING_WRITE;
+        mWriteFuture.addListener(
+                written -> {
+                    if (written.isSuccess() && mAttempt == attempt) {
+                        finish();
+                    }
+                });
     }
 
     private void finish() {
@@ -262,6 +307,11 @@
                 });
     }
 
+    /** Returns whether the end of the answer is told apart from the end of the connection. */
+    private boolean isFramed(HttpResponse head) {
+        return HttpFraming.isFramed(head) || mAttempt.request().method().equals(HttpMethod.HEAD);
+    }
+
     private void fail(String reason) {
         Attempt attempt = mAttempt;
         mAttempt = null;
@@ -282,6 +332,8 @@
         AWAITING_HEAD,
         READING_BODY,
         /** The rest of an answer to another request, or of an informational one. */
-        SKIPPING_ANSWER
+        SKIPPING_ANSWER,
+        /** Nothing: the answer has ended, but the request isn't written yet. */
+        AWAITING_WRITE
     }
 }
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/engine/TargetConnectionPool.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/engine/TargetConnectionPool.java
@@ -330,16 +330,15 @@
                     .group(mLoop)
                     .channel(NioSocketChannel.class)
                     .option(ChannelOption.TCP_NODELAY, true)
+                    .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
                     .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
                     .handler(
                             new ChannelInitializer<Channel>() {
                                 @Override
                                 protected void initChannel(Channel channel) {
-                                    channel.pipeline()
-                                            .addLast(
-                                                    new HttpClientCodec(
-                                                            decoderConfig(), false, false))
-                                            .addLast(connection);
+                                    connection.addHandlers(
+                                            channel.pipeline(),
+                                            new HttpClientCodec(decoderConfig(), false, false));
                                 }
                             });
         }
