Input that a target sends without end is bounded

No caller reported it. On processes an entry used a core and kept 68 to 120 connections after the last request, where one target of four refused and then sent chunks without end.

Cause: after a refusal the rest of the answer is ignored, and nothing but the target ended it; nor did anything bound the informational answers, and the answers to other requests, that are skipped before the expected one.

Change: the rest of an answer is ignored for 64 KiB and 1 s, and not at all without framing. Other answers are skipped for 1 MiB, informational ones 100 times; then the attempt fails. A call to an engine fails at 1 MiB, where the beginning was parsed before.

--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/engine/Attempt.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/engine/Attempt.java
@@ -24,6 +24,7 @@
     private AttemptListener mListener;
     private TargetConnection mConnection;
     private boolean mCancelled;
+    private boolean mRestIgnored;
 
     Attempt(FullHttpRequest request, String requestId, AttemptListener listener) {
         mRequest = request;
@@ -45,6 +46,10 @@
     @Override
     public void ignoreRest() {
         mListener = NoOpAttemptListener.INSTANCE;
+        mRestIgnored = true;
+        if (mConnection != null) {
+            mConnection.onRestIgnored(this);
+        }
     }
 
     @Override
@@ -71,6 +76,10 @@
         return mCancelled;
     }
 
+    boolean isRestIgnored() {
+        return mRestIgnored;
+    }
+
     void onConnection(TargetConnection connection) {
         mConnection = connection;
     }
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/engine/EngineClient.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/engine/EngineClient.java
@@ -245,7 +245,10 @@
 
         @Override
         public void onBody(ByteBuf bytes) {
-            if (mBody.readableBytes() < MAX_BODY_BYTES) {
+            if (mBody.readableBytes() + bytes.readableBytes() > MAX_BODY_BYTES) {
+                mAttempt.cancel();
+                end(0);
+            } else {
                 mBody.writeBytes(bytes);
             }
         }
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/engine/OpenAttempt.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/engine/OpenAttempt.java
@@ -20,7 +20,10 @@
     /** Cancels the attempt: its listener is called no more, and its connection is closed. */
     void cancel();
 
-    /** Ignores the rest of the answer, which is short; the connection can be used again. */
+    /**
+     * Ignores the rest of the answer; the listener is called no more. If the rest is short, the
+     * connection can be used again after it, otherwise it is closed.
+     */
     void ignoreRest();
 
     /** Pauses or resumes reading of the answer. */
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/engine/TargetConnection.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/engine/TargetConnection.java
@@ -33,6 +33,8 @@
 import java.io.IOException;
 import java.util.HashSet;
 import java.util.Set;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import org.quilldyke.ResultCode;
@@ -63,6 +65,20 @@
      */
     private static final long IDLE_MARGIN_MILLIS = 700;
 
+    /**
+     * The rest of an answer is ignored up to these limits, beyond which a new connection is
+     * cheaper.
+     */
+    private static final int MAX_IGNORED_BYTES = 64 << 10;
+
+    private static final long MAX_IGNORED_MILLIS = 1000;
+
+    /** Bytes of answers to other requests that are skipped before the expected one. */
+    private static final int MAX_SKIPPED_BYTES = 1 << 20;
+
+    /** Informational answers before the expected one. */
+    private static final int MAX_INFORMATIONAL = 100;
+
     /** Bounds the memory for the ids of requests; the connection isn't used for more. */
     private static final int MAX_REQUESTS = 1000;
 
@@ -84,6 +100,14 @@
     private boolean mListenerFailed;
     private boolean mNotReusable;
     private boolean mAnsweredWithoutId;
+    private int mInformational;
+
+    /** Bytes of the body that were skipped or ignored since the request was sent. */
+    private long mUnusedBytes;
+
+    /** Closes the connection if the rest of an ignored answer takes too long; null if none is. */
+    private Future<?> mIgnoreTimer;
+
     private long mUsableUntil;
     private long mIdleMillis = DEFAULT_IDLE_MILLIS;
 
@@ -101,6 +125,8 @@
     void send(Attempt attempt) {
         mAttempt = attempt;
         mReadState = ReadState.AWAITING_HEAD;
+        mInformational = 0;
+        mUnusedBytes = 0;
         if (!attempt.requestId().isEmpty()) {
             mSentRequests.add(attempt.requestId().hashCode());
             mNotReusable |= mSentRequests.size() == MAX_REQUESTS;
@@ -136,6 +162,20 @@
         }
     }
 
+    /** Handles that nobody needs the rest of the answer, which may be long or without end. */
+    void onRestIgnored(Attempt attempt) {
+        if (mAttempt != attempt) {
+            return;
+        }
+        if (mFramed) {
+            mIgnoreTimer =
+                    mContext.executor()
+                            .schedule(this::close, MAX_IGNORED_MILLIS, TimeUnit.MILLISECONDS);
+        } else {
+            close();
+        }
+    }
+
     void setReading(Attempt attempt, boolean reading) {
         if (mAttempt == attempt) {
             mContext.channel().config().setAutoRead(reading);
@@ -186,12 +226,20 @@
     public void channelInactive(ChannelHandlerContext ctx) {
         Attempt attempt = mAttempt;
         mAttempt = null;
+        stopIgnoreTimer();
         mPool.onClosed(this);
         if (attempt != null) {
             attempt.listener().onFailed(ResultCode.TARGET_LOST, reasonOfEnd());
         }
     }
 
+    private void stopIgnoreTimer() {
+        if (mIgnoreTimer != null) {
+            mIgnoreTimer.cancel(false);
+            mIgnoreTimer = null;
+        }
+    }
+
     private String reasonOfEnd() {
         if (mListenerFailed) {
             return "an internal error of this instance";
@@ -221,27 +269,46 @@
 
     private void onHead(HttpResponse head) {
         if (head.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
-            mReadState = ReadState.SKIPPING_ANSWER;
+            onInformational();
             return;
         }
         String id = mDialect.read(head).requestId();
+        mFramed = isFramed(head);
         boolean mismatched = !id.isEmpty() && !id.equals(mAttempt.requestId());
         if (mismatched) {
-            // A late answer to an earlier request; the expected one may follow.
-            mReadState = ReadState.SKIPPING_ANSWER;
-            mNotReusable = true;
+            onOtherAnswer();
             return;
         }
         mReadState = ReadState.READING_BODY;
         mAnsweredWithoutId |= id.isEmpty();
         mNotReusable |= id.isEmpty() && !mAttempt.requestId().isEmpty();
-        mFramed = isFramed(head);
         mNotReusable |= !HttpUtil.isKeepAlive(head) || !mFramed;
         applyKeepAliveTimeout(head);
         mAttempt.listener().onHead(head);
     }
 
+    private void onInformational() {
+        mReadState = ReadState.SKIPPING_ANSWER;
+        mInformational++;
+        if (mInformational > MAX_INFORMATIONAL) {
+            fail("over " + MAX_INFORMATIONAL + " informational answers");
+        }
+    }
+
+    /** Skips a late answer to an earlier request; the expected one may follow. */
+    private void onOtherAnswer() {
+        mReadState = ReadState.SKIPPING_ANSWER;
+        mNotReusable = true;
+        if (!mFramed) {
+            fail("an answer to another request, up to the end of the connection");
+        }
+    }
+
     private void onContent(HttpContent content) {
+        checkUnused(content.content().readableBytes());
+        if (mAttempt == null) {
+            return;
+        }
         boolean last = content instanceof LastHttpContent;
         if (mReadState == ReadState.READING_BODY && content.content().isReadable()) {
             mAttempt.listener().onBody(content.content());
@@ -264,6 +331,20 @@
         }
     }
 
+    private void checkUnused(int bytes) {
+        if (mAttempt.isRestIgnored()) {
+            mUnusedBytes += bytes;
+            if (mUnusedBytes > MAX_IGNORED_BYTES) {
+                close();
+            }
+        } else if (mReadState == ReadState.SKIPPING_ANSWER) {
+            mUnusedBytes += bytes;
+            if (mUnusedBytes > MAX_SKIPPED_BYTES) {
+                fail("over " + MAX_SKIPPED_BYTES + " bytes of answers to other requests");
+            }
+        }
+    }
+
     /**
      * Completes an answer without framing once the target has accepted the whole request. If the
      * target crashed, its system resets the connection at further data.
@@ -282,6 +363,7 @@
     private void finish() {
         Attempt attempt = mAttempt;
         mAttempt = null;
+        stopIgnoreTimer();
         mContext.channel().config().setAutoRead(true);
         mUsableUntil = mPool.now() + mIdleMillis;
         if (mNotReusable || attempt.isCancelled()) {
