Relays name the request in each answer

Cause: connections to relays read the id of an answer by the targets' wire format, which only the answers of targets have.

Evidence: RelayFramingTest fails before in 3 of 5 cases (five unsent requests take more than one connection; no id in an answer; the header reaches the caller) and passes with the change.

Change: relays repeat Quilldyke-Relay-Request in each answer. A pool is given the way to read the id, so that a relay's answers are identified by that header. Entries remove it.

--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/EntryContext.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/EntryContext.java
@@ -118,7 +118,7 @@
         mPool =
                 TargetConnectionPool.create(
                         mLoop,
-                        mDialect.targets(),
+                        head -> mDialect.targets().read(head).requestId(),
                         mClock,
                         new TargetConnectionPool.Listener() {
                             @Override
@@ -142,7 +142,7 @@
                             }
                         });
         mMetrics = dependencies.metrics();
-        mRelays = RelayClient.create(mLoop, mDialect.targets(), mClock);
+        mRelays = RelayClient.create(mLoop, mClock);
         mPathProber = new PathProber(this);
         mRollouts = new EntryRollouts(this, ThreadLocalRandom.current().nextLong());
     }
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/engine/EngineClient.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/engine/EngineClient.java
@@ -59,7 +59,7 @@
             EventLoop loop, TargetDialect dialect, LongSupplier clock, RefusalLog refusals) {
         mLoop = loop;
         mDialect = dialect;
-        mPool = TargetConnectionPool.create(loop, dialect, clock);
+        mPool = TargetConnectionPool.create(loop, head -> dialect.read(head).requestId(), clock);
         mRefusals = refusals;
     }
 
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/engine/TargetConnection.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/engine/TargetConnection.java
@@ -35,10 +35,10 @@
 import java.util.Set;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import org.quilldyke.ResultCode;
-import org.quilldyke.gateway.dialect.TargetDialect;
 import org.quilldyke.gateway.http.HttpFraming;
 
 /**
@@ -85,7 +85,7 @@
     private static final Pattern KEEP_ALIVE_TIMEOUT = Pattern.compile("timeout\\s*=\\s*(\\d{1,6})");
 
     private final TargetConnectionPool.PerTargetPool mPool;
-    private final TargetDialect mDialect;
+    private final Function<HttpResponse, String> mRequestIds;
     private final OrderlyEndDetector mEndDetector = OrderlyEndDetector.create();
 
     /** Hash codes of the ids of the requests sent; a collision costs no more than a connection. */
@@ -111,9 +111,10 @@
     private long mUsableUntil;
     private long mIdleMillis = DEFAULT_IDLE_MILLIS;
 
-    TargetConnection(TargetConnectionPool.PerTargetPool pool, TargetDialect dialect) {
+    TargetConnection(
+            TargetConnectionPool.PerTargetPool pool, Function<HttpResponse, String> requestIds) {
         mPool = pool;
-        mDialect = dialect;
+        mRequestIds = requestIds;
     }
 
     /** Adds the handlers of a new connection. */
@@ -272,7 +273,7 @@
             onInformational();
             return;
         }
-        String id = mDialect.read(head).requestId();
+        String id = mRequestIds.apply(head);
         mFramed = isFramed(head);
         boolean mismatched = !id.isEmpty() && !id.equals(mAttempt.requestId());
         if (mismatched) {
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/engine/TargetConnectionPool.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/engine/TargetConnectionPool.java
@@ -26,6 +26,7 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpResponse;
 import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
@@ -35,10 +36,10 @@
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Function;
 import java.util.function.LongSupplier;
 import org.quilldyke.daemon.settings.Addresses;
 import org.quilldyke.engine.SocketAddresses;
-import org.quilldyke.gateway.dialect.TargetDialect;
 
 /** Connections to targets, reused for later requests. Used on the traffic thread. */
 public final class TargetConnectionPool {
@@ -48,15 +49,18 @@
     private static final int MAX_HEADER_BYTES = 64 << 10;
 
     private final EventLoop mLoop;
-    private final TargetDialect mDialect;
+    private final Function<HttpResponse, String> mRequestIds;
     private final LongSupplier mClock;
     private final Listener mListener;
     private final Map<String, PerTargetPool> mPoolsByTarget = new HashMap<>();
 
     private TargetConnectionPool(
-            EventLoop loop, TargetDialect dialect, LongSupplier clock, Listener listener) {
+            EventLoop loop,
+            Function<HttpResponse, String> requestIds,
+            LongSupplier clock,
+            Listener listener) {
         mLoop = loop;
-        mDialect = dialect;
+        mRequestIds = requestIds;
         mClock = clock;
         mListener = listener;
     }
@@ -65,25 +69,28 @@
      * Returns a pool without connections.
      *
      * @param loop the traffic thread
-     * @param dialect the targets' wire format
+     * @param requestIds returns the id of the request that an answer is for, empty if it has none
      * @param clock monotonic milliseconds
      */
     public static TargetConnectionPool create(
-            EventLoop loop, TargetDialect dialect, LongSupplier clock) {
-        return create(loop, dialect, clock, new Listener() {});
+            EventLoop loop, Function<HttpResponse, String> requestIds, LongSupplier clock) {
+        return create(loop, requestIds, clock, new Listener() {});
     }
 
     /**
      * Returns a pool without connections that notifies a listener.
      *
      * @param loop the traffic thread
-     * @param dialect the targets' wire format
+     * @param requestIds returns the id of the request that an answer is for, empty if it has none
      * @param clock monotonic milliseconds
      * @param listener is notified of changes and errors of connections
      */
     public static TargetConnectionPool create(
-            EventLoop loop, TargetDialect dialect, LongSupplier clock, Listener listener) {
-        return new TargetConnectionPool(loop, dialect, clock, listener);
+            EventLoop loop,
+            Function<HttpResponse, String> requestIds,
+            LongSupplier clock,
+            Listener listener) {
+        return new TargetConnectionPool(loop, requestIds, clock, listener);
     }
 
     /**
@@ -216,7 +223,7 @@
                 mLoop.execute(() -> failUnsent(attempt, "not IP:port: " + mAddress));
                 return;
             }
-            TargetConnection connection = new TargetConnection(this, mDialect);
+            TargetConnection connection = new TargetConnection(this, mRequestIds);
             long startedAt = now();
             openChannel(connection)
                     .addListener(
@@ -229,7 +236,7 @@
                 return;
             }
             mProbing = true;
-            TargetConnection connection = new TargetConnection(this, mDialect);
+            TargetConnection connection = new TargetConnection(this, mRequestIds);
             long startedAt = now();
             openChannel(connection)
                     .addListener(
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/relay/RelayClient.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/relay/RelayClient.java
@@ -19,7 +19,6 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import java.util.List;
 import java.util.function.LongSupplier;
-import org.quilldyke.gateway.dialect.TargetDialect;
 import org.quilldyke.gateway.engine.AttemptListener;
 import org.quilldyke.gateway.engine.OpenAttempt;
 import org.quilldyke.gateway.engine.TargetConnectionPool;
@@ -32,21 +31,22 @@
     private final TargetConnectionPool mPool;
     private final RelayChoice mChoice = RelayChoice.create();
 
-    private RelayClient(EventLoop loop, TargetDialect dialect, LongSupplier clock) {
+    private RelayClient(EventLoop loop, LongSupplier clock) {
         mLoop = loop;
         mClock = clock;
-        mPool = TargetConnectionPool.create(loop, dialect, clock);
+        mPool =
+                TargetConnectionPool.create(
+                        loop, head -> head.headers().get(RelayHeaders.REQUEST_ID, ""), clock);
     }
 
     /**
      * Returns a client without relays.
      *
      * @param loop the traffic thread
-     * @param dialect the targets' wire format
      * @param clock monotonic milliseconds
      */
-    public static RelayClient create(EventLoop loop, TargetDialect dialect, LongSupplier clock) {
-        return new RelayClient(loop, dialect, clock);
+    public static RelayClient create(EventLoop loop, LongSupplier clock) {
+        return new RelayClient(loop, clock);
     }
 
     /** Applies a control process's offer of relays, the preferred ones first. */
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/relay/RelayHeaders.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/relay/RelayHeaders.java
@@ -22,7 +22,9 @@
     /** The target that a relayed request is for. */
     static final AsciiString TARGET = AsciiString.cached("Quilldyke-Relay-Target");
 
-    /** The request's id, by which late answers to other requests are recognised. */
+    /**
+     * The request's id, by which late answers to other requests are recognised; also in answers.
+     */
     static final AsciiString REQUEST_ID = AsciiString.cached("Quilldyke-Relay-Request");
 
     /** Set if the request may only be sent on a permit of the relay. */
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/relay/RelaySession.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/relay/RelaySession.java
@@ -46,6 +46,9 @@
     /** The target of the open request; empty if none is open. */
     private Optional<String> mTarget = Optional.empty();
 
+    /** The id of the request that was received last, empty if it has none. */
+    private String mRequestId = "";
+
     /** Null until it is sent, and after its end. */
     private OpenAttempt mAttempt;
 
@@ -66,6 +69,7 @@
             context.close();
             return;
         }
+        mRequestId = requestId;
         Optional<String> address = mServer.destination(target);
         if (address.isEmpty()) {
             answerUnsent(RelayHeaders.UNSENT_RELAY);
@@ -124,6 +128,7 @@
         HttpResponse out = new DefaultHttpResponse(HttpVersion.HTTP_1_1, head.status());
         out.headers().add(HopByHopHeaders.endToEnd(head.headers(), name -> false));
         out.headers().remove(RelayHeaders.UNSENT).remove(RelayHeaders.UNFRAMED);
+        out.headers().set(RelayHeaders.REQUEST_ID, mRequestId);
         String length = head.headers().get(HttpHeaderNames.CONTENT_LENGTH);
         boolean isChunked = HttpUtil.isTransferEncodingChunked(head);
         if (length != null && !isChunked) {
@@ -166,6 +171,7 @@
                         HttpResponseStatus.SERVICE_UNAVAILABLE,
                         Unpooled.EMPTY_BUFFER);
         answer.headers().set(RelayHeaders.UNSENT, cause);
+        answer.headers().set(RelayHeaders.REQUEST_ID, mRequestId);
         answer.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
         mContext.writeAndFlush(answer);
     }
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/relay/RelayedAttempt.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/relay/RelayedAttempt.java
@@ -134,7 +134,7 @@
         if (unsent == null) {
             mDataReceived = true;
             mEndsWithConnection = !isFramed(head);
-            mListener.onHead(withoutRelayFraming(head));
+            mListener.onHead(withoutRelayHeaders(head));
             return;
         }
         mAttempt.ignoreRest();
@@ -181,12 +181,12 @@
     }
 
     /** Returns the head as the target sent it; the decoder still needs the original. */
-    private static HttpResponse withoutRelayFraming(HttpResponse head) {
-        if (!head.headers().contains(RelayHeaders.UNFRAMED)) {
-            return head;
-        }
+    private static HttpResponse withoutRelayHeaders(HttpResponse head) {
         HttpHeaders headers = head.headers().copy();
-        headers.remove(RelayHeaders.UNFRAMED).remove(HttpHeaderNames.TRANSFER_ENCODING);
+        headers.remove(RelayHeaders.REQUEST_ID);
+        if (headers.contains(RelayHeaders.UNFRAMED)) {
+            headers.remove(RelayHeaders.UNFRAMED).remove(HttpHeaderNames.TRANSFER_ENCODING);
+        }
         return new DefaultHttpResponse(head.protocolVersion(), head.status(), headers);
     }
 
--- a/quilldyke-gateway/src/test/java/org/quilldyke/gateway/engine/ConnectTimeTest.java
+++ b/quilldyke-gateway/src/test/java/org/quilldyke/gateway/engine/ConnectTimeTest.java
@@ -49,7 +49,7 @@
     private final TargetConnectionPool mPool =
             TargetConnectionPool.create(
                     mLoop,
-                    null, // No answer arrives that a dialect would read.
+                    head -> "",
                     () -> mClock.addAndGet(7),
                     new TargetConnectionPool.Listener() {
                         @Override
