--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/engine/TargetConnection.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/engine/TargetConnection.java
@@ -23,7 +23,6 @@
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
@@ -151,7 +150,7 @@
                 && now < mUsableUntil;
     }
 
-    /** Returns whether the answer to a request can be told apart from late copies of others. */
+    /** Returns whether the answer to a request is distinguishable from late copies of others. */
     boolean canIdentifyAnswer(String requestId) {
         boolean isAmbiguous = mAnsweredWithoutId || mSentRequests.contains(requestId.hashCode());
         return requestId.isEmpty() || !isAmbiguous;
@@ -163,7 +162,7 @@
         }
     }
 
-    /** Handles that nobody needs the rest of the answer, which may be long or without end. */
+    /** Reads the rest of an answer that isn't needed, unless it is long or without end. */
     void onRestIgnored(Attempt attempt) {
         if (mAttempt != attempt) {
             return;
@@ -274,7 +273,7 @@
             return;
         }
         String id = mRequestIds.apply(head);
-        mFramed = isFramed(head);
+        mFramed = HttpFraming.isFramed(head, mAttempt.request().method());
         boolean mismatched = !id.isEmpty() && !id.equals(mAttempt.requestId());
         if (mismatched) {
             onOtherAnswer();
@@ -390,11 +389,6 @@
                 });
     }
 
-    /** Returns whether the end of the answer is told apart from the end of the connection. */
-    private boolean isFramed(HttpResponse head) {
-        return HttpFraming.isFramed(head) || mAttempt.request().method().equals(HttpMethod.HEAD);
-    }
-
     private void fail(String reason) {
         Attempt attempt = mAttempt;
         mAttempt = null;
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/http/HttpFraming.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/http/HttpFraming.java
@@ -15,6 +15,7 @@
  */
 package org.quilldyke.gateway.http;
 
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
@@ -33,4 +34,9 @@
                 || head.status().equals(HttpResponseStatus.NO_CONTENT)
                 || head.status().equals(HttpResponseStatus.NOT_MODIFIED);
     }
+
+    /** Returns whether the end of an answer to a request with the given method is marked. */
+    public static boolean isFramed(HttpResponse head, HttpMethod method) {
+        return isFramed(head) || method.equals(HttpMethod.HEAD);
+    }
 }
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/relay/RelayedAttempt.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/relay/RelayedAttempt.java
@@ -20,7 +20,6 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import java.util.HashSet;
 import java.util.Optional;
@@ -133,7 +132,8 @@
         String unsent = head.headers().get(RelayHeaders.UNSENT);
         if (unsent == null) {
             mDataReceived = true;
-            mEndsWithConnection = !isFramed(head);
+            // Relays of earlier versions add no framing.
+            mEndsWithConnection = !HttpFraming.isFramed(head, mRequest.method());
             mListener.onHead(withoutRelayHeaders(head));
             return;
         }
@@ -172,14 +172,6 @@
         mListener.onFailed(code, reason + ", through the relay " + relay);
     }
 
-    /**
-     * Returns whether the end of an answer is told apart from the end of its connection, as in all
-     * answers of a relay; those of earlier versions lack it if the target's answer had none.
-     */
-    private boolean isFramed(HttpResponse head) {
-        return HttpFraming.isFramed(head) || mRequest.method().equals(HttpMethod.HEAD);
-    }
-
     /** Returns the head as the target sent it; the decoder still needs the original. */
     private static HttpResponse withoutRelayHeaders(HttpResponse head) {
         HttpHeaders headers = head.headers().copy();
