Skipped answers of targets are logged and counted

QD2008 names the request that was waiting, the target and the id of the answer, at most five lines a second; targets.answers-skipped counts all. EventLog.printable, which bounds text from other processes, was private to RefusalLog.

--- a/quilldyke-daemon/src/main/java/org/quilldyke/daemon/log/Event.java
+++ b/quilldyke-daemon/src/main/java/org/quilldyke/daemon/log/Event.java
@@ -35,6 +35,7 @@
     NO_TARGET(2006, Level.WARN, "no-target", "no target could be used; how many are alive"),
     RETRY_SHARE(
             2007, Level.INFO, "retry-share", "among how many instances the retries are divided"),
+    ANSWER_SKIPPED(2008, Level.WARN, "skip", "an answer to another request was skipped"),
 
     TARGET_JOINED(3001, Level.INFO, "target-joined", "a target announced itself"),
     TARGET_RESTARTED(3002, Level.INFO, "target-restarted", "a target has a new incarnation"),
--- a/quilldyke-daemon/src/main/java/org/quilldyke/daemon/log/EventLog.java
+++ b/quilldyke-daemon/src/main/java/org/quilldyke/daemon/log/EventLog.java
@@ -22,6 +22,8 @@
 
 /** Writes events, a line each: number, word, and fields as {@code key=value}. */
 public final class EventLog {
+    private static final int MAX_TEXT_CHARS = 200;
+
     private final String mInstance;
     private final Map<Event, LongAdder> mCounts = new EnumMap<>(Event.class);
 
@@ -60,6 +62,13 @@
         Logger.error(e, line(Event.FAULT, "where", where));
     }
 
+    /** Prevents text from other processes from ending a log line or making it too long. */
+    public static String printable(String text) {
+        String prefix =
+                text.length() <= MAX_TEXT_CHARS ? text : text.substring(0, MAX_TEXT_CHARS) + "...";
+        return prefix.replaceAll("\\p{Cntrl}", "?");
+    }
+
     /** Returns how often an event was written. */
     public long count(Event event) {
         return mCounts.get(event).sum();
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/engine/RefusalLog.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/engine/RefusalLog.java
@@ -35,7 +35,6 @@
 public final class RefusalLog {
     private static final int MAX_LINES = 5;
     private static final long LINE_WINDOW_MILLIS = 1000;
-    private static final int MAX_TEXT_CHARS = 200;
 
     private static final Set<ResultCode> REPORT_ERRORS =
             EnumSet.of(
@@ -102,11 +101,11 @@
             mLog.write(
                     event,
                     "path",
-                    printable(path),
+                    EventLog.printable(path),
                     "code",
                     code,
                     "detail",
-                    printable(String.valueOf(error.getMessage())),
+                    EventLog.printable(String.valueOf(error.getMessage())),
                     "left_out",
                     suppressed.getAsLong());
         }
@@ -123,13 +122,13 @@
                     "source",
                     name,
                     "from",
-                    printable(sender),
+                    EventLog.printable(sender),
                     "code",
                     code.label(),
                     "count",
                     count,
                     "detail",
-                    printable(detail),
+                    EventLog.printable(detail),
                     "left_out",
                     suppressed.getAsLong());
         }
@@ -139,13 +138,6 @@
         return mLineLimit.admit(kind, mClock.getAsLong());
     }
 
-    /** Prevents text from other processes from ending a log line or making it too long. */
-    private static String printable(String text) {
-        String prefix =
-                text.length() <= MAX_TEXT_CHARS ? text : text.substring(0, MAX_TEXT_CHARS) + "...";
-        return prefix.replaceAll("\\p{Cntrl}", "?");
-    }
-
     /** The kind of message that was refused. */
     public enum Source {
         /** A target's report on itself. */
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/engine/TargetConnection.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/engine/TargetConnection.java
@@ -276,7 +276,7 @@
         mFramed = HttpFraming.isFramed(head, mAttempt.request().method());
         boolean mismatched = !id.isEmpty() && !id.equals(mAttempt.requestId());
         if (mismatched) {
-            onOtherAnswer();
+            onOtherAnswer(id);
             return;
         }
         mReadState = ReadState.READING_BODY;
@@ -296,7 +296,8 @@
     }
 
     /** Skips a late answer to an earlier request; the expected one may follow. */
-    private void onOtherAnswer() {
+    private void onOtherAnswer(String id) {
+        mPool.onAnswerSkipped(id, mAttempt.requestId());
         mReadState = ReadState.SKIPPING_ANSWER;
         mNotReusable = true;
         if (!mFramed) {
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/engine/TargetConnectionPool.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/engine/TargetConnectionPool.java
@@ -196,6 +196,10 @@
             mListener.onInternalError(fault);
         }
 
+        void onAnswerSkipped(String answerId, String requestId) {
+            mListener.onAnswerSkipped(mTarget, answerId, requestId);
+        }
+
         /**
          * Returns the free connection that was used most recently, of those that can identify the
          * answer; null if there is none.
@@ -372,5 +376,8 @@
 
         /** A target's address refuses connections: no process listens there. */
         default void onConnectionRefused(String target) {}
+
+        /** An answer with {@code answerId} was skipped by the request {@code requestId}. */
+        default void onAnswerSkipped(String target, String answerId, String requestId) {}
     }
 }
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/platform/GatewayMetrics.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/platform/GatewayMetrics.java
@@ -45,6 +45,7 @@
     private final Counter mLeavesStated = mRegistry.counter("targets.leaving-stated");
     private final Counter mBrittle = mRegistry.counter("targets.brittle");
     private final Counter mRestsRequested = mRegistry.counter("targets.rests");
+    private final Counter mAnswersSkipped = mRegistry.counter("targets.answers-skipped");
     private final Counter mPathsProbed = mRegistry.counter("paths.probes");
 
     private final Counter mCanaries = mRegistry.counter("rollout.canaries");
@@ -164,6 +165,11 @@
         mBrittle.inc();
     }
 
+    /** Counts an answer of a target to another request than the one that was sent last. */
+    public void onAnswerSkipped() {
+        mAnswersSkipped.inc();
+    }
+
     /** Counts a probe of the path to a target. */
     public void onPathProbed() {
         mPathsProbed.inc();
