Answers to other requests don't hold an attempt without end

What callers saw: nothing was reported. A target in trouble that answers another request again and again, or never ends such an answer, held the attempt until its deadline.

Cause: of answers to other requests only the bytes of their bodies were bounded. A whole answer without a body adds none, and a slow one stays below 1 MiB.

Now 100 answers are skipped before the expected one, informational ones among them, and each of those to other requests for 1 s at most. A late copy of an answer is whole when it arrives, so both leave room for the expected one.

--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/engine/TargetConnection.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/engine/TargetConnection.java
@@ -64,19 +64,17 @@
      */
     private static final long IDLE_MARGIN_MILLIS = 700;
 
-    /**
-     * The rest of an answer is ignored up to these limits, beyond which a new connection is
-     * cheaper.
-     */
+    /** Bytes of the rest of an answer that are ignored; a new connection is cheaper than more. */
     private static final int MAX_IGNORED_BYTES = 64 << 10;
 
-    private static final long MAX_IGNORED_MILLIS = 1000;
-
     /** Bytes of answers to other requests that are skipped before the expected one. */
     private static final int MAX_SKIPPED_BYTES = 1 << 20;
 
-    /** Informational answers before the expected one. */
-    private static final int MAX_INFORMATIONAL = 100;
+    /** Answers to other requests, and informational ones, before the expected one. */
+    private static final int MAX_SKIPPED_ANSWERS = 100;
+
+    /** How long the rest of an answer is ignored, or one to another request is skipped. */
+    private static final long MAX_UNUSED_MILLIS = 1000;
 
     /** Bounds the memory for the ids of requests; the connection isn't used for more. */
     private static final int MAX_REQUESTS = 1000;
@@ -99,13 +97,13 @@
     private boolean mListenerFailed;
     private boolean mNotReusable;
     private boolean mAnsweredWithoutId;
-    private int mInformational;
+    private int mSkippedAnswers;
 
     /** Bytes of the body that were skipped or ignored since the request was sent. */
     private long mUnusedBytes;
 
-    /** Closes the connection if the rest of an ignored answer takes too long; null if none is. */
-    private Future<?> mIgnoreTimer;
+    /** Bounds the time of the answer that is ignored or skipped; null if none is. */
+    private Future<?> mUnusedTimer;
 
     private long mUsableUntil;
     private long mIdleMillis = DEFAULT_IDLE_MILLIS;
@@ -125,7 +123,7 @@
     void send(Attempt attempt) {
         mAttempt = attempt;
         mReadState = ReadState.AWAITING_HEAD;
-        mInformational = 0;
+        mSkippedAnswers = 0;
         mUnusedBytes = 0;
         if (!attempt.requestId().isEmpty()) {
             mSentRequests.add(attempt.requestId().hashCode());
@@ -168,9 +166,7 @@
             return;
         }
         if (mFramed) {
-            mIgnoreTimer =
-                    mContext.executor()
-                            .schedule(this::close, MAX_IGNORED_MILLIS, TimeUnit.MILLISECONDS);
+            startUnusedTimer(this::close);
         } else {
             close();
         }
@@ -226,17 +222,23 @@
     public void channelInactive(ChannelHandlerContext ctx) {
         Attempt attempt = mAttempt;
         mAttempt = null;
-        stopIgnoreTimer();
+        stopUnusedTimer();
         mPool.onClosed(this);
         if (attempt != null) {
             attempt.listener().onFailed(ResultCode.TARGET_LOST, reasonOfEnd());
         }
     }
 
-    private void stopIgnoreTimer() {
-        if (mIgnoreTimer != null) {
-            mIgnoreTimer.cancel(false);
-            mIgnoreTimer = null;
+    private void startUnusedTimer(Runnable onTimeout) {
+        stopUnusedTimer();
+        mUnusedTimer =
+                mContext.executor().schedule(onTimeout, MAX_UNUSED_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private void stopUnusedTimer() {
+        if (mUnusedTimer != null) {
+            mUnusedTimer.cancel(false);
+            mUnusedTimer = null;
         }
     }
 
@@ -269,7 +271,7 @@
 
     private void onHead(HttpResponse head) {
         if (head.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
-            onInformational();
+            onSkippedAnswer();
             return;
         }
         String id = mRequestIds.apply(head);
@@ -287,20 +289,23 @@
         mAttempt.listener().onHead(head);
     }
 
-    private void onInformational() {
+    private void onSkippedAnswer() {
         mReadState = ReadState.SKIPPING_ANSWER;
-        mInformational++;
-        if (mInformational > MAX_INFORMATIONAL) {
-            fail("over " + MAX_INFORMATIONAL + " informational answers");
+        mSkippedAnswers++;
+        if (mSkippedAnswers > MAX_SKIPPED_ANSWERS) {
+            fail("over " + MAX_SKIPPED_ANSWERS + " answers before the expected one");
         }
     }
 
     /** Skips a late answer to an earlier request; the expected one may follow. */
     private void onOtherAnswer(String id) {
         mPool.onAnswerSkipped(id, mAttempt.requestId());
-        mReadState = ReadState.SKIPPING_ANSWER;
         mNotReusable = true;
-        if (!mFramed) {
+        if (mFramed) {
+            String reason = "an answer to another request over " + MAX_UNUSED_MILLIS + " ms";
+            startUnusedTimer(() -> fail(reason));
+            onSkippedAnswer();
+        } else {
             fail("an answer to another request, up to the end of the connection");
         }
     }
@@ -318,6 +323,7 @@
             return;
         }
         if (mReadState == ReadState.SKIPPING_ANSWER) {
+            stopUnusedTimer();
             mReadState = ReadState.AWAITING_HEAD;
             return;
         }
@@ -364,7 +370,7 @@
     private void finish() {
         Attempt attempt = mAttempt;
         mAttempt = null;
-        stopIgnoreTimer();
+        stopUnusedTimer();
         mContext.channel().config().setAutoRead(true);
         mUsableUntil = mPool.now() + mIdleMillis;
         if (mNotReusable || attempt.isCancelled()) {
@@ -393,6 +399,7 @@
     private void fail(String reason) {
         Attempt attempt = mAttempt;
         mAttempt = null;
+        stopUnusedTimer();
         close();
         attempt.listener().onFailed(ResultCode.ANSWER_SPOILED, reason);
     }
