Connections whose requests are never read to the end are closed

What callers saw: nothing was reported. A target that answers before it has read a long request, and never reads the rest, kept the connection and the body of the request in the entry's memory until it closed the connection.

Cause: after the answer the connection waits for the rest of the request to be written, and nothing but the target ended that wait: the attempt, which has a deadline, is over by then.

Evidence: UnreadRequestTest.connectionIsClosedIfTheRequestIsNeverRead failed before (5 of 5 connections open after 15 s). A target has 4 s to read on now; connectionIsReusedIfTheRequestIsReadLate, which passed before, shows that one that reads on after 1.7 s keeps its connection. ResetAnswerTest, LateAnswerTest, EnginePartitionTest and LostPathsCrashTest pass.

--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/engine/TargetConnection.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/engine/TargetConnection.java
@@ -76,6 +76,9 @@
     /** How long the rest of an answer is ignored, or one to another request is skipped. */
     private static final long MAX_UNUSED_MILLIS = 1000;
 
+    /** How long a target may take to read the rest of a request that it has answered. */
+    private static final long MAX_UNREAD_MILLIS = 4000;
+
     /** Bounds the memory for the ids of requests; the connection isn't used for more. */
     private static final int MAX_REQUESTS = 1000;
 
@@ -383,9 +386,16 @@
 
     /**
      * The target may have answered before it has read the whole request, so the rest of it is
-     * written before the connection is used again.
+     * written before the connection is used again. If the target doesn't read it, the connection is
+     * closed, which releases the request.
      */
     private void releaseWhenWritten() {
+        if (!mWriteFuture.isDone()) {
+            Future<?> timer =
+                    mContext.executor()
+                            .schedule(this::close, MAX_UNREAD_MILLIS, TimeUnit.MILLISECONDS);
+            mWriteFuture.addListener(written -> timer.cancel(false));
+        }
         mWriteFuture.addListener(
                 written -> {
                     if (written.isSuccess() && mContext.channel().isActive()) {
