--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/EntryContext.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/EntryContext.java
@@ -38,7 +38,6 @@
 import org.quilldyke.caller.SuspectRequests;
 import org.quilldyke.daemon.log.Event;
 import org.quilldyke.daemon.log.EventLog;
-import org.quilldyke.daemon.log.LineLimit;
 import org.quilldyke.engine.TargetReport;
 import org.quilldyke.gateway.dialect.Dialect;
 import org.quilldyke.gateway.engine.AttemptListener;
@@ -73,10 +72,6 @@
     /** Logged as the source of a limit that was read from an answer, not sent by control. */
     private static final String SOURCE_ANSWER = "answer";
 
-    private static final int MAX_SKIPPED_ANSWER_LINES = 5;
-    private static final long LINE_WINDOW_MILLIS = 1000;
-    private static final String SKIPPED_ANSWER = "skipped-answer";
-
     private final EventLoop mLoop;
     private final LongSupplier mClock;
     private final LongSupplier mLeaseClock;
@@ -102,8 +97,6 @@
     private final EntryStreams mStreams = new EntryStreams(this);
     private QuotaGate mQuotaGate =
             (request, giveUpAt) -> request.onVerdict().accept(QuotaVerdict.unavailable());
-    private final LineLimit mSkippedAnswerLines =
-            LineLimit.of(MAX_SKIPPED_ANSWER_LINES, LINE_WINDOW_MILLIS);
     private Consumer<AdvertisedLimit> mLimitConsumer = limit -> {};
     private RouteTable mRoutes;
     private long mLogIndex = NO_VERSION;
@@ -127,33 +120,7 @@
                         mLoop,
                         head -> mDialect.targets().read(head).requestId(),
                         mClock,
-                        new TargetConnectionPool.Listener() {
-                            @Override
-                            public void onInternalError(Throwable fault) {
-                                mLog.fault(fault, "while reading from a target");
-                            }
-
-                            @Override
-                            public void onFreeConnections(String target, int free) {
-                                mTargetSelector.onFreeConnections(target, free);
-                            }
-
-                            @Override
-                            public void onConnected(String target, long millis) {
-                                mTargetSelector.onConnected(target, millis, now());
-                            }
-
-                            @Override
-                            public void onConnectionRefused(String target) {
-                                mCrashDetector.onTargetDown(target);
-                            }
-
-                            @Override
-                            public void onAnswerSkipped(
-                                    String target, String answerId, String requestId) {
-                                EntryContext.this.onAnswerSkipped(target, answerId, requestId);
-                            }
-                        });
+                        new ConnectionObserver(this));
         mMetrics = dependencies.metrics();
         mRelays = RelayClient.create(mLoop, mClock);
         mPathProber = new PathProber(this);
@@ -265,23 +232,6 @@
         }
     }
 
-    private void onAnswerSkipped(String target, String answerId, String requestId) {
-        mMetrics.onAnswerSkipped();
-        OptionalLong suppressed = mSkippedAnswerLines.admit(SKIPPED_ANSWER, now());
-        if (suppressed.isPresent()) {
-            mLog.write(
-                    Event.ANSWER_SKIPPED,
-                    "request",
-                    requestId,
-                    "target",
-                    target,
-                    "answer_id",
-                    EventLog.printable(answerId),
-                    "left_out",
-                    suppressed.getAsLong());
-        }
-    }
-
     /** Counts a request with a body of some size that is sent to a target. */
     void onAttempt(String target, int bodyBytes) {
         mMetrics.onAttempt();
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/engine/OrderlyEndDetector.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/engine/OrderlyEndDetector.java
@@ -22,7 +22,7 @@
 /**
  * Detects that the peer has ended its side of a connection in order, as all that it sent was read.
  *
- * <p>Stands before the decoder, which reports the end of a connection in the same way whatever the
+ * <p>Placed before the decoder, which reports the end of a connection in the same way whatever the
  * reason: this instance may have closed it, and a reset may be met by a read or a write. The
  * connection must allow to be half closed.
  */
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/engine/TargetConnectionPool.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/engine/TargetConnectionPool.java
@@ -377,7 +377,7 @@
         /** A target's address refuses connections: no process listens there. */
         default void onConnectionRefused(String target) {}
 
-        /** An answer with {@code answerId} was skipped by the request {@code requestId}. */
+        /** An answer to {@code answerId} was skipped while {@code requestId} awaited its own. */
         default void onAnswerSkipped(String target, String answerId, String requestId) {}
     }
 }
