Answers that no grammar of HTTP/1.1 allows are failures of their targets

What callers saw: status 000, 001, 099, 600, 999 and others as the status of an answer; a line whose field name held a blank, passed on; and bodies that weren't the target's, where "Content Length: 6", "Transfer-Encoding : chunked" or an unknown transfer coding had framed them.

Cause: whether a head is one was left to the library's decoder, which repairs what it reads. It takes any number for a status, ends a name at its first blank, skips what precedes the version, and reads to the end of the connection under a coding that it doesn't know. It also ignores what follows the size of a chunk, and blanks in the names of trailers.

Change: AnswerDecoder, which all readers of answers share (requests, relays, resumed streams, probes, reports, orders, cache events), checks the bytes that the library has consumed against the grammar (AnswerSyntax) before it hands out what was decoded from them. Transfer codings other than "chunked", which no request asks for, are malformed as well. A malformed answer fails with QR2020, is logged with its target and reason (QD2002), counts as a failure of the target, is retried where the request and the retry budget allow, and closes the connection, so that the bytes after it never reach the next request. Folded lines are refused rather than repaired, since they may hide a field.

Evidence: BrokenAnswerTest sends 55 shapes, all of them directly and to calls of control processes, 10 through entries, relays, streams and resumed streams. After: 216 of 216 pass.

--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/engine/AnswerDecoder.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/engine/AnswerDecoder.java
@@ -17,15 +17,26 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.util.List;
 
 /**
- * Decodes the answers of one connection.
+ * Decodes the answers of one connection, and decides which are none, before anything is inferred
+ * from their heads.
+ *
+ * <p>The decoder of the library repairs what it can: it finds a status in almost any line, a name
+ * before the first blank of a field line, and the end of a body under a transfer coding that it
+ * doesn't know. An answer that has to be repaired may not be what the target meant, so it is
+ * reported as malformed, and the rest of its connection is discarded.
  *
  * <p>Closes the connection at data that arrives while no answer is awaited: the decoder would keep
  * the beginning of a head, and decode the answer to the next request as the rest of it.
@@ -36,6 +47,9 @@
     private final TargetConnection mConnection;
     private boolean mHasDataLeft;
 
+    private AnswerSyntax mSyntax = AnswerSyntax.create();
+    private boolean mMalformed;
+
     private AnswerDecoder(TargetConnection connection) {
         super(
                 new HttpDecoderConfig()
@@ -69,10 +83,59 @@
     @Override
     protected void decode(ChannelHandlerContext ctx, ByteBuf data, List<Object> out)
             throws Exception {
+        if (mMalformed) {
+            data.skipBytes(data.readableBytes());
+            return;
+        }
+        int start = data.readerIndex();
         super.decode(ctx, data, out);
+        // A call ends at the end of a head, so that the framing is known before the body is read.
+        if (mSyntax.check(data.slice(start, data.readerIndex() - start))) {
+            out.forEach(this::onDecoded);
+        } else {
+            onMalformed(out);
+        }
         mHasDataLeft = data.isReadable();
     }
 
+    private void onDecoded(Object object) {
+        if (object instanceof HttpResponse head) {
+            checkTransferCoding(head);
+            if (HttpUtil.isTransferEncodingChunked(head)) {
+                mSyntax.onChunkedBody();
+            }
+        }
+        if (object instanceof LastHttpContent) {
+            mSyntax = AnswerSyntax.create();
+        }
+    }
+
+    /** Replaces what was decoded from malformed bytes. */
+    private void onMalformed(List<Object> out) {
+        out.forEach(ReferenceCountUtil::release);
+        out.clear();
+        HttpMessage invalid = createInvalidMessage();
+        invalid.setDecoderResult(failure("invalid " + mSyntax.invalidPart()));
+        out.add(invalid);
+        mMalformed = true;
+    }
+
+    /** No request asks for a coding other than chunks, and the decoder knows no other. */
+    private static void checkTransferCoding(HttpResponse head) {
+        List<String> codings = head.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING);
+        boolean isKnown =
+                codings.isEmpty()
+                        || codings.size() == 1
+                                && HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(codings.get(0));
+        if (!isKnown && head.decoderResult().isSuccess()) {
+            head.setDecoderResult(failure("transfer coding " + codings));
+        }
+    }
+
+    private static DecoderResult failure(String detail) {
+        return DecoderResult.failure(new IllegalArgumentException(detail));
+    }
+
     @Override
     protected boolean isContentAlwaysEmpty(HttpMessage head) {
         return mConnection.isAnswerWithoutBody() || super.isContentAlwaysEmpty(head);
