A malformed answer doesn't count as a failure of the path to its target

Cause: an attempt that failed before a head, and a probe without a head, were evidence that nothing gets through, also when the bytes that arrived were no answer. This held before for bytes that the library refused.

Change: both are evidence of a failed path only if no answer arrived at all (TARGET_LOST), not if a malformed one did (ANSWER_SPOILED).

--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/PathProber.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/PathProber.java
@@ -174,7 +174,8 @@
 
         @Override
         public void onFailed(ResultCode code, String reason) {
-            end(false);
+            // A malformed answer shows that the path works, too.
+            end(code == ResultCode.ANSWER_SPOILED);
         }
 
         private void onTimeout() {
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/engine/MonitoredAttempt.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/engine/MonitoredAttempt.java
@@ -115,7 +115,8 @@
 
     @Override
     public void onFailed(ResultCode code, String reason) {
-        close(!mDataReceived);
+        // Bytes that are no answer have come from the target, so the path works.
+        close(!mDataReceived && code != ResultCode.ANSWER_SPOILED);
         mListener.onFailed(code, reason);
     }
 
