An answer without framing is complete only if no reset follows its end

What callers saw: a 200 with a part of the body and a length that the target never named, where a target answered a long upload at once and closed while the upload was still being written (7 of 120 uploads of 4 MiB in the users' runs).

Cause: a system that closes a connection with unread bytes may end its side in order and reset the connection right after. Once the orderly end has been read, no further read shows the reset, and a write shows it only if something is left to write. The request counted as read when it was written, but up to 3 MiB of it are accepted by the system of this side alone.

Change: the end of such an answer is confirmed 50 ms after the whole request is written: the connection must not have failed by then. A selector reports an established connection as ready to connect only if an error is pending, which is documented of SelectionKey.OP_CONNECT and needs no native transport.

What remains: a target that ends its side in order, and resets the connection over 50 ms later, without having read what both systems have accepted.

--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/engine/TargetConnection.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/engine/TargetConnection.java
@@ -47,8 +47,8 @@
  *
  * <p>Strict, since targets may interrupt answers, send more than one, or send a late one in place
  * of the next: an answer with the id of another request is skipped, an answer without framing is
- * complete only if the target has ended the connection in order and could read the whole request,
- * and the connection isn't used again after either. A request is sent once at most on a connection,
+ * complete only if the target has ended the connection in order and has read the whole request, and
+ * the connection isn't used again after either. A request is sent once at most on a connection,
  * since a late copy of the answer to an earlier sending would have the same id; and none is sent
  * after an answer without an id, since a late copy of that would fit any request. Unsolicited bytes
  * close the connection.
@@ -78,6 +78,9 @@
     /** How long the rest of an answer is ignored, or one to another request is skipped. */
     private static final long MAX_UNUSED_MILLIS = 1000;
 
+    /** A reset that follows the end of an answer without framing arrives within this time. */
+    private static final long RESET_DELAY_MILLIS = 50;
+
     /** How long a target may take to read the rest of a request that it has answered. */
     private static final long MAX_UNREAD_MILLIS = 4000;
 
@@ -239,7 +242,7 @@
 
     @Override
     public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
-        if (event == ChannelInputShutdownEvent.INSTANCE && mReadState != ReadState.AWAITING_WRITE) {
+        if (event == ChannelInputShutdownEvent.INSTANCE && mReadState != ReadState.CONFIRMING_END) {
             close();
         }
         ctx.fireUserEventTriggered(event);
@@ -284,7 +287,7 @@
         if (mListenerFailed) {
             return "an internal error of this instance";
         }
-        if (mReadState == ReadState.AWAITING_WRITE) {
+        if (mReadState == ReadState.CONFIRMING_END) {
             return "connection closed before the request was read";
         }
         return mConnectionFailed ? "connection reset" : "connection closed";
@@ -376,7 +379,7 @@
         if (mFramed) {
             finish();
         } else if (mEndDetector.hasEnded()) {
-            finishWhenWritten();
+            finishWhenConfirmed();
         }
     }
 
@@ -395,20 +398,36 @@
     }
 
     /**
-     * Completes an answer without framing once the target has accepted the whole request. If the
-     * target crashed, its system resets the connection at further data.
+     * Completes an answer without framing once the whole request is written and the connection is
+     * still intact a moment later. If the target had not read all of the request, its system resets
+     * the connection right after the end, or at further data.
      */
-    private void finishWhenWritten() {
+    private void finishWhenConfirmed() {
         Attempt attempt = mAttempt;
-        mReadState = ReadState.AWAITING_WRITE;
+        mReadState = ReadState.CONFIRMING_END;
         mWriteFuture.addListener(
                 written -> {
                     if (written.isSuccess() && mAttempt == attempt) {
-                        finish();
+                        mContext.executor()
+                                .schedule(
+                                        () -> finishUnlessReset(attempt),
+                                        RESET_DELAY_MILLIS,
+                                        TimeUnit.MILLISECONDS);
                     }
                 });
     }
 
+    private void finishUnlessReset(Attempt attempt) {
+        if (mAttempt != attempt) {
+            return;
+        }
+        if (((TargetSocketChannel) mContext.channel()).hasFailed()) {
+            close();
+        } else {
+            finish();
+        }
+    }
+
     private void finish() {
         Attempt attempt = mAttempt;
         mAttempt = null;
@@ -468,7 +487,7 @@
         READING_BODY,
         /** The rest of an answer to another request, or of an informational one. */
         SKIPPING_ANSWER,
-        /** Nothing: the answer has ended, but the request isn't written yet. */
-        AWAITING_WRITE
+        /** Nothing: the answer has ended, but the target may not have read the whole request. */
+        CONFIRMING_END
     }
 }
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/engine/TargetConnectionPool.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/engine/TargetConnectionPool.java
@@ -22,7 +22,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoop;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import java.net.ConnectException;
@@ -430,7 +429,7 @@
         private Bootstrap bootstrap(TargetConnection connection) {
             return new Bootstrap()
                     .group(mLoop)
-                    .channel(NioSocketChannel.class)
+                    .channelFactory(TargetSocketChannel::new)
                     .option(ChannelOption.TCP_NODELAY, true)
                     .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
                     .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
