The instance's client refuses malformed answers of engines and services

What callers saw: in the users' reports nothing of this program; in a test with a stand-in, chunk sizes as a part of the body ("Transfer-Encoding : chunked", "xchunked", "chunked, chunked" and others), fields that were ignored because of a blank or a control byte in their names, and status 1000 as 100.

Cause: the same as in the gateway: whether a head is one was left to the HTTP library (here ActiveJ's), which keeps such names as they are and treats a body under a coding that it doesn't know as one up to the end of the connection.

Change: EngineClient.send, through which the instance reads all answers of engines and services, checks the head first. A malformed answer is a failed attempt after which the request may have run; its connection is closed.

A trailer whose name has a blank is still accepted: the library discards trailers unread.

--- a/quilldyke-daemon/src/main/java/org/quilldyke/daemon/engine/EngineClient.java
+++ b/quilldyke-daemon/src/main/java/org/quilldyke/daemon/engine/EngineClient.java
@@ -26,6 +26,7 @@
 import java.net.ConnectException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.Optional;
 import org.quilldyke.Outcome;
 import org.quilldyke.QuilldykeException;
 import org.quilldyke.caller.AttemptState;
@@ -111,7 +112,7 @@
                 .then(response -> response.loadBody(ERROR_BODY_BYTES).toVoid());
     }
 
-    /** Sends any request. */
+    /** Sends any request; a malformed answer is a failure after which the request may have run. */
     public Promise<HttpResponse> send(HttpRequest request) {
         return mClient.request(request)
                 .mapException(
@@ -120,7 +121,20 @@
                                         ? new AttemptException(
                                                 AttemptState.UNREACHABLE, 0, e.toString())
                                         : new AttemptException(
-                                                AttemptState.SENDING, 0, e.toString()));
+                                                AttemptState.SENDING, 0, e.toString()))
+                .then(EngineClient::checked);
+    }
+
+    private static Promise<HttpResponse> checked(HttpResponse response) {
+        Optional<String> fault = AnswerHeadCheck.fault(response);
+        if (fault.isEmpty()) {
+            return Promise.of(response);
+        }
+        AttemptException malformed =
+                new AttemptException(AttemptState.SENDING, 0, "malformed answer: " + fault.get());
+        // Closes the connection, whose next bytes may belong to no answer.
+        response.takeBodyStream().closeEx(malformed);
+        return Promise.ofException(malformed);
     }
 
     private static Promise<SseReader> events(HttpResponse response) {
