An event number that is too long isn't an internal error

What callers saw: their streams failed (nothing broken was passed on), and the log blamed this instance.

Cause: a number of 19 digits or more in an event's id threw an exception in the reader. The attempt then failed as one whose target was lost, which is evidence of a crash, and the events that had been split before it in the same read were never released.

Change: such a number is none, as one with a letter was before.

Evidence: EventSplitterTest.numberThatIsTooLongIsNone failed before (NumberFormatException), 5 of 5 tests pass after.

--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/EventSplitter.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/EventSplitter.java
@@ -27,11 +27,14 @@
  * <p>An event ends with an empty line. Its number is the value of its {@code id} field.
  */
 final class EventSplitter {
-    /** The number of an event that has none. */
+    /** The number of an event that has none, or one that no stream reaches. */
     static final long NO_NUMBER = -1;
 
     private static final String ID_FIELD = "id:";
 
+    /** Any number of so many digits fits into a long. */
+    private static final int MAX_DIGITS = 18;
+
     private final ByteBuf mBuffer;
     private int mLineStart;
 
@@ -101,12 +104,15 @@
     }
 
     private static long parseNumber(String text) {
+        if (text.isEmpty() || text.length() > MAX_DIGITS) {
+            return NO_NUMBER;
+        }
         for (int i = 0; i < text.length(); i++) {
             if (text.charAt(i) < '0' || text.charAt(i) > '9') {
                 return NO_NUMBER;
             }
         }
-        return text.isEmpty() ? NO_NUMBER : Long.parseLong(text);
+        return Long.parseLong(text);
     }
 
     /**
--- a/quilldyke-gateway/src/test/java/org/quilldyke/gateway/caller/EventSplitterTest.java
+++ b/quilldyke-gateway/src/test/java/org/quilldyke/gateway/caller/EventSplitterTest.java
@@ -63,6 +63,17 @@
                 .inOrder();
     }
 
+    /** Guards against an exception in the reader, which would count as a fault of its own. */
+    @Test
+    void numberThatIsTooLongIsNone() {
+        for (String id : List.of("9".repeat(19), "9".repeat(400), "9223372036854775808")) {
+            String stream = "id: " + id + "\n\n";
+
+            assertThat(split(stream, stream.length()).get(0).number())
+                    .isEqualTo(EventSplitter.NO_NUMBER);
+        }
+    }
+
     @Test
     void incompleteEventIsBuffered() {
         EventSplitter splitter = new EventSplitter(UnpooledByteBufAllocator.DEFAULT);
