The bytes of all incomplete answers of a process are bounded together

What callers saw: requests for other things failed or waited for their deadline while all engines sent bodies without end to 24 or more requests at once.

Cause: each answer was bounded (16 MiB), their sum wasn't. With the direct memory of a deployed entry (48 MiB), the fourth such answer used it up. Then reads on any connection failed with OutOfMemoryError, which closes them.

Change: AnswerMemory bounds the sum to 24 MiB at an entry; at the bound, the answer that holds the most fails with QR2016, is retried where the request allows, and counts against its target. Incomplete events of streams are part of the sum. The answers to calls of a control process to engines, 1 MiB each before, have a bound of 16 MiB together; that one is tested on AnswerMemory only, not with a process.

Bytes of complete answers that slow callers have yet to read aren't part of the sum, nor are the bodies of requests.

--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/EntryContext.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/EntryContext.java
@@ -41,6 +41,7 @@
 import org.quilldyke.engine.TargetReport;
 import org.quilldyke.engine.VersionHistory;
 import org.quilldyke.gateway.dialect.Dialect;
+import org.quilldyke.gateway.engine.AnswerMemory;
 import org.quilldyke.gateway.engine.AttemptListener;
 import org.quilldyke.gateway.engine.MonitoredAttempt;
 import org.quilldyke.gateway.engine.OpenAttempt;
@@ -65,6 +66,9 @@
     /** Interval of the checks whether a few streams delay a target's loading of weights. */
     private static final long LOADING_DELAY_CHECK_MILLIS = 100;
 
+    /** Bytes of incomplete answers in memory, a half of the direct memory of a deployed entry. */
+    private static final long MAX_ANSWERS_BYTES = 24 << 20;
+
     /** Interval of the checks, during a shutdown, for streams that won't complete in time. */
     private static final long SHUTDOWN_CHECK_MILLIS = 100;
 
@@ -82,6 +86,7 @@
     private final RetryShare mRetryShare;
     private final ServiceRetryBudget mRetryBudget;
     private final ShutdownAdmission mShutdownAdmission = ShutdownAdmission.create();
+    private final AnswerMemory mAnswerMemory = AnswerMemory.ofBytes(MAX_ANSWERS_BYTES);
     private final KeyLease mKeyLease;
     private final long mMaxApplyMillis;
     private final EventLog mLog;
@@ -558,6 +563,11 @@
         return mKeyLease;
     }
 
+    /** Returns the bound on the bytes of incomplete answers. */
+    AnswerMemory answerMemory() {
+        return mAnswerMemory;
+    }
+
     /** Returns which requests are accepted during a shutdown. */
     ShutdownAdmission shutdownAdmission() {
         return mShutdownAdmission;
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/TargetAnswer.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/TargetAnswer.java
@@ -28,6 +28,7 @@
 import org.quilldyke.caller.ForwardRequest;
 import org.quilldyke.gateway.dialect.AnswerFacts;
 import org.quilldyke.gateway.dialect.LimitFact;
+import org.quilldyke.gateway.engine.AnswerMemory;
 import org.quilldyke.gateway.engine.AttemptListener;
 import org.quilldyke.gateway.engine.OpenAttempt;
 import org.quilldyke.gateway.http.HopByHopHeaders;
@@ -51,6 +52,7 @@
     private final Choice mChoice;
     private final ByteBufAllocator mAllocator;
     private final AnswerEvidence mEvidence;
+    private final AnswerMemory.Share mMemory;
     private OpenAttempt mAttempt;
     private HttpResponse mHead;
     private AnswerFacts mFacts;
@@ -76,6 +78,7 @@
         mChoice = choice;
         mAllocator = allocator;
         mEvidence = new AnswerEvidence(entry, evidence, choice);
+        mMemory = entry.answerMemory().open(this::discard);
         mLastDataAt = entry.now();
     }
 
@@ -148,6 +151,7 @@
     ByteBuf takeBody() {
         ByteBuf body = mBody;
         mBody = null;
+        mMemory.release();
         return body;
     }
 
@@ -201,6 +205,7 @@
             fail(ResultCode.ANSWER_TOO_LARGE, "over " + MAX_ANSWER_BYTES + " bytes");
         } else {
             mBody.writeBytes(bytes);
+            mMemory.set(mBody.capacity());
         }
     }
 
@@ -269,11 +274,20 @@
                 mExchange.onEvent(this, event);
             }
         }
-        if (mAttempt != null && mEventSplitter.incompleteBytes() > MAX_EVENT_BYTES) {
+        if (mAttempt == null) {
+            return;
+        }
+        if (mEventSplitter.incompleteBytes() > MAX_EVENT_BYTES) {
             fail(ResultCode.ANSWER_SPOILED, "an event over " + MAX_EVENT_BYTES + " bytes");
+        } else {
+            mMemory.set(mEventSplitter.incompleteBytes());
         }
     }
 
+    private void discard() {
+        fail(ResultCode.ANSWER_TOO_LARGE, "too many bytes of incomplete answers");
+    }
+
     private void recordEventInterval() {
         if (mLastEventAt != NO_EVENT) {
             mEntry.targetSelector()
@@ -320,6 +334,7 @@
     }
 
     private void releaseBuffers() {
+        mMemory.release();
         if (mBody != null) {
             mBody.release();
             mBody = null;
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/engine/EngineClient.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/engine/EngineClient.java
@@ -50,10 +50,14 @@
 
     private static final int MAX_BODY_BYTES = 1 << 20;
 
+    /** Bytes of the answers to all calls, a sixth of the heap of a deployed control process. */
+    private static final long MAX_ANSWERS_BYTES = 16 << 20;
+
     private final EventLoop mLoop;
     private final TargetDialect mDialect;
     private final TargetConnectionPool mPool;
     private final RefusalLog mRefusals;
+    private final AnswerMemory mAnswerMemory = AnswerMemory.ofBytes(MAX_ANSWERS_BYTES);
 
     private EngineClient(
             EventLoop loop, TargetDialect dialect, LongSupplier clock, RefusalLog refusals) {
@@ -214,6 +218,7 @@
         private final Attempt mAttempt;
         private final ScheduledFuture<?> mTimer;
         private final ByteBuf mBody = Unpooled.buffer();
+        private final AnswerMemory.Share mMemory = mAnswerMemory.open(this::abort);
         private int mStatus;
         private boolean mEnded;
 
@@ -224,7 +229,7 @@
                 Reuse reuse,
                 BiConsumer<Integer, byte[]> callback) {
             mCallback = callback;
-            mTimer = mLoop.schedule(this::onTimeout, timeoutMillis, TimeUnit.MILLISECONDS);
+            mTimer = mLoop.schedule(this::abort, timeoutMillis, TimeUnit.MILLISECONDS);
             mAttempt = reuse.send(mPool, address, request, this);
         }
 
@@ -246,10 +251,10 @@
         @Override
         public void onBody(ByteBuf bytes) {
             if (mBody.readableBytes() + bytes.readableBytes() > MAX_BODY_BYTES) {
-                mAttempt.cancel();
-                end(0);
+                abort();
             } else {
                 mBody.writeBytes(bytes);
+                mMemory.set(mBody.capacity());
             }
         }
 
@@ -263,7 +268,7 @@
             end(0);
         }
 
-        private void onTimeout() {
+        private void abort() {
             mAttempt.cancel();
             end(0);
         }
@@ -272,6 +277,7 @@
             if (!mEnded) {
                 mEnded = true;
                 mTimer.cancel(false);
+                mMemory.release();
                 mCallback.accept(status, ByteBufUtil.getBytes(mBody));
             }
         }
