--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/EntryContext.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/EntryContext.java
@@ -66,9 +66,6 @@
     /** Interval of the checks whether a few streams delay a target's loading of weights. */
     private static final long LOADING_DELAY_CHECK_MILLIS = 100;
 
-    /** Bytes of incomplete answers in memory, a half of the direct memory of a deployed entry. */
-    private static final long MAX_ANSWERS_BYTES = 24 << 20;
-
     /** Interval of the checks, during a shutdown, for streams that won't complete in time. */
     private static final long SHUTDOWN_CHECK_MILLIS = 100;
 
@@ -86,7 +83,7 @@
     private final RetryShare mRetryShare;
     private final ServiceRetryBudget mRetryBudget;
     private final ShutdownAdmission mShutdownAdmission = ShutdownAdmission.create();
-    private final AnswerMemory mAnswerMemory = AnswerMemory.ofBytes(MAX_ANSWERS_BYTES);
+    private final AnswerMemory mAnswerMemory = AnswerMemory.ofEntry();
     private final KeyLease mKeyLease;
     private final long mMaxApplyMillis;
     private final EventLog mLog;
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/engine/AnswerMemory.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/engine/AnswerMemory.java
@@ -26,6 +26,12 @@
  * thread-safe.
  */
 public final class AnswerMemory {
+    /** Half of the direct memory of a deployed entry. */
+    private static final long ENTRY_BYTES = 24 << 20;
+
+    /** A sixth of the heap of a deployed control process. */
+    private static final long CALL_BYTES = 16 << 20;
+
     private final long mMaxBytes;
     private final Set<Share> mShares = new HashSet<>();
     private long mBytes;
@@ -34,8 +40,18 @@
         mMaxBytes = maxBytes;
     }
 
+    /** Returns the bound on the answers to the requests of an entry. */
+    public static AnswerMemory ofEntry() {
+        return ofBytes(ENTRY_BYTES);
+    }
+
+    /** Returns the bound on the answers to the calls to engines. */
+    static AnswerMemory ofCalls() {
+        return ofBytes(CALL_BYTES);
+    }
+
     /** Returns a bound that no answer uses yet. */
-    public static AnswerMemory ofBytes(long maxBytes) {
+    static AnswerMemory ofBytes(long maxBytes) {
         return new AnswerMemory(maxBytes);
     }
 
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/engine/EngineClient.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/engine/EngineClient.java
@@ -50,14 +50,11 @@
 
     private static final int MAX_BODY_BYTES = 1 << 20;
 
-    /** Bytes of the answers to all calls, a sixth of the heap of a deployed control process. */
-    private static final long MAX_ANSWERS_BYTES = 16 << 20;
-
     private final EventLoop mLoop;
     private final TargetDialect mDialect;
     private final TargetConnectionPool mPool;
     private final RefusalLog mRefusals;
-    private final AnswerMemory mAnswerMemory = AnswerMemory.ofBytes(MAX_ANSWERS_BYTES);
+    private final AnswerMemory mAnswerMemory = AnswerMemory.ofCalls();
 
     private EngineClient(
             EventLoop loop, TargetDialect dialect, LongSupplier clock, RefusalLog refusals) {
