A head that is cut remains evidence of a failed path

Change: the connection reports bytes that are no part of an answer (AttemptListener.onMalformed), but not a head that is cut. Attempts and probes count the former as data from the target.

--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/PathProber.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/PathProber.java
@@ -162,6 +162,12 @@
             end(true);
         }
 
+        @Override
+        public void onMalformed() {
+            // The path works, whatever the target sends.
+            end(true);
+        }
+
         @Override
         public void onBody(ByteBuf bytes) {
             // Cancelled at the head.
@@ -174,8 +180,7 @@
 
         @Override
         public void onFailed(ResultCode code, String reason) {
-            // A malformed answer shows that the path works, too.
-            end(code == ResultCode.ANSWER_SPOILED);
+            end(false);
         }
 
         private void onTimeout() {
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/engine/AttemptListener.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/engine/AttemptListener.java
@@ -35,6 +35,9 @@
     /** The head of the answer has arrived. */
     void onHead(HttpResponse head);
 
+    /** Bytes have arrived that are no part of an answer; {@link #onFailed} follows. */
+    default void onMalformed() {}
+
     /** A part of the answer's body has arrived; it is released after this call. */
     void onBody(ByteBuf bytes);
 
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/engine/MonitoredAttempt.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/engine/MonitoredAttempt.java
@@ -101,6 +101,13 @@
         mListener.onHead(head);
     }
 
+    @Override
+    public void onMalformed() {
+        // The path works.
+        recordData();
+        mListener.onMalformed();
+    }
+
     @Override
     public void onBody(ByteBuf bytes) {
         recordData();
@@ -115,8 +122,7 @@
 
     @Override
     public void onFailed(ResultCode code, String reason) {
-        // Bytes that are no answer have come from the target, so the path works.
-        close(!mDataReceived && code != ResultCode.ANSWER_SPOILED);
+        close(!mDataReceived);
         mListener.onFailed(code, reason);
     }
 
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/engine/TargetConnection.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/engine/TargetConnection.java
@@ -20,6 +20,7 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
+import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
@@ -299,7 +300,7 @@
             return;
         }
         if (object.decoderResult().isFailure()) {
-            fail("malformed HTTP: " + object.decoderResult().cause());
+            onMalformed(object.decoderResult().cause());
             return;
         }
         if (object instanceof HttpResponse head) {
@@ -310,6 +311,16 @@
         }
     }
 
+    private void onMalformed(Throwable cause) {
+        boolean isCut = cause instanceof PrematureChannelClosureException;
+        if (!isCut) {
+            mAttempt.listener().onMalformed();
+        }
+        if (mAttempt != null) {
+            fail("malformed HTTP: " + cause);
+        }
+    }
+
     private void onHead(HttpResponse head) {
         if (head.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
             fail("a change of protocol that wasn't requested");
