A failed run is not answered with a status that promises that nothing ran

Cause: Forwarding relayed every status of a target. Step.Refuse was guarded by RunHistory, Step.Relay by nothing, so 408, 429 and 503 without the statement that nothing ran reached callers although the request counted as run.

Change: Forwarding.relay is the only place that relays an answer, and asks StatusPromise whether the status is true for the runs so far; if not, the caller gets 502 with QR2025, without signature, Retry-After or body of the target. AnswerHead.isFailure counts these answers as failures of the target, so that a repeatable request is sent to another one. It works for each deployment and each shape, since it depends only on the status and on the statement in the head.

--- a/quilldyke-core/src/main/java/org/quilldyke/ResultCode.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/ResultCode.java
@@ -63,6 +63,7 @@
     CRASHES_TARGETS(2022, 503, "targets crashed while they ran this request; it waits"),
     QUOTA_UNAVAILABLE(2023, 503, "the organisation's quota cannot be checked now"),
     STREAM_ORIGIN_UNKNOWN(2024, 503, "the version that began the stream to resume is unknown"),
+    REFUSAL_UNCONFIRMED(2025, 502, "the target refused the request, but may have run it"),
 
     PLAN_CONFLICT(3001, 409, "another intent won this number"),
     PLAN_STALE(3002, 409, "what the plan read has changed"),
--- a/quilldyke-core/src/main/java/org/quilldyke/caller/AnswerHead.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/caller/AnswerHead.java
@@ -27,6 +27,8 @@
  */
 public record AnswerHead(
         int status, boolean refused, boolean wrongTarget, boolean signed, boolean stream) {
+    private static final int FIRST_FAILURE_STATUS = 500;
+
     /** Returns whether the request was certainly not run. */
     public boolean isNotRun() {
         return refused || wrongTarget;
@@ -43,4 +45,17 @@
     public boolean isGenuine() {
         return signed || !isSuccess();
     }
+
+    /**
+     * Returns whether the status says that the request was not run, while the target does not state
+     * it: an application may answer so after its work.
+     */
+    public boolean isUnconfirmedRefusal() {
+        return StatusPromise.of(status) == StatusPromise.NOT_RUN && !isNotRun();
+    }
+
+    /** Returns whether the target has failed the request, which may have run. */
+    public boolean isFailure() {
+        return status >= FIRST_FAILURE_STATUS || isUnconfirmedRefusal();
+    }
 }
--- a/quilldyke-core/src/main/java/org/quilldyke/caller/ForwardRequest.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/caller/ForwardRequest.java
@@ -56,6 +56,9 @@
     /** Further parts of a prompt are not examined as causes of crashes. */
     private static final int MAX_SUSPECT_PARTS = 128;
 
+    /** With less time left, a retry cannot succeed. */
+    private static final long MIN_MILLIS_TO_RETRY = 30;
+
     /**
      * Returns what may be found to crash targets: the request, and the parts of its prompt that
      * other requests may share.
@@ -70,6 +73,11 @@
         return fingerprints;
     }
 
+    /** Returns whether enough time is left to send the request once more. */
+    boolean hasTimeToRetry(long now) {
+        return now + MIN_MILLIS_TO_RETRY < deadline;
+    }
+
     /** Returns the priority of the request; 0 is the highest. */
     public int priority() {
         return organisation
--- a/quilldyke-core/src/main/java/org/quilldyke/caller/Forwarding.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/caller/Forwarding.java
@@ -45,9 +45,6 @@
      */
     private static final int MIN_RETRIES_TO_MOVE = 3;
 
-    /** With less time left, a retry cannot succeed. */
-    private static final long MIN_MILLIS_TO_RETRY = 30;
-
     private final ForwardRequest mRequest;
     private final TargetSelector mTargets;
     private final ServiceRetryBudget mRetryBudget;
@@ -144,17 +141,26 @@
             // Only further events can follow the events that were already relayed.
             return onAnswerFailed(ResultCode.STREAM_BROKEN, now);
         }
-        if (head.status() >= 500 && !head.isSuccess()) {
-            mTargets.onFailure(mRun.target(), now);
-            if (mHandover.isPending() || mayRunAgain(now) && acquireRetry(now)) {
-                mHistory.onFailed(mRun.target());
-                finishRun();
-                return switchToSuccessor().orElseGet(() -> chooseTarget(now));
-            }
+        if (!head.isFailure()) {
+            mTargets.onSuccess(mRun.target(), now);
+            return relay(head);
+        }
+        mTargets.onFailure(mRun.target(), now);
+        if (mHandover.isPending() || mayRunAgain(now) && acquireRetry(now)) {
+            mHistory.onFailed(mRun.target());
+            finishRun();
+            return switchToSuccessor().orElseGet(() -> chooseTarget(now));
+        }
+        return relay(head);
+    }
+
+    /** Relays an answer, unless its status promises that a request that may have run did not. */
+    private Step relay(AnswerHead head) {
+        if (StatusPromise.of(head.status()).isKept(mHistory.runCount())) {
             return new Step.Relay();
         }
-        mTargets.onSuccess(mRun.target(), now);
-        return new Step.Relay();
+        finishRun();
+        return new Step.Fail(ResultCode.REFUSAL_UNCONFIRMED);
     }
 
     /** Records that events up to the given event number were relayed to the caller. */
@@ -284,7 +290,7 @@
     /** Returns whether an answer of the successor can replace the one of the run. */
     public boolean maySuccessorTakeOver(AnswerHead head) {
         return head.isGenuine()
-                && (mAnswerStarted ? head.stream() && head.isSuccess() : head.status() < 500);
+                && (mAnswerStarted ? head.stream() && head.isSuccess() : !head.isFailure());
     }
 
     /** Records that the successor has started to answer: it replaces the run. */
@@ -406,7 +412,7 @@
     private Step onRefused(AnswerHead head, long now) {
         recordRefusal(mRun, head, now);
         mHistory.onUnavailable(mRun.target());
-        boolean mayRetry = hasTimeLeft(now) && hasOtherTarget(now);
+        boolean mayRetry = mRequest.hasTimeToRetry(now) && hasOtherTarget(now);
         finishRun();
         Optional<Step> next = switchToSuccessor();
         if (next.isPresent()) {
@@ -437,11 +443,7 @@
         if (run.isFirstOnTarget()) {
             mHistory.onNotRun(run.target());
         }
-        if (head.wrongTarget()) {
-            mTargets.onWrongTarget(run.target(), now);
-        } else {
-            mTargets.onOverloaded(run.target(), now);
-        }
+        run.onRefused(head, now);
     }
 
     /** Returns the step after a failed run. */
@@ -474,7 +476,7 @@
                         && mRequest.route().resumable()
                         && mHistory.mayRunAnywhere()
                         && maySend(now)
-                        && hasTimeLeft(now);
+                        && mRequest.hasTimeToRetry(now);
         if (!mayResume) {
             return new Step.Abort(mFailureCode, mCutCause);
         }
@@ -502,7 +504,7 @@
         return mRequest.route().mayRunAgain()
                 && mayContinue
                 && maySend(now)
-                && hasTimeLeft(now)
+                && mRequest.hasTimeToRetry(now)
                 && hasOtherTarget(now);
     }
 
@@ -511,10 +513,6 @@
         return mSuspects.maySend(mRequest, mHistory.runCount(), now);
     }
 
-    private boolean hasTimeLeft(long now) {
-        return now + MIN_MILLIS_TO_RETRY < mRequest.deadline();
-    }
-
     /** Returns whether a target other than the current ones could answer. */
     private boolean hasOtherTarget(long now) {
         return mTargets.hasCandidate(mRequest, excludedTargets(now), now);
--- a/quilldyke-core/src/main/java/org/quilldyke/caller/TargetRun.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/caller/TargetRun.java
@@ -88,6 +88,15 @@
         }
     }
 
+    /** Records that the target has refused the request without running it. */
+    void onRefused(AnswerHead head, long now) {
+        if (head.wrongTarget()) {
+            mTargets.onWrongTarget(target(), now);
+        } else {
+            mTargets.onOverloaded(target(), now);
+        }
+    }
+
     /** Returns whether a byte may have reached the target. */
     boolean isSent() {
         return mSent;
--- a/quilldyke-core/src/test/java/org/quilldyke/caller/ForwardingSimulation.java
+++ b/quilldyke-core/src/test/java/org/quilldyke/caller/ForwardingSimulation.java
@@ -47,6 +47,9 @@
     private static final AnswerHead UNSIGNED_STREAM =
             new AnswerHead(200, false, false, false, true);
 
+    /** Statuses by which callers learn that a request was not run. */
+    private static final List<Integer> NOT_RUN_STATUSES = List.of(408, 421, 429, 503);
+
     private static final int MAX_STEPS = 400;
 
     /** More than a simulation of {@link #MAX_STEPS} steps can use. */
@@ -252,6 +255,11 @@
             return;
         }
         Step step = mForwarding.onAnswerHead(head, mNow);
+        if (step instanceof Step.Relay) {
+            assertWithMessage("relayed although it may have run")
+                    .that(head.status())
+                    .isNotIn(NOT_RUN_STATUSES);
+        }
         if (!(step instanceof Step.Relay)) {
             mLeftRunning.remove(mRun.mTarget);
             mRun = null;
@@ -335,6 +343,7 @@
         assertWithMessage("the answer that takes over is relayed")
                 .that(step)
                 .isEqualTo(new Step.Relay());
+        assertThat(head.status()).isNotIn(NOT_RUN_STATUSES);
         if (head.stream()) {
             mRun.mStreaming = true;
         } else {
@@ -352,10 +361,18 @@
             case 3 -> UNSIGNED;
             case 4 -> UNSIGNED_STREAM;
             case 5 -> OK;
+            case 6 -> unconfirmedRefusal();
             default -> mKind == RequestKind.STREAMING ? STREAM : OK;
         };
     }
 
+    /** Returns an answer with a status of a refusal, without the statement that nothing ran. */
+    private AnswerHead unconfirmedRefusal() {
+        int[] statuses = {408, 429, 503};
+        int status = statuses[mRandom.nextInt(statuses.length)];
+        return new AnswerHead(status, false, false, mRandom.nextBoolean(), mRandom.nextBoolean());
+    }
+
     private void perform(Step step) {
         log("-> " + step);
         if (!mInterrupted && !(step instanceof Step.AwaitSuccessor)) {
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/AnswerEvidence.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/AnswerEvidence.java
@@ -25,8 +25,6 @@
 
 /** Records one target's answer as evidence, if a rollout of its service is running. */
 final class AnswerEvidence {
-    private static final int FIRST_FAILURE_STATUS = 500;
-
     private final EntryContext mEntry;
     private final Optional<RequestEvidence> mRequest;
     private final Choice mChoice;
@@ -69,7 +67,7 @@
         if (head.isNotRun()) {
             mAttempt.onNotRun();
             finish();
-        } else if (head.status() >= FIRST_FAILURE_STATUS || !head.isGenuine()) {
+        } else if (head.isFailure() || !head.isGenuine()) {
             mAttempt.onFailed(mEntry.now());
             finish();
         }
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Exchange.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Exchange.java
@@ -261,7 +261,7 @@
     void onCompleteAnswer(TargetAnswer answer) {
         if (answer == mSuccessor) {
             if (!mForwarding.maySuccessorTakeOver(answer.answerHead())) {
-                answer.fail(ResultCode.STREAM_BROKEN, "status " + answer.answerHead().status());
+                answer.fail(ResultCode.STREAM_BROKEN, answer.statusText());
                 return;
             }
             switchToSuccessor();
@@ -271,7 +271,7 @@
             mForwarding.onComplete();
             writeAnswer();
         } else {
-            logAttempt(answer, "failed", "status " + answer.answerHead().status());
+            logAttempt(answer, "failed", answer.statusText());
             abandon(answer);
             mAnswer = null;
             perform(step);
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/TargetAnswer.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/TargetAnswer.java
@@ -142,6 +142,12 @@
         return mHead.status();
     }
 
+    /** Returns the status, and whether it lacks the statement that nothing ran, for the log. */
+    String statusText() {
+        String text = "status " + answerHead().status();
+        return answerHead().isUnconfirmedRefusal() ? text + ", not stated as not run" : text;
+    }
+
     /** Returns the headers for the caller. */
     HttpHeaders headers() {
         return HopByHopHeaders.endToEnd(mHead.headers(), name -> false);
@@ -322,7 +328,8 @@
     }
 
     private boolean hasRun() {
-        return answerHead().isGenuine() && !answerHead().isNotRun();
+        AnswerHead head = answerHead();
+        return head.isGenuine() && !head.isNotRun() && !head.isUnconfirmedRefusal();
     }
 
     /** Removes the attempt from the open ones, successful or not. */
