A refusal with the status of a run counts as a broken answer

A request of a non-idempotent route could run on two targets: an answer that bears Not-Executed and a success, 500 or 504 was taken for a refusal, and the entry sent the request to the next target although the first had run it.

Cause: AnswerHead.isNotRun looked at the header alone. The status contradicts it: 500 and 504 of an engine count as run, and a success has a result.

Change: such an answer isn't genuine; a request that may not be repeated fails with QR2020, others are sent to another target. The statement still counts with each other status, as the protocol says.

--- a/quilldyke-core/src/main/java/org/quilldyke/caller/AnswerHead.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/caller/AnswerHead.java
@@ -28,10 +28,12 @@
 public record AnswerHead(
         int status, boolean refused, boolean wrongTarget, boolean signed, boolean stream) {
     private static final int FIRST_FAILURE_STATUS = 500;
+    private static final int INTERNAL_ERROR = 500;
+    private static final int GATEWAY_TIMEOUT = 504;
 
     /** Returns whether the request was certainly not run. */
     public boolean isNotRun() {
-        return refused || wrongTarget;
+        return wrongTarget || refused && !hasStatusOfRun();
     }
 
     /** Returns whether the status is a success (2xx). */
@@ -40,10 +42,12 @@
     }
 
     /**
-     * Returns whether the answer may be relayed as the target's own; failures need no signature.
+     * Returns whether the answer may be relayed as the target's own; failures need no signature. A
+     * refusal with the status of a run contradicts itself.
      */
     public boolean isGenuine() {
-        return signed || !isSuccess();
+        boolean contradictsItself = refused && hasStatusOfRun();
+        return (signed || !isSuccess()) && !contradictsItself;
     }
 
     /**
@@ -58,4 +62,9 @@
     public boolean isFailure() {
         return status >= FIRST_FAILURE_STATUS || isUnconfirmedRefusal();
     }
+
+    /** Returns whether targets answer with the status only if they have run the request. */
+    private boolean hasStatusOfRun() {
+        return isSuccess() || status == INTERNAL_ERROR || status == GATEWAY_TIMEOUT;
+    }
 }
--- a/quilldyke-core/src/test/java/org/quilldyke/caller/ForwardingSimulation.java
+++ b/quilldyke-core/src/test/java/org/quilldyke/caller/ForwardingSimulation.java
@@ -44,6 +44,7 @@
     private static final AnswerHead MISDIRECTED = new AnswerHead(421, false, true, false, false);
     private static final AnswerHead FAILED = new AnswerHead(500, false, false, true, false);
     private static final AnswerHead UNSIGNED = new AnswerHead(200, false, false, false, false);
+    private static final AnswerHead CONTRADICTORY = new AnswerHead(200, true, false, true, false);
     private static final AnswerHead UNSIGNED_STREAM =
             new AnswerHead(200, false, false, false, true);
 
@@ -353,7 +354,7 @@
     }
 
     private AnswerHead randomHead() {
-        int kind = mRandom.nextInt(12);
+        int kind = mRandom.nextInt(13);
         return switch (kind) {
             case 0 -> REFUSED;
             case 1 -> MISDIRECTED;
@@ -362,6 +363,7 @@
             case 4 -> UNSIGNED_STREAM;
             case 5 -> OK;
             case 6 -> unconfirmedRefusal();
+            case 7 -> CONTRADICTORY;
             default -> mKind == RequestKind.STREAMING ? STREAM : OK;
         };
     }
--- a/quilldyke-core/src/test/java/org/quilldyke/caller/StatusPromiseTest.java
+++ b/quilldyke-core/src/test/java/org/quilldyke/caller/StatusPromiseTest.java
@@ -110,6 +110,20 @@
         assertThat(forwarding.maySuccessorTakeOver(head)).isFalse();
     }
 
+    /**
+     * Guards against a second run of a request whose answer says that it ran and that it didn't.
+     */
+    @ParameterizedTest
+    @ValueSource(ints = {200, 204, 500, 504})
+    void refusalWithTheStatusOfARunIsNone(int status) {
+        Forwarding forwarding = forwarding(RequestKind.NON_IDEMPOTENT);
+        send(forwarding.start(0), forwarding);
+
+        AnswerHead head = new AnswerHead(status, true, false, true, false);
+        assertThat(forwarding.onAnswerHead(head, 5))
+                .isEqualTo(new Step.Fail(ResultCode.ANSWER_SPOILED));
+    }
+
     private static void send(Step step, Forwarding forwarding) {
         assertThat(step).isInstanceOf(Step.Send.class);
         forwarding.onSending();
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Exchange.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Exchange.java
@@ -231,7 +231,7 @@
     void onStreamStart(TargetAnswer answer) {
         if (answer == mSuccessor) {
             if (!mForwarding.maySuccessorTakeOver(answer.answerHead())) {
-                answer.fail(ResultCode.ANSWER_SPOILED, "no signature");
+                answer.fail(ResultCode.ANSWER_SPOILED, "no signature, or refused");
                 return;
             }
             switchToSuccessor();
@@ -241,7 +241,7 @@
             cancelSuccessor();
         } else {
             abandon(answer);
-            logAttempt(answer, "spoiled", "no signature");
+            logAttempt(answer, "spoiled", "no signature, or refused");
             mAnswer = null;
             perform(step);
         }
