Only 400, 412 and 421 refuse an order to an engine

No caller saw it: an order to load weights whose answer had a status that says nothing about it, such as 408 or 429, counted as refused and was sent again at once, although the engine may still have carried it out. The revision that an order expects kept it from being carried out twice.

Evidence: EngineOrdersTest.onlyStatusesThatSaySoRefuseAnOrder failed in 5 of 13 cases before (204, 302, 404, 408, 429: REFUSED).

Change: 400, 412 and 421 refuse an order, 409 is a conflict, as the protocol lists them; all others leave it unknown, so that the planner waits for as long as the order may take effect.

--- a/quilldyke-core/src/main/java/org/quilldyke/weights/OrderOutcome.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/weights/OrderOutcome.java
@@ -27,7 +27,7 @@
     CONFLICT,
     /** It rejected the order for another reason. */
     REFUSED,
-    /** It didn't answer: it may execute the order, even seconds later. */
+    /** It didn't state what becomes of the order: it may execute it, even seconds later. */
     UNKNOWN;
 
     /**
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/engine/EngineClient.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/engine/EngineClient.java
@@ -150,11 +150,11 @@
 
     private static OrderOutcome outcome(int status) {
         return switch (status) {
-            case 0 -> OrderOutcome.UNKNOWN;
             case 202 -> OrderOutcome.ACCEPTED;
             case 200 -> OrderOutcome.HOLDS;
             case 409 -> OrderOutcome.CONFLICT;
-            default -> status >= 500 ? OrderOutcome.UNKNOWN : OrderOutcome.REFUSED;
+            case 400, 412, 421 -> OrderOutcome.REFUSED;
+            default -> OrderOutcome.UNKNOWN;
         };
     }
 
