--- a/quilldyke-core/src/main/java/org/quilldyke/caller/Forwarding.java
+++ b/quilldyke-core/src/main/java/org/quilldyke/caller/Forwarding.java
@@ -154,7 +154,7 @@
         return relay(head);
     }
 
-    /** Relays an answer, unless its status promises that a request that may have run did not. */
+    /** Relays an answer, unless its status would wrongly promise that the request was not run. */
     private Step relay(AnswerHead head) {
         if (StatusPromise.of(head.status()).isKept(mHistory.runCount())) {
             return new Step.Relay();
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Exchange.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/Exchange.java
@@ -231,7 +231,7 @@
     void onStreamStart(TargetAnswer answer) {
         if (answer == mSuccessor) {
             if (!mForwarding.maySuccessorTakeOver(answer.answerHead())) {
-                answer.fail(ResultCode.ANSWER_SPOILED, "no signature, or refused");
+                answer.fail(ResultCode.ANSWER_SPOILED, "no signature, or a contradictory head");
                 return;
             }
             switchToSuccessor();
@@ -241,7 +241,7 @@
             cancelSuccessor();
         } else {
             abandon(answer);
-            logAttempt(answer, "spoiled", "no signature, or refused");
+            logAttempt(answer, "spoiled", "no signature, or a contradictory head");
             mAnswer = null;
             perform(step);
         }
--- a/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/TargetAnswer.java
+++ b/quilldyke-gateway/src/main/java/org/quilldyke/gateway/caller/TargetAnswer.java
@@ -142,10 +142,10 @@
         return mHead.status();
     }
 
-    /** Returns the status, and whether it lacks the statement that nothing ran, for the log. */
+    /** Returns the status for the log, with a note if it looks like a refusal but is none. */
     String statusText() {
         String text = "status " + answerHead().status();
-        return answerHead().isUnconfirmedRefusal() ? text + ", not stated as not run" : text;
+        return answerHead().isUnconfirmedRefusal() ? text + ", may have run" : text;
     }
 
     /** Returns the headers for the caller. */
